--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/control/src/distribution.rs
@@ -0,0 +1,1 @@
+//! Who sends the configuration to whom, and as what.
--- /dev/null
+++ b/crates/control/src/intents.rs
@@ -0,0 +1,1 @@
+//! Planning, confirming and executing intents.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,10 @@
+//! Path of a change: agreement, durable state, intents and distribution.
+
+pub mod distribution;
+pub mod freshness;
+pub mod intents;
+pub mod log;
+pub mod membership;
+pub mod replica;
+pub mod state;
+pub mod storage;
--- /dev/null
+++ b/crates/control/src/log.rs
@@ -0,0 +1,1 @@
+//! The replicated log on disk: segments, snapshots, compaction.
--- /dev/null
+++ b/crates/control/src/membership.rs
@@ -0,0 +1,1 @@
+//! Changes of the control group, one at a time.
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,1 @@
+//! Agreement of the control group: terms, votes, replication, leader lease.
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,1 @@
+//! The replicated configuration and how commands change it.
--- /dev/null
+++ b/crates/control/src/storage.rs
@@ -0,0 +1,1 @@
+//! Durable files under one data folder, passed in as closures.
--- /dev/null
+++ b/crates/steering/src/grants.rs
@@ -0,0 +1,1 @@
+//! Fleet-wide rate and burst: tokens leased by an owner to holders.
--- /dev/null
+++ b/crates/steering/src/headers.rs
@@ -0,0 +1,1 @@
+//! Which headers are forwarded, in each direction.
--- /dev/null
+++ b/crates/steering/src/keys.rs
@@ -0,0 +1,1 @@
+//! Whose key a request shows.
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,14 @@
+//! Request-path decisions: plain functions over plain structs, with the time passed in.
+
+pub mod grants;
+pub mod headers;
+pub mod keys;
+pub mod links;
+pub mod lookup;
+pub mod moves;
+pub mod once;
+pub mod outcome;
+pub mod queue;
+pub mod shares;
+pub mod slots;
+pub mod targets;
--- /dev/null
+++ b/crates/steering/src/links.rs
@@ -0,0 +1,1 @@
+//! Budgets of the links between regions.
--- /dev/null
+++ b/crates/steering/src/lookup.rs
@@ -0,0 +1,1 @@
+//! Which entry VMs a caller should use.
--- /dev/null
+++ b/crates/steering/src/moves.rs
@@ -0,0 +1,1 @@
+//! Step plans for moves and drains.
--- /dev/null
+++ b/crates/steering/src/once.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys of non-idempotent requests.
--- /dev/null
+++ b/crates/steering/src/outcome.rs
@@ -0,0 +1,1 @@
+//! What a failed attempt means and whether to try again.
--- /dev/null
+++ b/crates/steering/src/queue.rs
@@ -0,0 +1,1 @@
+//! Bounded waiting, weighted-fair between organisations.
--- /dev/null
+++ b/crates/steering/src/shares.rs
@@ -0,0 +1,1 @@
+//! Stable assignment of client blocks to regions.
--- /dev/null
+++ b/crates/steering/src/slots.rs
@@ -0,0 +1,1 @@
+//! Which VM may use which slot of which target.
--- /dev/null
+++ b/crates/steering/src/targets.rs
@@ -0,0 +1,1 @@
+//! Announced targets and the choice among them.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Core types of celerygate: ids, sizes, rates, the clock, and the types generated from `schema/`.
+
+pub mod clock;
+pub mod generated;
+pub mod ids;
+mod number;
+pub mod sizes;
+
+pub use clock::{Clock, ManualClock};
+pub use generated::result_codes::{Outcome, ResultCode};
+pub use generated::wire;
+pub use ids::{
+    DataCentreId, IdError, Incarnation, IntentId, KeyHash, KeyId, LogIndex, OrganisationId,
+    RegionId, RequestId, Revision, ServiceId, TargetId, Term, VmId,
+};
+pub use number::NumberError;
+pub use sizes::{ByteCount, ByteRate, RequestCount, RequestRate, SharePpm, SlotCount};
