--- a/crates/steering/src/lookup.rs
+++ b/crates/steering/src/lookup.rs
@@ -1,1 +1,134 @@
 //! Which entry VMs a caller should use.
+//!
+//! Client address to client block, block to home region, home region to region by the segments of
+//! the route, region to entry VMs in an order that is stable for the block. A region that is lost
+//! or has no headroom is passed over in favour of regions with room, in proportion to their
+//! headroom.
+
+use std::net::IpAddr;
+use std::time::Instant;
+
+use celerygate_types::RegionId;
+use smallvec::SmallVec;
+
+mod blocks;
+mod entries;
+mod ledger;
+pub mod rendezvous;
+
+pub use blocks::{Block, BlockTable};
+pub use entries::{EntryInput, EntryTable, EntryVmInfo};
+pub use ledger::{AnswerLedger, CACHE_TIME, MEASUREMENT_LAG};
+
+/// Most entry VMs of the chosen region in an answer.
+pub const MAX_NEAR: usize = 3;
+/// Most entry VMs of other regions in an answer.
+pub const MAX_FALLBACK: usize = 3;
+
+/// Position of a region in the list that [`EntryTable`] was built from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RegionIndex(pub u16);
+
+/// Room of one region for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RegionRoom {
+    /// Free slots of the service's usable targets in the region, over all VMs.
+    pub headroom_slots: f32,
+    /// Slots that one answer adds when its caller was served elsewhere before.
+    pub slots_per_answer: f32,
+}
+
+/// Why a region was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Reason {
+    /// The route says so.
+    Route,
+    /// The region of the route has no serving entry VM.
+    RegionLost,
+    /// The region of the route has no headroom.
+    RegionFull,
+}
+
+/// Answer to a lookup.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Lookup {
+    /// Use these entry VMs, in this order.
+    Use(Decision),
+    /// No region has room for this caller.
+    NoCapacity,
+}
+
+/// Entry VMs for one caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Block of the caller.
+    pub block: Block,
+    /// Chosen region.
+    pub region: RegionIndex,
+    /// Why the region was chosen.
+    pub reason: Reason,
+    /// Positions in [`EntryTable::vms`], preferred ones first.
+    pub entries: SmallVec<[u16; MAX_NEAR + MAX_FALLBACK]>,
+}
+
+/// Decides which entry VMs a caller should use.
+///
+/// `room` has one element for each region of `entries`. `segment` maps a home region and the hash
+/// of a block to the region that serves the block; `None` keeps the block in its home region.
+pub fn decide(
+    blocks: &BlockTable,
+    entries: &EntryTable,
+    room: &[RegionRoom],
+    ledger: &mut AnswerLedger,
+    client: IpAddr,
+    segment: impl FnOnce(&RegionId, u64) -> Option<RegionId>,
+    now: Instant,
+) -> Lookup {
+    let block = blocks.find(client);
+    let home = match &block.home {
+        Some(home) => entries.region_index(home),
+        None => entries.hashed_region(block.hash),
+    };
+    let routed = match home.and_then(|home| segment(entries.region(home), block.hash)) {
+        Some(region) => entries.region_index(&region),
+        None => home,
+    };
+    let has_room = |region: RegionIndex| {
+        room.get(usize::from(region.0)).is_some_and(|room| room.headroom_slots > 0.0)
+    };
+    let reason = match routed {
+        Some(region) if entries.is_lost(region) => Reason::RegionLost,
+        Some(region) if !has_room(region) => Reason::RegionFull,
+        Some(region) => return use_region(entries, room, block, region, Reason::Route),
+        None => Reason::RegionLost,
+    };
+    let budget_left = |region: RegionIndex| ledger.left(entries, room, region, now);
+    let substitute = entries.best_region(block.hash, |region| {
+        if Some(region) == routed { 0.0 } else { budget_left(region) }
+    });
+    match substitute {
+        Some(region) => {
+            ledger.charge(region, room[usize::from(region.0)].slots_per_answer, now);
+            use_region(entries, room, block, region, reason)
+        }
+        None => Lookup::NoCapacity,
+    }
+}
+
+fn use_region(
+    entries: &EntryTable,
+    room: &[RegionRoom],
+    block: Block,
+    region: RegionIndex,
+    reason: Reason,
+) -> Lookup {
+    let mut chosen = SmallVec::new();
+    entries.pick(region, block.hash, MAX_NEAR, &mut chosen);
+    entries.pick_elsewhere(region, block.hash, room, MAX_FALLBACK, &mut chosen);
+    Lookup::Use(Decision { block, region, reason, entries: chosen })
+}
+
+#[cfg(test)]
+#[path = "lookup_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/steering/src/lookup/entries.rs
@@ -0,0 +1,223 @@
+//! Entry VMs by region, and their order for a block.
+
+use std::mem::size_of;
+
+use celerygate_types::{RegionId, VmId};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use super::rendezvous::{id_hash, mix, score};
+use super::{RegionIndex, RegionRoom};
+
+/// Steps to which the weight of a VM is rounded, so that small changes of a measurement do not
+/// reorder answers.
+const WEIGHT_STEPS: f32 = 8.0;
+
+/// An entry VM as the daemon knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryInput {
+    /// Id of the VM.
+    pub vm: VmId,
+    /// Address for callers.
+    pub address: SmolStr,
+    /// Region of the VM.
+    pub region: RegionId,
+    /// Whether the VM takes new work: heard of lately, serving, and not drained.
+    pub serving: bool,
+    /// Room for requests, in any unit that is the same for all VMs.
+    pub headroom: f32,
+}
+
+/// An entry VM in an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryVmInfo {
+    /// Id of the VM.
+    pub vm: VmId,
+    /// Address for callers.
+    pub address: SmolStr,
+    /// Region of the VM.
+    pub region: RegionIndex,
+}
+
+#[derive(Clone, Debug)]
+struct RegionEntries {
+    region: RegionId,
+    hash: u64,
+    /// Position of the region's first VM in `EntryTable::vms`.
+    first: u16,
+    candidates: Vec<Candidate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    hash: u64,
+    weight: f32,
+}
+
+/// The serving entry VMs; rebuilt when a heartbeat changes one of the inputs.
+#[derive(Clone, Debug, Default)]
+pub struct EntryTable {
+    regions: Vec<RegionEntries>,
+    vms: Vec<EntryVmInfo>,
+}
+
+impl EntryTable {
+    /// Builds the table for the configured regions; VMs that do not serve are left out.
+    pub fn new(regions: &[RegionId], inputs: &[EntryInput]) -> Self {
+        let mut table = Self::default();
+        for (at, region) in regions.iter().enumerate() {
+            let serving = || inputs.iter().filter(|input| input.serving && input.region == *region);
+            let largest = serving().map(|input| input.headroom).fold(0.0, f32::max);
+            let first = u16::try_from(table.vms.len()).unwrap_or(u16::MAX);
+            let mut candidates = Vec::with_capacity(serving().count());
+            for input in serving() {
+                candidates.push(Candidate {
+                    hash: id_hash(input.vm.as_str()),
+                    weight: rounded_weight(input.headroom, largest),
+                });
+                table.vms.push(EntryVmInfo {
+                    vm: input.vm.clone(),
+                    address: input.address.clone(),
+                    region: RegionIndex(u16::try_from(at).unwrap_or(u16::MAX)),
+                });
+            }
+            let hash = id_hash(region.as_str());
+            table.regions.push(RegionEntries { region: region.clone(), hash, first, candidates });
+        }
+        table
+    }
+
+    /// Returns the serving VMs.
+    pub fn vms(&self) -> &[EntryVmInfo] {
+        &self.vms
+    }
+
+    /// Returns the number of regions.
+    pub fn region_count(&self) -> usize {
+        self.regions.len()
+    }
+
+    /// Returns the position of a region.
+    pub fn region_index(&self, region: &RegionId) -> Option<RegionIndex> {
+        let at = self.regions.iter().position(|known| known.region == *region)?;
+        u16::try_from(at).ok().map(RegionIndex)
+    }
+
+    /// Returns the id of a region.
+    pub fn region(&self, index: RegionIndex) -> &RegionId {
+        &self.regions[usize::from(index.0)].region
+    }
+
+    /// Returns whether a region has no serving VM.
+    pub fn is_lost(&self, index: RegionIndex) -> bool {
+        self.regions.get(usize::from(index.0)).is_none_or(|region| region.candidates.is_empty())
+    }
+
+    /// Returns the bytes that the table holds on the heap, without texts of more than 23 bytes.
+    pub fn heap_bytes(&self) -> usize {
+        let candidates: usize =
+            self.regions.iter().map(|region| region.candidates.capacity()).sum();
+        self.regions.capacity() * size_of::<RegionEntries>()
+            + candidates * size_of::<Candidate>()
+            + self.vms.capacity() * size_of::<EntryVmInfo>()
+    }
+
+    /// Returns the home region of a block that the configuration does not name, independent of
+    /// which regions are up.
+    pub(super) fn hashed_region(&self, block_hash: u64) -> Option<RegionIndex> {
+        self.best(block_hash, |_| 1.0)
+    }
+
+    /// Returns one of the regions that serve, with a chance in proportion to its weight.
+    pub(super) fn best_region(
+        &self,
+        block_hash: u64,
+        weight: impl Fn(RegionIndex) -> f32,
+    ) -> Option<RegionIndex> {
+        self.best(block_hash, |region| if self.is_lost(region) { 0.0 } else { weight(region) })
+    }
+
+    fn best(&self, block_hash: u64, weight: impl Fn(RegionIndex) -> f32) -> Option<RegionIndex> {
+        let mut best = None;
+        for (at, region) in (0_u16..).zip(&self.regions) {
+            let weight = weight(RegionIndex(at));
+            if weight > 0.0 {
+                let score = score(block_hash, region.hash, weight);
+                if best.is_none_or(|(known, _)| score > known) {
+                    best = Some((score, RegionIndex(at)));
+                }
+            }
+        }
+        best.map(|(_, region)| region)
+    }
+
+    /// Appends the best VMs of a region for a block, best first.
+    pub(super) fn pick<const N: usize>(
+        &self,
+        region: RegionIndex,
+        block_hash: u64,
+        most: usize,
+        chosen: &mut SmallVec<[u16; N]>,
+    ) where
+        [u16; N]: smallvec::Array<Item = u16>,
+    {
+        let Some(entries) = self.regions.get(usize::from(region.0)) else { return };
+        let mut best: SmallVec<[(f32, u16); 4]> = SmallVec::new();
+        for (at, candidate) in (entries.first..).zip(&entries.candidates) {
+            let score = score(block_hash, candidate.hash, candidate.weight);
+            let is_full = best.len() >= most;
+            if is_full && best.last().is_none_or(|(worst, _)| score <= *worst) {
+                continue;
+            }
+            if is_full {
+                best.pop();
+            }
+            let place = best.iter().position(|(known, _)| score > *known).unwrap_or(best.len());
+            best.insert(place, (score, at));
+        }
+        chosen.extend(best.into_iter().map(|(_, at)| at));
+    }
+
+    /// Appends VMs of the other regions: one region is preferred by headroom, and the last VM comes
+    /// from a third region so that the loss of two regions leaves an address.
+    pub(super) fn pick_elsewhere<const N: usize>(
+        &self,
+        region: RegionIndex,
+        block_hash: u64,
+        room: &[RegionRoom],
+        most: usize,
+        chosen: &mut SmallVec<[u16; N]>,
+    ) where
+        [u16; N]: smallvec::Array<Item = u16>,
+    {
+        // Regions without headroom remain possible: an entry VM there can forward to other regions.
+        let weight = |other: RegionIndex| {
+            room.get(usize::from(other.0)).map_or(0.0, |room| room.headroom_slots).max(0.001)
+        };
+        let without = |skipped: &[RegionIndex]| {
+            let weight = |other| if skipped.contains(&other) { 0.0 } else { weight(other) };
+            self.best_region(block_hash, weight)
+        };
+        let Some(second) = without(&[region]) else { return };
+        let before = chosen.len();
+        let third = without(&[region, second]);
+        let from_second = if third.is_some() { most.saturating_sub(1) } else { most };
+        self.pick(second, block_hash, from_second, chosen);
+        if let Some(third) = third {
+            let entries = &self.regions[usize::from(third.0)];
+            let last = (entries.first..)
+                .zip(&entries.candidates)
+                .max_by_key(|(_, candidate)| mix(block_hash, candidate.hash));
+            chosen.extend(last.map(|(at, _)| at));
+        }
+        chosen.truncate(before + most);
+    }
+}
+
+/// Rounds a headroom up to steps relative to the largest; a VM without headroom stays possible.
+fn rounded_weight(headroom: f32, largest: f32) -> f32 {
+    if largest <= 0.0 {
+        return 1.0;
+    }
+    (headroom / largest * WEIGHT_STEPS).ceil().clamp(0.125, WEIGHT_STEPS)
+}
--- /dev/null
+++ b/crates/steering/src/once_tests.rs
@@ -0,0 +1,1 @@
+//! Tests of once.
--- a/crates/steering/src/targets.rs
+++ b/crates/steering/src/targets.rs
@@ -1,1 +1,315 @@
 //! Announced targets and the choice among them.
+//!
+//! A target is known by its announcements, which it renews every second. Its record is leased for
+//! 5 s from the last renewal; daemons relay records with their age. The daemon's own observations
+//! eject a failing target; no reported health overrides them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::{Announcement, Departure, TargetRecord};
+use celerygate_types::{
+    DataCentreId, Incarnation, RegionId, ResultCode, ServiceId, SlotCount, TargetId,
+};
+use smol_str::SmolStr;
+
+use crate::lookup::rendezvous::id_hash;
+
+mod choice;
+mod health;
+
+pub use choice::{Choice, Distance, Pick, Place, TargetUse, choose, weight};
+pub use health::{Health, Observation, Observed};
+
+/// Time for which an announcement is valid after its last renewal.
+pub const LEASE: Duration = Duration::from_secs(5);
+/// Time after which a target should renew its announcement.
+pub const RENEW_AFTER: Duration = Duration::from_secs(1);
+/// Added to the age of a relayed record for its time on the way, so that a record that two daemons
+/// keep sending to each other ages and expires.
+pub const RELAY_ALLOWANCE: Duration = Duration::from_millis(50);
+/// Time for which a departure is remembered, longer than any renewal can be under way.
+pub const DEPARTURE_KEPT: Duration = Duration::from_secs(60);
+/// Most targets that are known, so that announcements use bounded memory.
+pub const MAX_TARGETS: usize = 16_384;
+
+/// A target as this daemon knows it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Id of the target.
+    pub target: TargetId,
+    /// Socket address.
+    pub address: SmolStr,
+    /// Region.
+    pub region: RegionId,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Life of the target's process.
+    pub incarnation: Incarnation,
+    /// Requests that it runs at the same time.
+    pub slots: SlotCount,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it leaves and takes no new work.
+    pub leaving: bool,
+    /// Last renewal, or the departure.
+    pub renewed_at: Instant,
+    /// When this incarnation became known here; the slow start begins then.
+    pub known_since: Instant,
+    /// Own observations.
+    pub health: Health,
+    pub(crate) hash: u64,
+}
+
+impl Target {
+    /// Returns whether the target may get new work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.is_live(now) && !self.health.is_ejected(now)
+    }
+
+    /// Returns whether the target is announced and does not leave.
+    pub fn is_live(&self, now: Instant) -> bool {
+        !self.leaving && now.saturating_duration_since(self.renewed_at) < LEASE
+    }
+
+    fn is_forgotten(&self, now: Instant) -> bool {
+        let kept = if self.leaving { DEPARTURE_KEPT } else { LEASE };
+        now.saturating_duration_since(self.renewed_at) >= kept
+    }
+}
+
+/// What an announcement, departure or relayed record did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepted {
+    /// A target or a new incarnation of it became known.
+    New,
+    /// The known record was renewed or changed.
+    Renewed,
+    /// The known record stays as it is.
+    Unchanged,
+    /// The message is not acceptable.
+    Refused(ResultCode),
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    services: HashMap<ServiceId, Vec<Target>>,
+    len: usize,
+}
+
+impl TargetTable {
+    /// Returns a table without targets.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the targets of a service, including leaving and ejected ones.
+    pub fn of_service(&self, service: &ServiceId) -> &[Target] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns every known target with its service.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceId, &Target)> {
+        self.services
+            .iter()
+            .flat_map(|(service, targets)| targets.iter().map(move |target| (service, target)))
+    }
+
+    /// Returns a target.
+    pub fn get(&self, service: &ServiceId, target: &TargetId) -> Option<&Target> {
+        self.of_service(service).iter().find(|known| known.target == *target)
+    }
+
+    fn get_mut(&mut self, service: &ServiceId, target: &TargetId) -> Option<&mut Target> {
+        self.services.get_mut(service)?.iter_mut().find(|known| known.target == *target)
+    }
+
+    /// Records an announcement or renewal that the target sent to this daemon.
+    ///
+    /// A target that has departed returns with a higher incarnation only.
+    pub fn announce(&mut self, announcement: &Announcement, now: Instant) -> Accepted {
+        let record = TargetRecord {
+            address: announcement.address.clone(),
+            age_ms: 0,
+            connections: announcement.connections,
+            data_centre: announcement.data_centre.clone(),
+            incarnation: announcement.incarnation,
+            leaving: false,
+            region: announcement.region.clone(),
+            service: announcement.service.clone(),
+            slots: announcement.slots,
+            target: announcement.target.clone(),
+        };
+        let known = self.get(&announcement.service, &announcement.target);
+        let refused = known.is_some_and(|known| {
+            announcement.incarnation < known.incarnation
+                || (announcement.incarnation == known.incarnation && known.leaving)
+        });
+        if refused {
+            return Accepted::Refused(ResultCode::AnnouncementRefused);
+        }
+        self.apply(&record, now, now)
+    }
+
+    /// Records that a target leaves.
+    pub fn depart(&mut self, departure: &Departure, now: Instant) -> Accepted {
+        match self.get_mut(&departure.service, &departure.target) {
+            Some(known) if departure.incarnation < known.incarnation => {
+                Accepted::Refused(ResultCode::AnnouncementRefused)
+            }
+            Some(known) if known.leaving && departure.incarnation == known.incarnation => {
+                Accepted::Unchanged
+            }
+            Some(known) => {
+                known.incarnation = departure.incarnation;
+                known.leaving = true;
+                known.renewed_at = now;
+                Accepted::Renewed
+            }
+            None => Accepted::Unchanged,
+        }
+    }
+
+    /// Merges a record that another daemon relayed.
+    pub fn merge(&mut self, record: &TargetRecord, now: Instant) -> Accepted {
+        let age = Duration::from_millis(record.age_ms).saturating_add(RELAY_ALLOWANCE);
+        let kept = if record.leaving { DEPARTURE_KEPT } else { LEASE };
+        match now.checked_sub(age) {
+            Some(renewed_at) if age < kept => self.apply(record, renewed_at, now),
+            _ => Accepted::Unchanged,
+        }
+    }
+
+    fn apply(&mut self, record: &TargetRecord, renewed_at: Instant, now: Instant) -> Accepted {
+        let is_full = self.len >= MAX_TARGETS;
+        let Some(known) = self.get_mut(&record.service, &record.target) else {
+            if is_full {
+                return Accepted::Refused(ResultCode::AnnouncementRefused);
+            }
+            self.len += 1;
+            let target = target_from(record, renewed_at, now);
+            self.services.entry(record.service.clone()).or_default().push(target);
+            return Accepted::New;
+        };
+        if record.incarnation < known.incarnation {
+            return Accepted::Unchanged;
+        }
+        if record.incarnation > known.incarnation {
+            *known = target_from(record, renewed_at, now);
+            return Accepted::New;
+        }
+        if record.leaving && !known.leaving {
+            known.leaving = true;
+            known.renewed_at = renewed_at;
+            return Accepted::Renewed;
+        }
+        if known.leaving || renewed_at <= known.renewed_at {
+            return Accepted::Unchanged;
+        }
+        known.address = record.address.clone();
+        known.region = record.region.clone();
+        known.data_centre = record.data_centre.clone();
+        known.slots = record.slots;
+        known.connections = record.connections;
+        known.renewed_at = renewed_at;
+        Accepted::Renewed
+    }
+
+    /// Returns the records to relay to other daemons.
+    pub fn records(&self, now: Instant) -> Vec<TargetRecord> {
+        let live = self.iter().filter(|(_, target)| !target.is_forgotten(now));
+        live.map(|(service, target)| record_of(service, target, now)).collect()
+    }
+
+    /// Forgets targets whose lease has expired and returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<(ServiceId, TargetId)> {
+        let mut forgotten = Vec::new();
+        for (service, targets) in &mut self.services {
+            targets.retain(|target| {
+                let keep = !target.is_forgotten(now);
+                if !keep {
+                    forgotten.push((service.clone(), target.target.clone()));
+                }
+                keep
+            });
+        }
+        self.services.retain(|_, targets| !targets.is_empty());
+        self.len -= forgotten.len();
+        forgotten
+    }
+
+    /// Records what happened to a request or connection attempt, and ejects the target if it fails
+    /// and the caps allow it.
+    ///
+    /// An observation of an earlier incarnation is ignored. `region_load` is the number of slots
+    /// that the service uses in a region, over all VMs.
+    pub fn observe(
+        &mut self,
+        service: &ServiceId,
+        target: &TargetId,
+        incarnation: Incarnation,
+        observation: Observation,
+        region_load: impl Fn(&RegionId) -> SlotCount,
+        now: Instant,
+    ) -> Observed {
+        let Some(targets) = self.services.get_mut(service) else { return Observed::Ignored };
+        let is_subject =
+            |known: &Target| known.target == *target && known.incarnation == incarnation;
+        let Some(at) = targets.iter().position(is_subject) else { return Observed::Ignored };
+        health::observe(targets, at, observation, region_load, now)
+    }
+
+    /// Ends ejections that the caps no longer allow, because targets have gone or the load has
+    /// risen, and returns the targets concerned.
+    pub fn review(
+        &mut self,
+        region_load: impl Fn(&ServiceId, &RegionId) -> SlotCount,
+        now: Instant,
+    ) -> Vec<(ServiceId, TargetId)> {
+        let mut readmitted = Vec::new();
+        for (service, targets) in &mut self.services {
+            for at in health::review(targets, |region| region_load(service, region), now) {
+                readmitted.push((service.clone(), targets[at].target.clone()));
+            }
+        }
+        readmitted
+    }
+}
+
+fn target_from(record: &TargetRecord, renewed_at: Instant, now: Instant) -> Target {
+    Target {
+        target: record.target.clone(),
+        address: record.address.clone(),
+        region: record.region.clone(),
+        data_centre: record.data_centre.clone(),
+        incarnation: record.incarnation,
+        slots: record.slots,
+        connections: record.connections,
+        leaving: record.leaving,
+        renewed_at,
+        known_since: now,
+        health: Health::new(now),
+        hash: id_hash(record.target.as_str()),
+    }
+}
+
+fn record_of(service: &ServiceId, target: &Target, now: Instant) -> TargetRecord {
+    let age = now.saturating_duration_since(target.renewed_at);
+    TargetRecord {
+        address: target.address.clone(),
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        connections: target.connections,
+        data_centre: target.data_centre.clone(),
+        incarnation: target.incarnation,
+        leaving: target.leaving,
+        region: target.region.clone(),
+        service: service.clone(),
+        slots: target.slots,
+        target: target.target.clone(),
+    }
+}
+
+#[cfg(test)]
+#[path = "targets_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/steering/src/targets/health.rs
@@ -0,0 +1,218 @@
+//! Ejection of targets by the daemon's own observations.
+
+use std::time::{Duration, Instant};
+
+use celerygate_types::{RegionId, SlotCount};
+
+use super::Target;
+
+/// Failed connection attempts in a row after which a target is ejected.
+pub const CONNECT_FAILURES: u32 = 5;
+/// Fewest requests for which a failure rate is judged.
+pub const MIN_REQUESTS: u32 = 10;
+/// Width of a counting window; the current and the previous one are judged.
+pub const WINDOW: Duration = Duration::from_secs(10);
+/// Duration of the first ejection; each further one lasts twice as long.
+pub const FIRST_EJECTION: Duration = Duration::from_secs(10);
+/// Longest ejection; a target that is not ejected again for this time starts anew.
+pub const LONGEST_EJECTION: Duration = Duration::from_secs(160);
+
+/// What happened to a request or a connection attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// A request got a complete response that is not a server error.
+    Success,
+    /// A request failed, ran into its deadline at the target, or got a server error.
+    Failure,
+    /// No connection could be opened.
+    ConnectFailure,
+}
+
+/// What an observation led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Observed {
+    /// The target or its incarnation is not known.
+    Ignored,
+    /// The target stays in use.
+    Kept,
+    /// The target fails, but the others of its region could not do without it.
+    KeptByCap,
+    /// The target gets no requests until this time.
+    Ejected {
+        /// End of the ejection.
+        until: Instant,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    requests: u32,
+    failures: u32,
+}
+
+/// Own observations of one incarnation of a target.
+#[derive(Clone, Debug)]
+pub struct Health {
+    window_start: Instant,
+    current: Counts,
+    previous: Counts,
+    connect_failures: u32,
+    ejected_until: Option<Instant>,
+    last_ejection_end: Option<Instant>,
+    ejections: u32,
+}
+
+impl Health {
+    /// Returns the health of a target without observations.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            window_start: now,
+            current: Counts::default(),
+            previous: Counts::default(),
+            connect_failures: 0,
+            ejected_until: None,
+            last_ejection_end: None,
+            ejections: 0,
+        }
+    }
+
+    /// Returns whether the target is ejected.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the end of a running ejection.
+    pub fn ejected_until(&self, now: Instant) -> Option<Instant> {
+        self.ejected_until.filter(|until| now < *until)
+    }
+
+    fn count(&mut self, observation: Observation, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed >= WINDOW {
+            let adjacent = elapsed < WINDOW * 2;
+            self.previous = if adjacent { self.current } else { Counts::default() };
+            self.current = Counts::default();
+            self.window_start = if adjacent { self.window_start + WINDOW } else { now };
+        }
+        match observation {
+            Observation::Success => {
+                self.current.requests += 1;
+                self.connect_failures = 0;
+            }
+            Observation::Failure => {
+                self.current.requests += 1;
+                self.current.failures += 1;
+                self.connect_failures = 0;
+            }
+            Observation::ConnectFailure => self.connect_failures += 1,
+        }
+    }
+
+    fn is_failing(&self) -> bool {
+        let requests = self.current.requests + self.previous.requests;
+        let failures = self.current.failures + self.previous.failures;
+        self.connect_failures >= CONNECT_FAILURES
+            || (requests >= MIN_REQUESTS && failures * 2 > requests)
+    }
+
+    fn eject(&mut self, now: Instant) -> Instant {
+        let quiet = self.last_ejection_end.map(|end| now.saturating_duration_since(end));
+        if quiet.is_some_and(|quiet| quiet >= LONGEST_EJECTION) {
+            self.ejections = 0;
+        }
+        let factor = 1_u32 << self.ejections.min(4);
+        let until = now + (FIRST_EJECTION * factor).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.ejected_until = Some(until);
+        self.last_ejection_end = Some(until);
+        self.forget_counts(now);
+        until
+    }
+
+    fn readmit(&mut self, now: Instant) {
+        self.ejected_until = None;
+        self.last_ejection_end = Some(now);
+    }
+
+    fn forget_counts(&mut self, now: Instant) {
+        self.current = Counts::default();
+        self.previous = Counts::default();
+        self.connect_failures = 0;
+        self.window_start = now;
+    }
+}
+
+/// The live targets of a service in one region.
+struct RegionState {
+    live: usize,
+    ejected: usize,
+    /// Slots of the targets that are not ejected.
+    usable_slots: u64,
+}
+
+fn region_state(targets: &[Target], region: &RegionId, now: Instant) -> RegionState {
+    let mut state = RegionState { live: 0, ejected: 0, usable_slots: 0 };
+    for target in targets.iter().filter(|target| target.region == *region && target.is_live(now)) {
+        state.live += 1;
+        if target.health.is_ejected(now) {
+            state.ejected += 1;
+        } else {
+            state.usable_slots += u64::from(target.slots.get());
+        }
+    }
+    state
+}
+
+/// Records an observation of `targets[at]` and ejects the target if it fails and the caps allow it.
+pub(super) fn observe(
+    targets: &mut [Target],
+    at: usize,
+    observation: Observation,
+    region_load: impl Fn(&RegionId) -> SlotCount,
+    now: Instant,
+) -> Observed {
+    let target = &mut targets[at];
+    if target.health.is_ejected(now) {
+        // Requests that were under way when the ejection began say nothing new.
+        return Observed::Kept;
+    }
+    target.health.count(observation, now);
+    if !target.health.is_failing() || !target.is_live(now) {
+        return Observed::Kept;
+    }
+    let (region, slots) = (target.region.clone(), u64::from(target.slots.get()));
+    let state = region_state(targets, &region, now);
+    let load = u64::from(region_load(&region).get());
+    let allowed =
+        (state.ejected + 1) * 3 <= state.live && state.usable_slots.saturating_sub(slots) >= load;
+    if !allowed {
+        return Observed::KeptByCap;
+    }
+    Observed::Ejected { until: targets[at].health.eject(now) }
+}
+
+/// Ends the ejections that the caps no longer allow, those that would end first before others.
+pub(super) fn review(
+    targets: &mut [Target],
+    region_load: impl Fn(&RegionId) -> SlotCount,
+    now: Instant,
+) -> Vec<usize> {
+    let mut ejected: Vec<(Instant, usize)> = targets
+        .iter()
+        .enumerate()
+        .filter(|(_, target)| target.is_live(now))
+        .filter_map(|(at, target)| target.health.ejected_until(now).map(|until| (until, at)))
+        .collect();
+    ejected.sort_unstable();
+    let mut readmitted = Vec::new();
+    for (_, at) in ejected {
+        let region = targets[at].region.clone();
+        let state = region_state(targets, &region, now);
+        let load = u64::from(region_load(&region).get());
+        if state.ejected * 3 > state.live || state.usable_slots < load {
+            targets[at].health.readmit(now);
+            readmitted.push(at);
+        }
+    }
+    readmitted
+}
