--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -1,1 +1,178 @@
 //! Changes of the control group, one at a time.
+//!
+//! A VM is identified by its id and its store id together. A VM with another store id is a new
+//! member that happens to have the same address: it becomes a learner, receives the log, and is
+//! promoted once it holds everything that is committed.
+
+use celerygate_types::VmId;
+use celerygate_types::wire::{Command, Member, MemberRole, MembershipChange};
+use thiserror::Error;
+
+/// What the leader knows about another member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberProgress {
+    /// The store id in the member's latest reply of this term.
+    pub seen_store: Option<u64>,
+    /// Whether a reply arrived recently.
+    pub reachable: bool,
+    /// Whether the member has stored everything that is committed.
+    pub caught_up: bool,
+}
+
+/// Why a change of the group is refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum MembershipRefusal {
+    /// An earlier change is not committed yet.
+    #[error("another membership change is in progress")]
+    ChangeInProgress,
+    /// The VM is not in the group.
+    #[error("VM {0} is not a member")]
+    UnknownMember(VmId),
+    /// The VM is not a learner.
+    #[error("VM {0} is not a learner")]
+    NotLearner(VmId),
+    /// A VM is added with the role of a voter or follower.
+    #[error("VM {0} has to be added as a learner")]
+    AddedWithOtherRole(VmId),
+    /// The learner lacks committed entries, does not answer, or has an unrecorded store.
+    #[error("VM {0} has not caught up")]
+    NotCaughtUp(VmId),
+    /// The change leaves too few reachable voters to commit anything.
+    #[error("too few reachable voters would remain")]
+    TooFewVoters,
+}
+
+/// Returns whether the member receives the log.
+pub fn is_in_group(member: &Member) -> bool {
+    member.role != MemberRole::Follower
+}
+
+/// Returns whether a vote or an acknowledgement of this VM and store counts.
+pub fn counts_as_voter(members: &[Member], vm: &VmId, store_id: u64) -> bool {
+    find(members, vm)
+        .is_some_and(|member| member.role == MemberRole::Voter && member.store_id == Some(store_id))
+}
+
+/// Returns whether a VM with this store may cast a vote.
+///
+/// A learner may: it can have been promoted by an entry that it has not received yet, and the
+/// candidate counts the vote only if its own log holds that promotion.
+pub fn may_vote(members: &[Member], vm: &VmId, store_id: u64) -> bool {
+    find(members, vm).is_some_and(|member| is_in_group(member) && member.store_id == Some(store_id))
+}
+
+/// Returns the voters.
+pub fn voters(members: &[Member]) -> impl Iterator<Item = &Member> {
+    members.iter().filter(|member| member.role == MemberRole::Voter)
+}
+
+/// Returns how many voters form a quorum.
+pub fn quorum(members: &[Member]) -> usize {
+    voters(members).count() / 2 + 1
+}
+
+/// Returns the member with this id.
+pub fn find<'a>(members: &'a [Member], vm: &VmId) -> Option<&'a Member> {
+    members.iter().find(|member| member.vm == *vm)
+}
+
+/// Changes the members as a command of the log says; other commands have no effect.
+pub fn apply_command(members: &mut Vec<Member>, command: &Command) {
+    match command {
+        Command::Bootstrap(configuration) => members.clone_from(&configuration.members),
+        Command::Membership(change) => apply_change(members, change),
+        _ => {}
+    }
+}
+
+/// Changes the members; a promotion of an unknown VM has no effect.
+pub fn apply_change(members: &mut Vec<Member>, change: &MembershipChange) {
+    match change {
+        MembershipChange::AddLearner(added) => {
+            let added = Member { role: MemberRole::Learner, ..added.clone() };
+            match members.iter_mut().find(|member| member.vm == added.vm) {
+                Some(member) => *member = added,
+                None => members.push(added),
+            }
+        }
+        MembershipChange::Promote(vm) => {
+            if let Some(member) = members.iter_mut().find(|member| member.vm == *vm)
+                && member.role == MemberRole::Learner
+            {
+                member.role = MemberRole::Voter;
+            }
+        }
+        MembershipChange::Remove(vm) => members.retain(|member| member.vm != *vm),
+    }
+}
+
+/// Checks a change against the members and the leader's knowledge of them.
+///
+/// `progress` returns `None` for the leader itself.
+pub fn check_change(
+    members: &[Member],
+    change: &MembershipChange,
+    progress: impl Fn(&VmId) -> Option<MemberProgress>,
+) -> Result<(), MembershipRefusal> {
+    match change {
+        MembershipChange::AddLearner(added) if added.role != MemberRole::Learner => {
+            return Err(MembershipRefusal::AddedWithOtherRole(added.vm.clone()));
+        }
+        MembershipChange::AddLearner(_) => {}
+        MembershipChange::Promote(vm) => {
+            let member =
+                find(members, vm).ok_or_else(|| MembershipRefusal::UnknownMember(vm.clone()))?;
+            if member.role != MemberRole::Learner {
+                return Err(MembershipRefusal::NotLearner(vm.clone()));
+            }
+            let ready = progress(vm).is_some_and(|known| {
+                known.reachable
+                    && known.caught_up
+                    && known.seen_store.is_some()
+                    && known.seen_store == member.store_id
+            });
+            if !ready {
+                return Err(MembershipRefusal::NotCaughtUp(vm.clone()));
+            }
+        }
+        MembershipChange::Remove(vm) => {
+            find(members, vm).ok_or_else(|| MembershipRefusal::UnknownMember(vm.clone()))?;
+        }
+    }
+    let mut after = members.to_vec();
+    apply_change(&mut after, change);
+    let reachable = voters(&after)
+        .filter(|voter| {
+            progress(&voter.vm)
+                .is_none_or(|known| known.reachable && known.seen_store == voter.store_id)
+        })
+        .count();
+    if reachable < quorum(&after) {
+        return Err(MembershipRefusal::TooFewVoters);
+    }
+    Ok(())
+}
+
+/// Returns the change that the leader should propose next, if any.
+///
+/// A reachable member that answers from an unrecorded store becomes a learner of that store; a
+/// learner that has caught up becomes a voter.
+pub fn next_change(
+    members: &[Member],
+    progress: impl Fn(&VmId) -> Option<MemberProgress>,
+) -> Option<MembershipChange> {
+    let candidates = members.iter().filter(|member| is_in_group(member)).filter_map(|member| {
+        let known = progress(&member.vm)?;
+        if known.reachable && known.seen_store.is_some() && known.seen_store != member.store_id {
+            let role = MemberRole::Learner;
+            let added = Member { store_id: known.seen_store, role, ..member.clone() };
+            return Some(MembershipChange::AddLearner(added));
+        }
+        (member.role == MemberRole::Learner).then(|| MembershipChange::Promote(member.vm.clone()))
+    });
+    candidates.into_iter().find(|change| check_change(members, change, &progress).is_ok())
+}
+
+#[cfg(test)]
+#[path = "membership_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/control/src/replica/leader.rs
@@ -0,0 +1,283 @@
+//! Replication, commit and lease of a leader.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use celerygate_types::wire::{AppendReply, AppendRequest, Command, LogEntry, Member};
+use celerygate_types::{LogIndex, VmId};
+
+use super::{
+    APPEND_BYTES_MAX, APPEND_ENTRIES_MAX, Action, HEARTBEAT_INTERVAL, LEASE, Leadership, Progress,
+    ProposeRefusal, QUORUM_TIMEOUT, REACHABLE, Replica, Role, SNAPSHOT_RETRY, send,
+};
+use crate::membership::{self, MemberProgress, MembershipRefusal};
+
+/// Starts to lead the current term.
+pub(super) fn begin(replica: &mut Replica, now: Instant, actions: &mut Vec<Action>) {
+    let first_index = LogIndex(replica.tail.last_index().0 + 1);
+    replica.role = Role::Leader(Leadership {
+        first_index,
+        round: 0,
+        sent: VecDeque::new(),
+        quorum_at: None,
+        elected_at: now,
+        peers: BTreeMap::new(),
+    });
+    replica.leader = Some(replica.vm.clone());
+    replica.acknowledgement = None;
+    actions.push(Action::BecomeLeader(replica.term));
+    // Entries of earlier terms are committed only through an entry of the own term.
+    append_own(replica, Command::Noop(replica.term), now, actions);
+}
+
+pub(super) fn propose(
+    replica: &mut Replica,
+    command: Command,
+    now: Instant,
+    actions: &mut Vec<Action>,
+) {
+    match check_proposal(replica, &command, now) {
+        Ok(()) => append_own(replica, command, now, actions),
+        Err(refusal) => actions.push(Action::Refused(refusal)),
+    }
+}
+
+fn check_proposal(
+    replica: &Replica,
+    command: &Command,
+    now: Instant,
+) -> Result<(), ProposeRefusal> {
+    let Role::Leader(leadership) = &replica.role else {
+        return Err(ProposeRefusal::NotLeader { leader: replica.leader.clone() });
+    };
+    match command {
+        Command::Noop(_) | Command::Bootstrap(_) => Err(ProposeRefusal::Reserved),
+        Command::Membership(change) => {
+            // Without a committed entry of the own term, a change of an earlier leader could still
+            // be in progress elsewhere, and the quorums of the two need not overlap.
+            if replica.commit < leadership.first_index || replica.change_in_progress() {
+                return Err(MembershipRefusal::ChangeInProgress.into());
+            }
+            let progress = |vm: &VmId| replica.member_progress(leadership, vm, now);
+            Ok(membership::check_change(&replica.members, change, progress)?)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Appends a command of the own term and sends it.
+fn append_own(replica: &mut Replica, command: Command, now: Instant, actions: &mut Vec<Action>) {
+    let (index, term) = (LogIndex(replica.tail.last_index().0 + 1), replica.term);
+    if !matches!(command, Command::Noop(_)) {
+        actions.push(Action::Proposed { index, term });
+    }
+    replica.append_entries(vec![LogEntry { command, index, term }], actions);
+    track_peers(replica);
+    broadcast(replica, now, actions);
+}
+
+/// Keeps one record of progress for each other member and store.
+fn track_peers(replica: &mut Replica) {
+    let next = LogIndex(replica.tail.last_index().0);
+    let Role::Leader(leadership) = &mut replica.role else { return };
+    let members = &replica.members;
+    let is_tracked = |vm: &VmId, recorded: Option<u64>| {
+        membership::find(members, vm)
+            .is_some_and(|member| membership::is_in_group(member) && member.store_id == recorded)
+    };
+    leadership.peers.retain(|vm, progress| is_tracked(vm, progress.recorded_store));
+    let is_peer = |member: &&Member| membership::is_in_group(member) && member.vm != replica.vm;
+    for member in members.iter().filter(is_peer) {
+        leadership.peers.entry(member.vm.clone()).or_insert_with(|| Progress {
+            recorded_store: member.store_id,
+            seen_store: None,
+            next,
+            matched: LogIndex::ZERO,
+            round: 0,
+            heard_at: None,
+            snapshot_sent_at: None,
+        });
+    }
+}
+
+/// Starts a new round.
+fn broadcast(replica: &mut Replica, now: Instant, actions: &mut Vec<Action>) {
+    let Role::Leader(leadership) = &mut replica.role else { return };
+    leadership.round += 1;
+    leadership.sent.push_back((leadership.round, now));
+    while leadership.sent.front().is_some_and(|(_, sent_at)| *sent_at + LEASE < now) {
+        leadership.sent.pop_front();
+    }
+    let peers: Vec<VmId> = leadership.peers.keys().cloned().collect();
+    for peer in peers {
+        replicate(replica, &peer, now, actions);
+    }
+    advance_lease(replica);
+}
+
+/// Sends a member the entries it is missing, or a heartbeat.
+fn replicate(replica: &mut Replica, peer: &VmId, now: Instant, actions: &mut Vec<Action>) {
+    let Role::Leader(leadership) = &mut replica.role else { return };
+    let round = leadership.round;
+    let Some(progress) = leadership.peers.get_mut(peer) else { return };
+    let tail = &replica.tail;
+    let is_behind = progress.next <= tail.base();
+    let previous_index = LogIndex(progress.next.0.saturating_sub(1)).max(tail.base());
+    let mut entries = Vec::new();
+    if is_behind {
+        let is_due =
+            progress.snapshot_sent_at.is_none_or(|sent_at| sent_at + SNAPSHOT_RETRY <= now);
+        if is_due {
+            progress.snapshot_sent_at = Some(now);
+            actions.push(Action::SendSnapshot { to: peer.clone(), term: replica.term, round });
+        }
+    } else {
+        let mut bytes = 0;
+        for entry in tail.between(previous_index, tail.last_index()).take(APPEND_ENTRIES_MAX) {
+            bytes += (replica.entry_bytes)(entry);
+            if bytes > APPEND_BYTES_MAX && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        progress.next = LogIndex(previous_index.0 + entries.len() as u64 + 1);
+    }
+    let request = AppendRequest {
+        term: replica.term,
+        round,
+        previous_index,
+        previous_term: tail.term_at(previous_index).unwrap_or_default(),
+        commit_index: replica.commit,
+        entries,
+    };
+    actions.push(send(peer.clone(), request));
+}
+
+/// Sends heartbeats; steps down when no quorum answers.
+pub(super) fn tick(replica: &mut Replica, now: Instant, actions: &mut Vec<Action>) {
+    let Role::Leader(leadership) = &replica.role else { return };
+    let last_contact = leadership.quorum_at.unwrap_or(leadership.elected_at);
+    if now >= last_contact + QUORUM_TIMEOUT {
+        replica.follow(replica.term, None, now, actions);
+        replica.leader = None;
+        return;
+    }
+    let is_due =
+        leadership.sent.back().is_none_or(|(_, sent_at)| now >= *sent_at + HEARTBEAT_INTERVAL);
+    if is_due {
+        broadcast(replica, now, actions);
+    }
+}
+
+pub(super) fn append_reply(
+    replica: &mut Replica,
+    from: VmId,
+    reply: &AppendReply,
+    now: Instant,
+    actions: &mut Vec<Action>,
+) {
+    if reply.term > replica.term {
+        replica.follow(reply.term, None, now, actions);
+        return;
+    }
+    let last_index = replica.tail.last_index();
+    let Role::Leader(leadership) = &mut replica.role else { return };
+    let Some(progress) = leadership.peers.get_mut(&from) else { return };
+    if reply.term < replica.term || reply.match_index > last_index {
+        return;
+    }
+    progress.seen_store = Some(reply.store_id);
+    progress.heard_at = Some(now);
+    if progress.recorded_store != Some(reply.store_id) {
+        // An unrecorded store gets the log only after the group has recorded it.
+        return;
+    }
+    progress.round = progress.round.max(reply.round);
+    if reply.success {
+        progress.matched = progress.matched.max(reply.match_index);
+        progress.next = progress.next.max(LogIndex(progress.matched.0 + 1));
+        if progress.matched >= replica.tail.base() {
+            progress.snapshot_sent_at = None;
+        }
+    } else {
+        let agreed = LogIndex(reply.match_index.0 + 1);
+        progress.next = progress.next.min(agreed).max(LogIndex(progress.matched.0 + 1));
+    }
+    let is_missing_entries = progress.next <= last_index && progress.snapshot_sent_at.is_none();
+    advance_lease(replica);
+    advance_commit(replica, now, actions);
+    if is_missing_entries {
+        replicate(replica, &from, now, actions);
+    }
+}
+
+/// Returns what a quorum of voters has reached, given what each of them has.
+fn reached_by_quorum<T: Ord + Default>(
+    replica: &Replica,
+    of_voter: impl Fn(&Member) -> T,
+) -> Option<T> {
+    let mut reached: Vec<T> = membership::voters(&replica.members).map(of_voter).collect();
+    reached.sort_unstable_by(|a, b| b.cmp(a));
+    reached.into_iter().nth(membership::quorum(&replica.members) - 1)
+}
+
+/// Commits the entries that a quorum has synced, if the last of them is of the own term.
+pub(super) fn advance_commit(replica: &mut Replica, now: Instant, actions: &mut Vec<Action>) {
+    let Role::Leader(leadership) = &replica.role else { return };
+    let own = if replica.is_own_vote_counted() { replica.stored_index() } else { LogIndex::ZERO };
+    let matched = |voter: &Member| {
+        if voter.vm == replica.vm {
+            return own;
+        }
+        leadership.peers.get(&voter.vm).map(|progress| progress.matched).unwrap_or_default()
+    };
+    let Some(index) = reached_by_quorum(replica, matched) else { return };
+    if index <= replica.commit || replica.tail.term_at(index) != Some(replica.term) {
+        return;
+    }
+    replica.commit_through(index, actions);
+    // A leader that has removed itself, or made itself a learner, leads until the change commits.
+    if !membership::counts_as_voter(&replica.committed_members, &replica.vm, replica.store_id) {
+        replica.follow(replica.term, None, now, actions);
+    }
+}
+
+/// Renews the lease from the last round that a quorum has acknowledged.
+fn advance_lease(replica: &mut Replica) {
+    let Role::Leader(leadership) = &replica.role else { return };
+    let own = if replica.is_own_vote_counted() { leadership.round } else { 0 };
+    let round_of = |voter: &Member| {
+        if voter.vm == replica.vm {
+            return own;
+        }
+        leadership.peers.get(&voter.vm).map(|progress| progress.round).unwrap_or_default()
+    };
+    let Some(round) = reached_by_quorum(replica, round_of) else { return };
+    let Role::Leader(leadership) = &mut replica.role else { return };
+    let sent = leadership.sent.iter().find(|(number, _)| *number == round);
+    if let Some((_, sent_at)) = sent {
+        leadership.quorum_at = leadership.quorum_at.max(Some(*sent_at));
+    }
+}
+
+impl Replica {
+    /// Returns what the leader knows about a member; `None` for itself.
+    pub(super) fn member_progress(
+        &self,
+        leadership: &Leadership,
+        vm: &VmId,
+        now: Instant,
+    ) -> Option<MemberProgress> {
+        if *vm == self.vm {
+            return None;
+        }
+        let Some(progress) = leadership.peers.get(vm) else {
+            return Some(MemberProgress::default());
+        };
+        Some(MemberProgress {
+            seen_store: progress.seen_store,
+            reachable: progress.heard_at.is_some_and(|heard_at| now < heard_at + REACHABLE),
+            caught_up: progress.matched >= self.commit,
+        })
+    }
+}
