--- /dev/null
+++ b/crates/daemon/src/announce.rs
@@ -0,0 +1,91 @@
+//! The targets' API: announce, renew and leave.
+
+use std::sync::Arc;
+
+use celerygate_steering::targets::{Accepted, LEASE, RENEW_AFTER};
+use celerygate_types::ResultCode;
+use celerygate_types::wire::{Announcement, AnnouncementAnswer, Departure};
+use poem::http::{Method, StatusCode};
+use poem::{Endpoint, EndpointExt, Request, Response, Route, endpoint};
+
+use crate::api;
+use crate::daemon::Daemon;
+use crate::refusal::Refusal;
+
+/// Returns the endpoints of the targets' API.
+pub fn endpoints(daemon: Arc<Daemon>) -> impl Endpoint<Output = Response> + 'static {
+    let (first, second) = (Arc::clone(&daemon), daemon);
+    Route::new()
+        .at("/v1/announce", endpoint::make(move |request| announce(Arc::clone(&first), request)))
+        .at("/v1/leave", endpoint::make(move |request| leave(Arc::clone(&second), request)))
+        .map_to_response()
+}
+
+async fn announce(daemon: Arc<Daemon>, request: Request) -> poem::Result<Response> {
+    api::respond(&daemon, api::Surface::Targets, Method::POST, request, async |daemon, body| {
+        let announcement: Announcement = api::parse(body)?;
+        check(daemon, &announcement)?;
+        let accepted = daemon.tables.targets.lock().announce(&announcement, daemon.clock.now());
+        accept(daemon, accepted, &announcement)?;
+        let answer = AnnouncementAnswer {
+            lease_ms: LEASE.as_millis() as u64,
+            renew_after_ms: RENEW_AFTER.as_millis() as u64,
+        };
+        Ok(api::json(StatusCode::OK, &answer))
+    })
+    .await
+}
+
+fn check(daemon: &Daemon, announcement: &Announcement) -> Result<(), Refusal> {
+    let view = daemon.tables.view();
+    if view.service(&announcement.service).is_none() {
+        return Err(ResultCode::UnknownService.into());
+    }
+    let invalid = |detail| Err(Refusal::with_detail(ResultCode::BadRequest, detail));
+    if announcement.address.parse::<std::net::SocketAddr>().is_err() {
+        return invalid("address: expected an IP address and a port.");
+    }
+    if announcement.slots.get() == 0 || announcement.connections == 0 {
+        return invalid("slots, connections: expected at least 1.");
+    }
+    if !view.configuration.regions.contains(&announcement.region) {
+        return invalid("region: not a region of the deployment.");
+    }
+    Ok(())
+}
+
+fn accept(
+    daemon: &Daemon,
+    accepted: Accepted,
+    announcement: &Announcement,
+) -> Result<(), Refusal> {
+    match accepted {
+        Accepted::New => {
+            log::info!(
+                service:% = announcement.service, target:% = announcement.target,
+                address = announcement.address.as_str(), slots:% = announcement.slots,
+                incarnation:% = announcement.incarnation;
+                "target announced"
+            );
+            daemon.slots_changed.notify_waiters();
+            Ok(())
+        }
+        Accepted::Renewed | Accepted::Unchanged => Ok(()),
+        Accepted::Refused(code) => Err(code.into()),
+    }
+}
+
+async fn leave(daemon: Arc<Daemon>, request: Request) -> poem::Result<Response> {
+    api::respond(&daemon, api::Surface::Targets, Method::POST, request, async |daemon, body| {
+        let departure: Departure = api::parse(body)?;
+        let accepted = daemon.tables.targets.lock().depart(&departure, daemon.clock.now());
+        if let Accepted::Refused(code) = accepted {
+            return Err(code.into());
+        }
+        log::info!(service:% = departure.service, target:% = departure.target; "target leaves");
+        // Told at once, so that the others stop sending work before the next regular heartbeat.
+        daemon.send_heartbeats();
+        Ok(Response::builder().status(StatusCode::NO_CONTENT).finish())
+    })
+    .await
+}
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,158 @@
+//! The callers' listener: HTTP/1.1 with keep-alive, optionally over TLS.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use celerygate_types::wire::TlsSettings;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+
+use crate::body::MarkedBody;
+use crate::daemon::Daemon;
+use crate::forward;
+use crate::parse_errors::NumberedErrors;
+
+/// Most connections of callers at a time; each costs up to `READ_BUFFER_BYTES`.
+const MAX_CONNECTIONS: usize = 8_192;
+/// Time for a request head to arrive, and for a TLS handshake.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Read buffer of a connection. It is larger than the allowed head, so that a head somewhat over
+/// the limit is answered by the forwarding code with its own detail.
+const READ_BUFFER_BYTES: usize = 32 * 1_024;
+/// Headers that the parser accepts, above the allowed number for the same reason.
+const MAX_PARSED_HEADERS: usize = 128;
+/// Pause when no connection could be accepted, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Loads the certificate and key for TLS.
+///
+/// # Errors
+///
+/// When a file cannot be read or the key does not fit the certificate.
+pub fn tls_acceptor(settings: &TlsSettings) -> Result<TlsAcceptor> {
+    let certificates = CertificateDer::pem_file_iter(settings.certificate_file.as_str())
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .with_context(|| format!("read certificates from {}", settings.certificate_file))?;
+    let key = PrivateKeyDer::from_pem_file(settings.key_file.as_str())
+        .with_context(|| format!("read the key from {}", settings.key_file))?;
+    let mut config = ServerConfig::builder()
+        .with_no_client_auth()
+        .with_single_cert(certificates, key)
+        .context("use the certificate with its key")?;
+    config.alpn_protocols = vec![b"http/1.1".to_vec()];
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
+
+/// Serves callers until the daemon closes, then finishes the requests in progress.
+pub async fn serve(listener: TcpListener, tls: Option<TlsAcceptor>, daemon: Arc<Daemon>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let graceful = Arc::new(GracefulShutdown::new());
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &permits) => accepted,
+            () = daemon.shutdown.closing() => break,
+        };
+        let Some((stream, address, permit)) = accepted else { continue };
+        let (tls, daemon, graceful) = (tls.clone(), Arc::clone(&daemon), Arc::clone(&graceful));
+        tokio::spawn(async move {
+            if let Err(error) = connection(stream, address, tls, daemon, &graceful).await {
+                log::debug!(caller:% = address, error:% = format!("{error:#}"); "connection ended");
+            }
+            drop(permit);
+        });
+    }
+    drop(listener);
+    finish(graceful).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, address)) => Some((stream, address, permit)),
+        Err(error) => {
+            log::warn!(error:% = error; "connection not accepted");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn finish(graceful: Arc<GracefulShutdown>) {
+    // Connection tasks hold the other references only while they register.
+    let mut graceful = graceful;
+    let graceful = loop {
+        match Arc::try_unwrap(graceful) {
+            Ok(inner) => break inner,
+            Err(shared) => {
+                graceful = shared;
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    };
+    graceful.shutdown().await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    address: SocketAddr,
+    tls: Option<TlsAcceptor>,
+    daemon: Arc<Daemon>,
+    graceful: &GracefulShutdown,
+) -> Result<()> {
+    stream.set_nodelay(true)?;
+    match tls {
+        None => serve_connection(stream, address, daemon, graceful).await,
+        Some(acceptor) => {
+            let stream = timeout(HEAD_TIMEOUT, acceptor.accept(stream))
+                .await
+                .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))
+                .flatten()
+                .context("TLS handshake")?;
+            serve_connection(stream, address, daemon, graceful).await
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    address: SocketAddr,
+    daemon: Arc<Daemon>,
+    graceful: &GracefulShutdown,
+) -> Result<()> {
+    let stream = NumberedErrors::new(stream, daemon.next_request_id());
+    let outstanding = stream.outstanding();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let daemon = Arc::clone(&daemon);
+        let exchange = outstanding.begin();
+        async move {
+            let response = forward::handle(daemon, request, address).await;
+            Ok::<_, Infallible>(response.map(|body| MarkedBody::new(body, exchange)))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .max_headers(MAX_PARSED_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    graceful.watch(connection).await.context("serve connection")
+}
--- /dev/null
+++ b/crates/daemon/src/commands/run.rs
@@ -0,0 +1,179 @@
+//! `celerygated run`: runs the daemon until it is told to stop.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use anyhow::{Context, Result};
+use celerygate_control::state;
+use celerygate_steering::targets::Place;
+use celerygate_types::wire::PeerSettings;
+use celerygate_types::{Clock, Incarnation};
+use clap::{ArgMatches, Command};
+use strum::IntoEnumIterator;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use super::{check, settings_argument, settings_path};
+use crate::control::{Control, first_configuration};
+use crate::daemon::Daemon;
+use crate::jobs::{self, Job, Tick};
+use crate::peers::{Inbound, Peers};
+use crate::settings::{self, Loaded};
+use crate::shutdown::Shutdown;
+use crate::tables::Tables;
+use crate::telemetry::{self, Metrics};
+use crate::upstream::Pool;
+use crate::workers::{job_queue, start_workers};
+use crate::{announce, api, callers, operators};
+
+/// Returns the definition of the subcommand.
+pub fn command() -> Command {
+    Command::new("run").about("Run the daemon until SIGTERM").arg(settings_argument())
+}
+
+/// Runs the daemon.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub fn execute(matches: &ArgMatches) -> Result<ExitCode> {
+    let loaded = match settings::check(&settings_path(matches)) {
+        Ok(loaded) => loaded,
+        Err(faults) => return Ok(check::report(&faults)),
+    };
+    let logger = telemetry::start_logging(&loaded.settings.log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("start the runtime")?;
+    let result = runtime.block_on(run(loaded));
+    logger.shutdown();
+    result.map(|()| ExitCode::SUCCESS)
+}
+
+struct Listeners {
+    callers: TcpListener,
+    targets: TcpListener,
+    operators: TcpListener,
+}
+
+async fn run(loaded: Loaded) -> Result<()> {
+    let settings = loaded.settings.clone();
+    let tls = settings.tls.as_ref().map(callers::tls_acceptor).transpose()?;
+    let listeners = Listeners {
+        callers: listen(&settings.listeners.callers).await?,
+        targets: listen(&settings.listeners.targets).await?,
+        operators: listen(&settings.listeners.operators).await?,
+    };
+    let (daemon, peer_listener) = start(loaded).await?;
+    let (queue, source) = job_queue();
+    let worker_daemon = Arc::clone(&daemon);
+    let run_job = Arc::new(move |job| jobs::run(Arc::clone(&worker_daemon), job));
+    let mut background = start_workers(settings.workers, &source, run_job);
+    let messages = queue.clone();
+    let inbound: Inbound = Arc::new(move |envelope| {
+        messages.offer(Job::Message(envelope));
+    });
+    background.extend(daemon.peers.receive(peer_listener, inbound));
+    background.extend(Tick::iter().map(|tick| jobs::start_timer(tick, queue.clone())));
+    log::info!(
+        vm:% = daemon.own, region:% = daemon.place.region, incarnation:% = daemon.incarnation,
+        version = env!("CARGO_PKG_VERSION"); "daemon started"
+    );
+    serve(&daemon, listeners, tls).await?;
+    background.iter().for_each(tokio::task::JoinHandle::abort);
+    log::info!(vm:% = daemon.own; "daemon stopped");
+    Ok(())
+}
+
+/// Serves until a stop is requested and the requests in progress are finished.
+async fn serve(
+    daemon: &Arc<Daemon>,
+    listeners: Listeners,
+    tls: Option<tokio_rustls::TlsAcceptor>,
+) -> Result<()> {
+    let callers = tokio::spawn(callers::serve(listeners.callers, tls, Arc::clone(daemon)));
+    let targets = announce::endpoints(Arc::clone(daemon));
+    let targets = tokio::spawn(api::serve(listeners.targets, targets, Arc::clone(daemon)));
+    let operators = operators::endpoints(Arc::clone(daemon));
+    let operators = tokio::spawn(api::serve(listeners.operators, operators, Arc::clone(daemon)));
+    let stopping = Arc::clone(daemon);
+    let notice = async {
+        daemon.shutdown.leaving().await;
+        // Told at once, so that the other daemons drop this one from their lookup answers.
+        stopping.send_heartbeats();
+        crate::lookup::rebuild(&stopping);
+    };
+    let (stopped, ()) = tokio::join!(daemon.shutdown.run(), notice);
+    stopped?;
+    callers.await.context("callers' listener")?;
+    targets.await.context("targets' listener")?;
+    operators.await.context("operators' listener")
+}
+
+async fn listen(address: &str) -> Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("listen on {address}"))
+}
+
+async fn start(loaded: Loaded) -> Result<(Arc<Daemon>, TcpListener)> {
+    let settings = &loaded.settings;
+    let clock = Clock::system();
+    let now = clock.now();
+    let incarnation = Incarnation(clock.unix_ms());
+    let own = own_peer(&loaded)?;
+    let place = Place { region: own.region.clone(), data_centre: own.data_centre.clone() };
+    let first = first_configuration(settings, &loaded.deployment);
+    let control = match &settings.data_folder {
+        Some(folder) => Control::open(&settings.vm, Path::new(folder.as_str()), first, now)?,
+        None => Control::without_disk(state::empty_configuration()),
+    };
+    let others = other_addresses(&loaded)?;
+    let metrics = Arc::new(Metrics::new()?);
+    let counted = Arc::clone(&metrics);
+    let address = settings.listeners.peers.parse().context("listeners.peers")?;
+    let secret = loaded.daemons.expose().as_bytes();
+    let dropped = Box::new(move |error: crate::peers::codec::CodecError| {
+        counted.count_dropped_message(error.into());
+    });
+    let (peers, peer_listener) =
+        Peers::bind(settings.vm.clone(), incarnation, address, secret, others, dropped).await?;
+    let configuration = control.configuration.clone();
+    let daemon = Daemon {
+        own: settings.vm.clone(),
+        place,
+        incarnation,
+        tables: Tables::new(control, configuration, now),
+        started_at: now,
+        fresh_until_ms: AtomicU64::new(0),
+        clock,
+        peers,
+        metrics,
+        upstream: Arc::new(Pool::default()),
+        shutdown: Shutdown::default(),
+        grants_changed: Notify::new(),
+        slots_changed: Notify::new(),
+        request_numbers: AtomicU64::new(1),
+        loaded,
+    };
+    Ok((Arc::new(daemon), peer_listener))
+}
+
+fn own_peer(loaded: &Loaded) -> Result<&PeerSettings> {
+    let settings = &loaded.settings;
+    let own = settings.peers.iter().find(|peer| peer.vm == settings.vm);
+    own.with_context(|| format!("{} is not among the peers", settings.vm))
+}
+
+fn other_addresses(loaded: &Loaded) -> Result<Vec<(celerygate_types::VmId, SocketAddr)>> {
+    let settings = &loaded.settings;
+    let others = settings.peers.iter().filter(|peer| peer.vm != settings.vm);
+    others
+        .map(|peer| {
+            let address = peer.peers.parse().with_context(|| format!("address of {}", peer.vm))?;
+            Ok((peer.vm.clone(), address))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/control/distribute.rs
@@ -0,0 +1,216 @@
+//! Freshness and the distribution of the configuration to daemons.
+
+use std::sync::Arc;
+
+use celerygate_control::distribution::{
+    self, DIGEST_UNKNOWN, Parent, Received, Update, select_parent,
+};
+use celerygate_control::freshness::{ReplyVerdict, Report, leader_reply, relay_reply};
+use celerygate_control::state;
+use celerygate_types::{Revision, Term, VmId};
+use celerygate_types::wire::{
+    ConfigurationDelta, ConfigurationSnapshot, FreshnessReply, FreshnessRequest, MemberRole, Message,
+};
+
+use super::{Control, publish};
+use crate::daemon::Daemon;
+
+/// Asks whether the applied configuration is current.
+pub fn poll_parent(daemon: &Arc<Daemon>) {
+    let now = daemon.clock.now();
+    let state = daemon.state();
+    let mut control = daemon.tables.control.lock();
+    if control.is_leading(now) {
+        answer_own(daemon, &mut control);
+        return;
+    }
+    let receivers = receivers(daemon, &control);
+    let nonce = control.freshness.request(now);
+    // A control VM receives the configuration through its log.
+    let digest = if control.vm.is_some() || control.digest_differs {
+        DIGEST_UNKNOWN
+    } else {
+        state::digest(&control.configuration)
+    };
+    let revision = control.configuration.revision;
+    let request = FreshnessRequest { nonce, revision, digest, state };
+    for to in receivers {
+        daemon.peers.send(&to, Message::FreshnessRequest(request.clone()));
+    }
+}
+
+/// Returns whom to ask: the parent, or all control VMs while no leader is known.
+fn receivers(daemon: &Daemon, control: &Control) -> Vec<VmId> {
+    let now = daemon.clock.now();
+    let live: Vec<VmId> = {
+        let neighbours = daemon.tables.neighbours.lock();
+        neighbours.all_live(now).map(|(vm, _)| vm.clone()).collect()
+    };
+    let is_live = |vm: &VmId| live.contains(vm);
+    let leader = control.vm.as_ref().and_then(|vm| vm.node.replica().leader());
+    let leader = leader.or(control.leader.as_ref()).filter(|leader| is_live(leader));
+    match select_parent(&control.configuration, &daemon.own, leader, is_live) {
+        Some(Parent::Leader(vm) | Parent::Relay(vm)) => vec![vm],
+        Some(Parent::Nobody) | None => {
+            let peers = &daemon.loaded.settings.peers;
+            let control = peers.iter().filter(|peer| peer.control && peer.vm != daemon.own);
+            control.map(|peer| peer.vm.clone()).collect()
+        }
+    }
+}
+
+/// A leader knows from its lease that its own configuration is current.
+fn answer_own(daemon: &Daemon, control: &mut Control) {
+    let now = daemon.clock.now();
+    let nonce = control.freshness.request(now);
+    let Some(vm) = &control.vm else { return };
+    let replica = vm.node.replica();
+    let revision = control.configuration.revision;
+    if let Some(reply) = leader_reply(nonce, replica.term(), revision, replica.lease_end(), now) {
+        control.leader = Some(daemon.own.clone());
+        control.freshness.reply(&reply);
+        daemon.note_freshness(&control.freshness);
+        note_acknowledged(daemon, control, &daemon.own.clone(), revision);
+    }
+}
+
+fn note_acknowledged(
+    daemon: &Daemon,
+    control: &mut Control,
+    vm: &VmId,
+    revision: Revision,
+) {
+    let now = daemon.clock.now();
+    if let Some(leading) = control.vm.as_mut().and_then(|vm| vm.leading.as_mut()) {
+        leading.in_force.acknowledged(vm, revision, Report::Direct, now);
+    }
+}
+
+/// Answers a daemon's question whether its configuration is current, and sends what it lacks.
+pub fn answer(
+    daemon: &Daemon,
+    control: &mut Control,
+    from: VmId,
+    request: &FreshnessRequest,
+) {
+    let now = daemon.clock.now();
+    let revision = control.configuration.revision;
+    let reply = match &control.vm {
+        Some(vm) => {
+            let replica = vm.node.replica();
+            leader_reply(request.nonce, replica.term(), revision, replica.lease_end(), now)
+        }
+        None => {
+            let freshness = &control.freshness;
+            relay_reply(request.nonce, freshness.term(), freshness.knowledge(), now)
+        }
+    };
+    let Some(reply) = reply else { return };
+    let term = reply.term;
+    daemon.peers.send(&from, Message::FreshnessReply(reply));
+    note_acknowledged(daemon, control, &from, request.revision);
+    let takes_updates = control
+        .configuration
+        .members
+        .iter()
+        .any(|member| member.vm == from && member.role == MemberRole::Follower);
+    if takes_updates {
+        send_update(daemon, control, &from, request, term);
+    }
+}
+
+fn send_update(
+    daemon: &Daemon,
+    control: &Control,
+    to: &VmId,
+    request: &FreshnessRequest,
+    term: Term,
+) {
+    let Some(vm) = &control.vm else { return };
+    let FreshnessRequest { revision, digest, .. } = request;
+    match vm.recent.update_for(&control.configuration, term, *revision, *digest) {
+        Update::Nothing => {}
+        Update::Delta(delta) => {
+            daemon.peers.send(to, Message::ConfigurationDelta(delta));
+        }
+        Update::Snapshot(snapshot) => {
+            daemon.peers.send(to, Message::ConfigurationSnapshot(snapshot));
+        }
+    }
+}
+
+/// Handles the answer to a freshness request.
+pub fn accept(daemon: &Daemon, control: &mut Control, from: VmId, reply: &FreshnessReply) {
+    let verdict = control.freshness.reply(reply);
+    match verdict {
+        ReplyVerdict::Fresh(_) | ReplyVerdict::Behind { .. } => {
+            if reply.age_ms == 0 {
+                control.leader = Some(from);
+            }
+            daemon.note_freshness(&control.freshness);
+            let term = reply.term;
+            daemon.tables.grants.lock().holder.set_term(term, daemon.clock.now());
+        }
+        ReplyVerdict::UnknownNonce => {}
+        ReplyVerdict::OlderTerm | ReplyVerdict::OlderRevision => {
+            log::debug!(peer:% = from, verdict:? = verdict; "freshness reply refused");
+        }
+    }
+}
+
+/// Applies changes that lead from exactly the applied revision to a later one.
+pub fn receive_delta(
+    daemon: &Daemon,
+    control: &mut Control,
+    from: &VmId,
+    delta: &ConfigurationDelta,
+) {
+    if control.vm.is_none() {
+        let term = control.freshness.term();
+        let received = distribution::receive_delta(&control.configuration, term, delta);
+        adopt(daemon, control, from, delta.term, received);
+    }
+}
+
+/// Replaces the applied configuration by a later one.
+pub fn receive_snapshot(
+    daemon: &Daemon,
+    control: &mut Control,
+    from: &VmId,
+    snapshot: ConfigurationSnapshot,
+) {
+    if control.vm.is_none() {
+        let (term, sent_term) = (control.freshness.term(), snapshot.term);
+        let received = distribution::receive_snapshot(&control.configuration, term, snapshot);
+        adopt(daemon, control, from, sent_term, received);
+    }
+}
+
+fn adopt(
+    daemon: &Daemon,
+    control: &mut Control,
+    from: &VmId,
+    term: Term,
+    received: Received,
+) {
+    match received {
+        Received::Applied(configuration) => {
+            log::info!(
+                peer:% = from, before:% = control.configuration.revision,
+                revision:% = configuration.revision;
+                "configuration received"
+            );
+            control.configuration = *configuration;
+            control.digest_differs = false;
+            control.freshness.observe_term(term);
+            control.freshness.applied(control.configuration.revision);
+            daemon.note_freshness(&control.freshness);
+            publish(daemon, control);
+        }
+        Received::DigestDiffers => {
+            log::error!(peer:% = from; "configuration differs from the leader's, fetching all of it");
+            control.digest_differs = true;
+        }
+        other => log::debug!(peer:% = from, result:? = other; "configuration not adopted"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,202 @@
+//! What all parts of the daemon share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use celerygate_control::freshness::Freshness;
+use celerygate_steering::targets::{Observation, Observed, Pick, Place};
+use celerygate_types::wire::{Heartbeat, Message, ServiceLoad, TargetRecord, VmState};
+use celerygate_types::{
+    Clock, Incarnation, RegionId, RequestCount, RequestId, ServiceId, SlotCount, VmId,
+};
+use tokio::sync::Notify;
+
+use crate::peers::Peers;
+use crate::settings::Loaded;
+use crate::shutdown::{Phase, Shutdown};
+use crate::tables::Tables;
+use crate::telemetry::Metrics;
+use crate::upstream::Pool;
+
+/// Bytes of target records in one heartbeat; the rest of a datagram holds loads and the envelope.
+const RECORD_BYTES: usize = 700;
+
+/// A running daemon.
+pub struct Daemon {
+    /// Id of this VM.
+    pub own: VmId,
+    /// Region and data centre of this VM.
+    pub place: Place,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// The clock.
+    pub clock: Clock,
+    /// Settings and secrets.
+    pub loaded: Loaded,
+    /// Shared tables.
+    pub tables: Tables,
+    /// The other daemons.
+    pub peers: Arc<Peers>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Connections to targets.
+    pub upstream: Arc<Pool>,
+    /// Phase of a planned stop.
+    pub shutdown: Shutdown,
+    /// Signalled when rate tokens arrived.
+    pub grants_changed: Notify,
+    /// Signalled when a slot was released or a target announced.
+    pub slots_changed: Notify,
+    /// Start of the process on the monotonic clock.
+    pub started_at: Instant,
+    /// End of freshness in milliseconds since the start. Read for each keyed request, so it is kept
+    /// outside the tables.
+    pub fresh_until_ms: AtomicU64,
+    /// Number of the next request.
+    pub request_numbers: AtomicU64,
+}
+
+impl Daemon {
+    /// Returns a request id that no other daemon and no other life of this one uses.
+    pub fn next_request_id(&self) -> RequestId {
+        let number = self.request_numbers.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{}-{:x}-{number:x}", self.own, self.incarnation.get());
+        // A VM id of full length leaves no room; its end is cut, which keeps the number.
+        let start = text.len().saturating_sub(celerygate_types::ids::MAX_ID_BYTES);
+        text[start..].parse().expect("the text has only characters that ids allow")
+    }
+
+    /// Returns whether the configuration is known to be current.
+    pub fn is_fresh(&self) -> bool {
+        let now_ms = self.clock.now().saturating_duration_since(self.started_at).as_millis();
+        now_ms < u128::from(self.fresh_until_ms.load(Ordering::Acquire))
+    }
+
+    /// Makes the end of freshness known to the request path.
+    pub fn note_freshness(&self, freshness: &Freshness) {
+        let until = freshness.fresh_until().unwrap_or(self.started_at);
+        let until_ms = until.saturating_duration_since(self.started_at).as_millis();
+        self.fresh_until_ms.store(u64::try_from(until_ms).unwrap_or(u64::MAX), Ordering::Release);
+    }
+
+    /// Ends the process after a failure that must not be survived.
+    pub fn fail(&self, error: &anyhow::Error) -> ! {
+        log::error!(vm:% = self.own, error = format!("{error:#}").as_str(); "daemon failed");
+        log::logger().flush();
+        eprintln!("error: {error:#}");
+        std::process::exit(1)
+    }
+
+    /// Returns what this daemon tells others of its state.
+    pub fn state(&self) -> VmState {
+        match self.shutdown.phase() {
+            Phase::Leaving | Phase::Closing => VmState::Leaving,
+            Phase::Serving if self.is_fresh() => VmState::Serving,
+            Phase::Serving => VmState::Stale,
+        }
+    }
+
+    /// Returns the running slots of a service by region, as the latest heartbeats tell.
+    pub fn region_load(&self, service: &ServiceId, now: Instant) -> HashMap<RegionId, SlotCount> {
+        let view = self.tables.view();
+        let mut load: HashMap<RegionId, SlotCount> = HashMap::new();
+        let mut add = |region: &RegionId, slots: SlotCount| {
+            let sum = load.entry(region.clone()).or_default();
+            *sum = sum.saturating_add(slots);
+        };
+        {
+            let neighbours = self.tables.neighbours.lock();
+            for (vm, neighbour) in neighbours.all_live(now) {
+                let Some(member) = view.member(vm) else { continue };
+                let loads = neighbour.heartbeat.loads.iter();
+                for load in loads.filter(|load| load.service == *service) {
+                    add(&member.region, load.running_slots);
+                }
+            }
+        }
+        let slots = self.tables.slots.lock();
+        for (_, running) in slots.by_service().filter(|(known, _)| *known == service) {
+            add(&self.place.region, running);
+        }
+        load
+    }
+
+    /// Records what happened to a request at a target.
+    pub fn observe(&self, service: &ServiceId, pick: &Pick, observation: Observation) {
+        let now = self.clock.now();
+        let load = match observation {
+            Observation::Success => HashMap::new(),
+            _ => self.region_load(service, now),
+        };
+        let region_load = |region: &RegionId| load.get(region).copied().unwrap_or_default();
+        let observed = self.tables.targets.lock().observe(
+            service,
+            &pick.target,
+            pick.incarnation,
+            observation,
+            region_load,
+            now,
+        );
+        match observed {
+            Observed::Ejected { until } => log::warn!(
+                service:% = service, target:% = pick.target,
+                for_ms = until.saturating_duration_since(now).as_millis() as u64;
+                "target ejected"
+            ),
+            Observed::KeptByCap => log::warn!(
+                service:% = service, target:% = pick.target;
+                "failing target kept, the others cannot carry its load"
+            ),
+            Observed::Ignored | Observed::Kept => {}
+        }
+    }
+
+    /// Sends state, load and target records to the other daemons.
+    pub fn send_heartbeats(&self) {
+        let now = self.clock.now();
+        let records = self.tables.targets.lock().records(now);
+        let revision = self.tables.view().configuration.revision;
+        let (state, loads) = (self.state(), self.loads());
+        for targets in split_records(records) {
+            let heartbeat =
+                Heartbeat { state, revision, loads: loads.clone(), links: Vec::new(), targets };
+            for peer in self.peers.names() {
+                self.peers.send(peer, Message::Heartbeat(heartbeat.clone()));
+            }
+        }
+    }
+
+    /// Returns the load of this VM by service.
+    pub fn loads(&self) -> Vec<ServiceLoad> {
+        let slots = self.tables.slots.lock();
+        slots
+            .by_service()
+            .map(|(service, running_slots)| ServiceLoad {
+                service: service.clone(),
+                running_slots,
+                waiting_requests: RequestCount::ZERO,
+                sent_bytes_per_s: Default::default(),
+            })
+            .collect()
+    }
+}
+
+/// Splits records into parts that fit a datagram each; there is always one part.
+fn split_records(records: Vec<TargetRecord>) -> Vec<Vec<TargetRecord>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for record in records {
+        let size = postcard::experimental::serialized_size(&record).unwrap_or(RECORD_BYTES);
+        if bytes + size > RECORD_BYTES && bytes > 0 {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/daemon/src/forward.rs
@@ -0,0 +1,268 @@
+//! Requests of callers: from the request head to the relayed response.
+
+mod admission;
+mod attempt;
+mod relay;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_steering::headers::{self, HeaderFilter};
+use celerygate_steering::outcome::{Ended, FailedAttempt, NextAttempt, Reached, is_idempotent};
+use celerygate_steering::outcome::{give_up, next_attempt};
+use celerygate_types::{OrganisationId, RequestId, ResultCode, ServiceId};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+
+use crate::body::{self, ResponseBody};
+use crate::daemon::Daemon;
+use crate::lookup;
+use crate::refusal::Refusal;
+use crate::shutdown::Phase;
+
+use self::attempt::{Attempt, AttemptEnd, UpstreamRequest};
+
+/// Most bytes of a request head: method, target, header names and values.
+pub const MAX_HEAD_BYTES: usize = 16 * 1_024;
+/// Most headers of a request.
+pub const MAX_HEADERS: usize = 64;
+/// Response header with the request's id.
+pub const REQUEST_HEADER: &str = "celerygate-request";
+
+/// A request that is to be forwarded, without its body.
+pub struct Exchange {
+    /// Id for logs and for the caller.
+    pub id: RequestId,
+    /// Service that is asked for.
+    pub service: ServiceId,
+    /// Organisation whose key came with the request; none on open routes.
+    pub organisation: Option<OrganisationId>,
+    /// When the head arrived.
+    pub received_at: Instant,
+    /// Time that the request may take.
+    pub deadline: Duration,
+    /// Whether sending it twice has the effect of sending it once.
+    pub idempotent: bool,
+}
+
+impl Exchange {
+    /// Returns when the request must be finished.
+    pub fn ends_at(&self) -> Instant {
+        self.received_at + self.deadline
+    }
+}
+
+/// Which part of the API a path belongs to.
+enum Route {
+    Lookup(ServiceId),
+    /// The service and the path and query inside it.
+    Service(ServiceId, Uri),
+    Refused(Refusal),
+}
+
+/// Answers a request of a caller.
+pub async fn handle(
+    daemon: Arc<Daemon>,
+    request: Request<Incoming>,
+    caller: SocketAddr,
+) -> Response<ResponseBody> {
+    let id = daemon.next_request_id();
+    let result = match check_head(&request) {
+        Err(refusal) => Err(refusal),
+        Ok(()) => match route(request.uri()) {
+            Route::Lookup(service) => lookup::answer(&daemon, &id, &service, &request, caller),
+            Route::Service(service, uri) => {
+                forward(&daemon, id.clone(), service, uri, request).await
+            }
+            Route::Refused(refusal) => Err(refusal),
+        },
+    };
+    let mut response = result.unwrap_or_else(|refusal| refuse(&id, &refusal));
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(REQUEST_HEADER, value);
+    }
+    if daemon.shutdown.phase() > Phase::Serving {
+        // Callers move to another VM instead of starting a request on a connection about to close.
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn check_head(request: &Request<Incoming>) -> Result<(), Refusal> {
+    let headers = request.headers();
+    let target = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let names_and_values: usize =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if headers.len() > MAX_HEADERS || target + names_and_values > MAX_HEAD_BYTES {
+        return Err(ResultCode::HeadTooLarge.into());
+    }
+    Ok(())
+}
+
+fn route(uri: &Uri) -> Route {
+    let mut parts = uri.path().splitn(4, '/').skip(1);
+    let (area, service, rest) = (parts.next(), parts.next(), parts.next());
+    let service = match service.map(str::parse::<ServiceId>) {
+        Some(Ok(service)) => service,
+        Some(Err(_)) => return Route::Refused(ResultCode::UnknownService.into()),
+        None => return Route::Refused(ResultCode::UnknownPath.into()),
+    };
+    match (area, rest) {
+        (Some("lookup"), None) => Route::Lookup(service),
+        (Some("svc"), rest) => {
+            let path = rest.unwrap_or_default();
+            let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+            match format!("/{path}{query}").parse() {
+                Ok(uri) => Route::Service(service, uri),
+                Err(_) => Route::Refused(ResultCode::BadRequest.into()),
+            }
+        }
+        _ => Route::Refused(ResultCode::UnknownPath.into()),
+    }
+}
+
+/// Returns the response that tells a caller why its request was refused.
+pub fn refuse(id: &RequestId, refusal: &Refusal) -> Response<ResponseBody> {
+    let bytes = serde_json::to_vec(&refusal.body(id)).unwrap_or_default();
+    let mut response = Response::new(body::full(bytes));
+    *response.status_mut() = StatusCode::from_u16(refusal.code.http_status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(seconds) = refusal.retry_after_s() {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+async fn forward(
+    daemon: &Arc<Daemon>,
+    id: RequestId,
+    service: ServiceId,
+    uri: Uri,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let received_at = daemon.clock.now();
+    let view = daemon.tables.view();
+    if view.service(&service).is_none() {
+        log::info!(request:% = id, reason:% = ResultCode::UnknownService; "request refused");
+        return Err(ResultCode::UnknownService.into());
+    }
+    drop(view);
+    let result = run(daemon, &id, &service, uri, request, received_at).await;
+    if let Err(refusal) = &result {
+        log::info!(
+            request:% = id, service:% = service, code = refusal.code.number(),
+            reason:% = refusal.code, outcome:% = refusal.code.outcome();
+            "request refused"
+        );
+        let seconds = daemon.clock.now().saturating_duration_since(received_at).as_secs_f64();
+        daemon.metrics.count_request(service.as_str(), refusal.code.number(), seconds);
+    }
+    result
+}
+
+async fn run(
+    daemon: &Arc<Daemon>,
+    id: &RequestId,
+    service: &ServiceId,
+    uri: Uri,
+    request: Request<Incoming>,
+    received_at: Instant,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let deadline = headers::parse_deadline(values(request.headers(), headers::DEADLINE_HEADER))?;
+    let organisation = admission::identify(daemon, service, &uri, request.headers())?;
+    let exchange = Arc::new(Exchange {
+        id: id.clone(),
+        service: service.clone(),
+        organisation,
+        received_at,
+        deadline,
+        idempotent: is_idempotent(request.method().as_str()),
+    });
+    admission::admit(daemon, &exchange).await?;
+    let upstream = UpstreamRequest::new(request, uri, &exchange);
+    send(daemon, exchange, upstream).await
+}
+
+/// Sends a request to one target after the other until there is a response, or an outcome that
+/// forbids another attempt.
+async fn send(
+    daemon: &Arc<Daemon>,
+    exchange: Arc<Exchange>,
+    mut upstream: UpstreamRequest,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut attempts = Attempt::default();
+    daemon.tables.retries.lock().count_request(daemon.clock.now());
+    loop {
+        let picked = match attempt::pick(daemon, &exchange, &attempts).await {
+            Ok(picked) => picked,
+            Err(refusal) => return Err(attempts.refusal_after(refusal)),
+        };
+        let end = attempt::send(daemon, &exchange, &mut upstream, &picked).await;
+        let (reached, ended, detail) = match end {
+            AttemptEnd::Response(response) => {
+                return Ok(relay::relay(daemon, exchange, picked, response));
+            }
+            AttemptEnd::Failed { reached, ended, detail } => (reached, ended, detail),
+        };
+        let failed = FailedAttempt {
+            reached,
+            ended,
+            idempotent: exchange.idempotent,
+            replayable: upstream.is_replayable(),
+            earlier_attempts: attempts.count,
+            sent_earlier: attempts.sent,
+        };
+        let next = {
+            let mut budget = daemon.tables.retries.lock();
+            next_attempt(&failed, &mut budget, daemon.clock.now())
+        };
+        log::info!(
+            request:% = exchange.id, service:% = exchange.service, target:% = picked.pick.target,
+            reached:? = reached, ended:? = ended, detail = detail.as_str(), next:? = next;
+            "attempt failed"
+        );
+        attempts.record(&picked, reached, give_up(&failed));
+        drop(picked);
+        match next {
+            NextAttempt::Retry => {}
+            NextAttempt::Fail { code, .. } => return Err(code.into()),
+            // The head has not been passed on yet, so there is nothing to abort.
+            NextAttempt::AbortCaller | NextAttempt::Abandon => {
+                return Err(ResultCode::TargetFailed.into());
+            }
+        }
+    }
+}
+
+/// Returns the values of a header as bytes.
+pub fn values<'a>(headers: &'a HeaderMap, name: &str) -> impl Iterator<Item = &'a [u8]> {
+    headers.get_all(name).into_iter().map(HeaderValue::as_bytes)
+}
+
+/// Returns name and value pairs of all headers.
+pub fn pairs(headers: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
+    headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()))
+}
+
+/// Copies the headers that a filter keeps.
+pub fn copy_kept(filter: &HeaderFilter<'_>, from: &HeaderMap, to: &mut HeaderMap) {
+    for (name, value) in from {
+        if filter.keeps(name.as_str(), value.as_bytes()) {
+            to.append(name, value.clone());
+        }
+    }
+}
+
+/// Returns whether a body certainly has no byte.
+fn is_empty(body: &impl Body) -> bool {
+    body.is_end_stream()
+}
+
+#[cfg(test)]
+#[path = "forward_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/forward/attempt.rs
@@ -0,0 +1,287 @@
+//! One attempt to get a response from one target.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use celerygate_steering::headers::{self, HeaderFilter};
+use celerygate_steering::outcome::{Ended, NextAttempt, Reached};
+use celerygate_steering::targets::{Choice, Observation, Pick, Target, TargetUse, choose};
+use celerygate_types::{ResultCode, TargetId};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use smallvec::SmallVec;
+use tokio::time::{sleep_until, timeout_at};
+
+use super::{Exchange, REQUEST_HEADER, copy_kept, is_empty, pairs};
+use crate::daemon::Daemon;
+use crate::refusal::Refusal;
+use crate::tables::SlotGuard;
+use crate::upstream::{RelayedBody, RequestBody, SendError};
+
+/// Request header that tells a target whose request it runs.
+const ORGANISATION_HEADER: &str = "celerygate-organisation";
+
+/// What the attempts of a request did so far.
+#[derive(Default)]
+pub struct Attempt {
+    /// Number of finished attempts.
+    pub count: u32,
+    /// Whether one of them sent a byte of the request.
+    pub sent: bool,
+    tried: SmallVec<[TargetId; 2]>,
+    last: Option<ResultCode>,
+}
+
+impl Attempt {
+    /// Records a failed attempt; `end` is how the request ends if it is not sent again.
+    pub fn record(&mut self, picked: &Picked, reached: Reached, end: NextAttempt) {
+        self.count += 1;
+        self.sent |= reached >= Reached::BytesSent;
+        self.tried.push(picked.pick.target.clone());
+        if let NextAttempt::Fail { code, .. } = end {
+            self.last = Some(code);
+        }
+    }
+
+    /// Returns the refusal when no other target could be picked: the failure of the last attempt
+    /// says more about the request than the lack of another target.
+    pub fn refusal_after(&self, refusal: Refusal) -> Refusal {
+        self.last.map_or(refusal, Refusal::from)
+    }
+}
+
+/// A chosen target with a slot of it.
+pub struct Picked {
+    /// The choice.
+    pub pick: Pick,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The slot, released when dropped.
+    pub slot: SlotGuard,
+}
+
+enum Picking {
+    Picked(Picked),
+    Wait,
+    Refused(ResultCode),
+}
+
+/// Chooses a target with room, waiting for a slot until the deadline.
+pub async fn pick(
+    daemon: &Arc<Daemon>,
+    exchange: &Exchange,
+    attempts: &Attempt,
+) -> Result<Picked, Refusal> {
+    let ends_at = exchange.ends_at();
+    loop {
+        let released = daemon.slots_changed.notified();
+        match pick_now(daemon, exchange, attempts) {
+            Picking::Picked(picked) => return Ok(picked),
+            Picking::Refused(code) => return Err(code.into()),
+            Picking::Wait => {}
+        }
+        if daemon.clock.now() >= ends_at {
+            return Err(ResultCode::DeadlinePassedWaiting.into());
+        }
+        tokio::select! {
+            () = released => {}
+            () = sleep_until(ends_at.into()) => {}
+        }
+    }
+}
+
+fn pick_now(daemon: &Arc<Daemon>, exchange: &Exchange, attempts: &Attempt) -> Picking {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let targets = daemon.tables.targets.lock();
+    let mut slots = daemon.tables.slots.lock();
+    let usage = |target: &Target| {
+        let refused = attempts.tried.contains(&target.target)
+            || view.is_target_drained(&exchange.service, &target.target)
+            || (view.is_region_drained(&target.region) && target.region != daemon.place.region);
+        (!refused).then(|| {
+            let running = slots.running(&exchange.service, &target.target);
+            TargetUse {
+                running,
+                free: target.slots.saturating_sub(running),
+                connections: running.get(),
+            }
+        })
+    };
+    let known = targets.of_service(&exchange.service);
+    let choice = choose(known, &daemon.place, usage, rand::random(), now);
+    let pick = match choice {
+        Choice::Use(pick) => pick,
+        Choice::Wait => return Picking::Wait,
+        Choice::NoTarget => return Picking::Refused(ResultCode::NoCapacity),
+    };
+    let Ok(address) = pick.address.parse() else {
+        return Picking::Refused(ResultCode::TargetUnreachable);
+    };
+    slots.take(&exchange.service, &pick.target);
+    drop((targets, slots));
+    log::info!(
+        request:% = exchange.id, service:% = exchange.service, target:% = pick.target,
+        distance:? = pick.distance, attempt = attempts.count;
+        "target chosen"
+    );
+    let slot = SlotGuard::new(daemon, &exchange.service, &pick.target);
+    Picking::Picked(Picked { pick, address, slot })
+}
+
+/// The parts of a caller's request that go to a target.
+pub struct UpstreamRequest {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Option<RequestBody>,
+    body_is_empty: bool,
+    body_touched: Arc<AtomicBool>,
+}
+
+impl UpstreamRequest {
+    /// Takes what is forwarded from a caller's request.
+    pub fn new(request: Request<Incoming>, uri: Uri, exchange: &Exchange) -> Self {
+        let (parts, body) = request.into_parts();
+        let mut forwarded = HeaderMap::with_capacity(parts.headers.len());
+        let filter = HeaderFilter::for_request(pairs(&parts.headers));
+        copy_kept(&filter, &parts.headers, &mut forwarded);
+        forwarded.remove(HOST);
+        insert_text(&mut forwarded, REQUEST_HEADER, exchange.id.as_str());
+        if let Some(organisation) = &exchange.organisation {
+            insert_text(&mut forwarded, ORGANISATION_HEADER, organisation.as_str());
+        }
+        let body_is_empty = is_empty(&body);
+        let body_touched = Arc::new(AtomicBool::new(false));
+        let body = TouchedBody { inner: body, touched: Arc::clone(&body_touched) };
+        Self {
+            method: parts.method,
+            uri,
+            headers: forwarded,
+            body: Some(body.boxed_unsync()),
+            body_is_empty,
+            body_touched,
+        }
+    }
+
+    /// Returns whether the request can be sent again from its first byte.
+    pub fn is_replayable(&self) -> bool {
+        self.body_is_empty || (self.body.is_some() && !self.body_touched.load(Ordering::Acquire))
+    }
+
+    fn build(&mut self, address: SocketAddr, remaining_ms: u64) -> Request<RequestBody> {
+        let empty = || Empty::new().map_err(|never| match never {}).boxed_unsync();
+        let mut request = Request::new(self.body.take().unwrap_or_else(empty));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        insert_text(request.headers_mut(), HOST.as_str(), &address.to_string());
+        let remaining = HeaderValue::from(remaining_ms);
+        request.headers_mut().insert(headers::DEADLINE_HEADER, remaining);
+        request
+    }
+
+    fn restore(&mut self, request: Request<RequestBody>) {
+        self.body = Some(request.into_body());
+    }
+}
+
+fn insert_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The head of a response arrived.
+    Response(Response<RelayedBody>),
+    /// There is no response.
+    Failed {
+        /// How far the attempt got.
+        reached: Reached,
+        /// What ended it.
+        ended: Ended,
+        /// The error, for the log.
+        detail: String,
+    },
+}
+
+impl AttemptEnd {
+    fn failed(reached: Reached, ended: Ended, detail: impl ToString) -> Self {
+        Self::Failed { reached, ended, detail: detail.to_string() }
+    }
+}
+
+/// Sends the request to the chosen target and waits for the response head until the deadline.
+pub async fn send(
+    daemon: &Arc<Daemon>,
+    exchange: &Exchange,
+    upstream: &mut UpstreamRequest,
+    picked: &Picked,
+) -> AttemptEnd {
+    let now = daemon.clock.now();
+    let Some(remaining) = headers::remaining_ms(exchange.received_at, exchange.deadline, now)
+    else {
+        return AttemptEnd::failed(Reached::NotConnected, Ended::DeadlinePassed, "no time left");
+    };
+    let request = upstream.build(picked.address, remaining);
+    let sent = daemon.upstream.send(picked.address, request);
+    let end = match timeout_at(exchange.ends_at().into(), sent).await {
+        Ok(Ok(response)) => return AttemptEnd::Response(response),
+        Ok(Err(SendError::NotConnected { request, reason })) => {
+            upstream.restore(*request);
+            AttemptEnd::failed(Reached::NotConnected, Ended::TargetFailed, reason)
+        }
+        Ok(Err(SendError::NotSent { request, reason })) => {
+            upstream.restore(*request);
+            AttemptEnd::failed(Reached::Connected, Ended::TargetFailed, reason)
+        }
+        Ok(Err(SendError::NoResponse(error))) => {
+            AttemptEnd::failed(Reached::BytesSent, Ended::TargetFailed, error)
+        }
+        // How far the attempt got is not known here, so the worse case is assumed.
+        Err(_) => AttemptEnd::failed(Reached::BytesSent, Ended::DeadlinePassed, "deadline passed"),
+    };
+    let observation = match &end {
+        AttemptEnd::Failed { reached: Reached::NotConnected, .. } => Observation::ConnectFailure,
+        _ => Observation::Failure,
+    };
+    daemon.observe(&exchange.service, &picked.pick, observation);
+    end
+}
+
+/// A request body that notes whether a byte was read from the caller.
+struct TouchedBody {
+    inner: Incoming,
+    touched: Arc<AtomicBool>,
+}
+
+impl Body for TouchedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.inner).poll_frame(context);
+        if frame.is_ready() {
+            self.touched.store(true, Ordering::Release);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs.rs
@@ -0,0 +1,148 @@
+//! The jobs of the worker pool: messages from peers and timer ticks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use celerygate_control::distribution::{first_poll_delay, poll_delay};
+use celerygate_types::wire::{Envelope, Heartbeat, Message};
+use celerygate_types::{Incarnation, ServiceId, VmId};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::daemon::Daemon;
+use crate::workers::{JobFuture, JobQueue, Offered};
+use crate::{control, lookup};
+
+/// Something for a worker to do.
+pub enum Job {
+    /// An authentic message from a peer.
+    Message(Envelope),
+    /// A timer has expired.
+    Tick(Tick),
+}
+
+/// The timers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+pub enum Tick {
+    /// Agreement and the leader's duties.
+    Control,
+    /// Whether the configuration is current.
+    Freshness,
+    /// Rate tokens.
+    Grants,
+    /// State and load for the other daemons.
+    Heartbeat,
+    /// Entry table and rooms of lookups.
+    Lookup,
+    /// Expired announcements and ejections.
+    Targets,
+}
+
+impl Tick {
+    fn interval(self) -> Duration {
+        match self {
+            Self::Control => Duration::from_millis(50),
+            Self::Freshness => poll_delay(rand::random()),
+            Self::Grants => Duration::from_millis(25),
+            Self::Heartbeat => Duration::from_secs(1),
+            Self::Lookup => lookup::REBUILD_INTERVAL,
+            Self::Targets => Duration::from_millis(500),
+        }
+    }
+
+    fn first_delay(self) -> Duration {
+        match self {
+            Self::Freshness => first_poll_delay(rand::random()),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// Offers a tick to the workers each time it is due, until the task is aborted.
+pub fn start_timer(tick: Tick, queue: JobQueue<Job>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        sleep(tick.first_delay()).await;
+        loop {
+            if queue.offer(Job::Tick(tick)) == Offered::Dropped {
+                log::warn!(tick:? = tick; "worker queue is full, tick dropped");
+            }
+            sleep(tick.interval()).await;
+        }
+    })
+}
+
+/// Runs one job.
+pub fn run(daemon: Arc<Daemon>, job: Job) -> JobFuture {
+    Box::pin(async move {
+        match job {
+            Job::Message(envelope) => receive(&daemon, envelope),
+            Job::Tick(tick) => run_tick(&daemon, tick),
+        }
+    })
+}
+
+fn receive(daemon: &Arc<Daemon>, envelope: Envelope) {
+    match envelope.message {
+        Message::Heartbeat(heartbeat) => {
+            record_heartbeat(daemon, envelope.sender, envelope.sender_incarnation, heartbeat);
+        }
+        Message::GrantReply(reply) => control::accept_tokens(daemon, &reply),
+        _ => control::receive(daemon, envelope),
+    }
+}
+
+fn record_heartbeat(
+    daemon: &Daemon,
+    sender: VmId,
+    incarnation: Incarnation,
+    heartbeat: Heartbeat,
+) {
+    let now = daemon.clock.now();
+    let mut changed = false;
+    {
+        let mut targets = daemon.tables.targets.lock();
+        for record in &heartbeat.targets {
+            use celerygate_steering::targets::Accepted;
+            changed |= matches!(targets.merge(record, now), Accepted::New);
+        }
+    }
+    daemon.tables.neighbours.lock().record(sender, incarnation, heartbeat, now);
+    if changed {
+        daemon.slots_changed.notify_waiters();
+    }
+}
+
+fn run_tick(daemon: &Arc<Daemon>, tick: Tick) {
+    match tick {
+        Tick::Control => control::tick(daemon),
+        Tick::Freshness => control::poll_parent(daemon),
+        Tick::Grants => control::poll_owner(daemon),
+        Tick::Heartbeat => daemon.send_heartbeats(),
+        Tick::Lookup => lookup::rebuild(daemon),
+        Tick::Targets => review_targets(daemon),
+    }
+}
+
+fn review_targets(daemon: &Daemon) {
+    let now = daemon.clock.now();
+    let services: Vec<ServiceId> =
+        daemon.tables.view().configuration.services.iter().map(|s| s.service.clone()).collect();
+    let loads: Vec<_> = services
+        .iter()
+        .map(|service| (service.clone(), daemon.region_load(service, now)))
+        .collect();
+    let mut targets = daemon.tables.targets.lock();
+    let expired = targets.expire(now);
+    let load = |service: &ServiceId, region: &_| {
+        let found = loads.iter().find(|(known, _)| known == service);
+        found.and_then(|(_, load)| load.get(region)).copied().unwrap_or_default()
+    };
+    let readmitted = targets.review(load, now);
+    drop(targets);
+    for (service, target) in expired {
+        log::info!(service:% = service, target:% = target; "announcement expired");
+    }
+    for (service, target) in readmitted {
+        log::info!(service:% = service, target:% = target; "target readmitted");
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,19 +1,48 @@
-//! The celerygate daemon.
+//! The celerygate daemon: one program for every VM of the system.
 
-#[allow(dead_code, reason = "the modules that use the settings are not on this branch")]
+mod announce;
+mod api;
+mod body;
+mod callers;
+mod commands;
+mod control;
+mod daemon;
+mod forward;
+mod jobs;
+mod locks;
+mod lookup;
+mod measure;
+mod operators;
+mod parse_errors;
+mod peers;
+mod refusal;
 mod settings;
+mod shutdown;
+mod status;
+mod tables;
+mod telemetry;
+mod upstream;
+mod view;
+mod workers;
 
-use std::path::Path;
 use std::process::ExitCode;
 
+use clap::Command;
+
 fn main() -> ExitCode {
-    let path = std::env::args().nth(1).unwrap_or_default();
-    match settings::check(Path::new(&path)) {
-        Ok(loaded) => println!("{loaded:?}"),
-        Err(faults) => {
-            faults.iter().for_each(|fault| eprintln!("{fault}"));
-            return ExitCode::from(3);
-        }
-    }
-    ExitCode::SUCCESS
+    let command = Command::new("celerygated")
+        .version(clap::crate_version!())
+        .about("Daemon of the celerygate traffic steering system")
+        .subcommand_required(true)
+        .subcommand(commands::run::command())
+        .subcommand(commands::check::command());
+    let result = match command.get_matches().subcommand() {
+        Some(("run", matches)) => commands::run::execute(matches),
+        Some(("check", matches)) => Ok(commands::check::execute(matches)),
+        _ => unreachable!("clap requires one of the subcommands"),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("error: {error:#}");
+        ExitCode::FAILURE
+    })
 }
--- /dev/null
+++ b/crates/daemon/src/measure.rs
@@ -0,0 +1,91 @@
+//! What this daemon knows about the load of regions, links, services and targets.
+
+use std::time::{Duration, Instant};
+
+use celerygate_types::measurements::{
+    LinkMeasure, Measurements, RegionLoad, ServiceRegionLoad, TargetPlace,
+};
+use celerygate_types::wire::{Configuration, Member, ServiceLoad};
+use celerygate_types::{RegionId, VmId};
+
+use crate::daemon::Daemon;
+use crate::tables::{DEAD_AFTER, Neighbours};
+
+/// Collects the measurements from heartbeats, announcements and this daemon's own load.
+pub fn measurements(daemon: &Daemon, configuration: &Configuration) -> Measurements {
+    let now = daemon.clock.now();
+    let mut measured = Measurements::default();
+    {
+        let neighbours = daemon.tables.neighbours.lock();
+        for member in configuration.members.iter().filter(|member| member.vm != daemon.own) {
+            add_neighbour(&mut measured, &neighbours, member, now);
+        }
+    }
+    for load in daemon.loads() {
+        add_load(&mut measured, &daemon.place.region, &load, Duration::ZERO);
+    }
+    add_targets(&mut measured, daemon, now);
+    for link in &configuration.links {
+        // A link nobody reports use of carries nothing; its age is that of the sending region.
+        let age = measured.regions.get(&link.from).map(|region| region.age);
+        if let Some(age) = age {
+            let key = (link.from.clone(), link.to.clone());
+            measured.links.entry(key).or_insert(LinkMeasure { age, ..LinkMeasure::default() });
+        }
+    }
+    measured
+}
+
+/// A VM that has not been heard of makes the load of its region old, until it counts as dead.
+fn add_neighbour(
+    measured: &mut Measurements,
+    neighbours: &Neighbours,
+    member: &Member,
+    now: Instant,
+) {
+    let Some(neighbour) = neighbours.get(&member.vm) else { return };
+    let age = now.saturating_duration_since(neighbour.heard_at);
+    if age >= DEAD_AFTER {
+        return;
+    }
+    let region = measured.regions.entry(member.region.clone()).or_default();
+    region.age = region.age.max(age);
+    for load in &neighbour.heartbeat.loads {
+        add_load(measured, &member.region, load, age);
+    }
+    for link in &neighbour.heartbeat.links {
+        let key = (link.from.clone(), link.to.clone());
+        let measure = measured.links.entry(key).or_default();
+        measure.use_bytes_per_s = measure.use_bytes_per_s.saturating_add(link.use_bytes_per_s);
+        measure.age = measure.age.max(age);
+    }
+}
+
+fn add_load(measured: &mut Measurements, region: &RegionId, load: &ServiceLoad, age: Duration) {
+    let total = measured.regions.entry(region.clone()).or_default();
+    total.load_slots = total.load_slots.saturating_add(load.running_slots);
+    total.age = total.age.max(age);
+    let key = (load.service.clone(), region.clone());
+    let service = measured.services.entry(key).or_default();
+    service.running_slots = service.running_slots.saturating_add(load.running_slots);
+    service.sent_bytes_per_s = service.sent_bytes_per_s.saturating_add(load.sent_bytes_per_s);
+}
+
+fn add_targets(measured: &mut Measurements, daemon: &Daemon, now: Instant) {
+    let targets = daemon.tables.targets.lock();
+    for (service, target) in targets.iter().filter(|(_, target)| target.is_usable(now)) {
+        let place = TargetPlace { region: target.region.clone(), slots: target.slots };
+        measured.targets.insert((service.clone(), target.target.clone()), place);
+        let region: &mut RegionLoad = measured.regions.entry(target.region.clone()).or_default();
+        region.capacity_slots = region.capacity_slots.saturating_add(target.slots);
+        let key = (service.clone(), target.region.clone());
+        let load: &mut ServiceRegionLoad = measured.services.entry(key).or_default();
+        load.capacity_slots = load.capacity_slots.saturating_add(target.slots);
+    }
+}
+
+/// Returns how long ago a VM was heard of.
+pub fn heard_ms(neighbours: &Neighbours, vm: &VmId, now: Instant) -> Option<u64> {
+    let heard_at = neighbours.get(vm)?.heard_at;
+    u64::try_from(now.saturating_duration_since(heard_at).as_millis()).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/parse_errors.rs
@@ -0,0 +1,176 @@
+//! Gives the HTTP library's own error responses the numbered body of all refusals.
+//!
+//! The library answers a request head that it cannot parse before any code of the daemon runs,
+//! with an empty body. This wrapper of the connection replaces that response.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use celerygate_types::{RequestId, ResultCode};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::refusal::Refusal;
+
+/// Counts the requests of a connection whose responses are not finished.
+#[derive(Clone, Debug, Default)]
+pub struct Outstanding(Arc<AtomicUsize>);
+
+/// Marks a request as unfinished until it is dropped.
+#[derive(Debug)]
+pub struct Exchange(Arc<AtomicUsize>);
+
+impl Outstanding {
+    /// Marks the begin of a request.
+    pub fn begin(&self) -> Exchange {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        Exchange(Arc::clone(&self.0))
+    }
+
+    fn none(&self) -> bool {
+        self.0.load(Ordering::Acquire) == 0
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A connection whose library-made error responses are replaced.
+#[derive(Debug)]
+pub struct NumberedErrors<S> {
+    stream: S,
+    request: RequestId,
+    outstanding: Outstanding,
+    replacement: Option<Replacement>,
+}
+
+#[derive(Debug)]
+struct Replacement {
+    bytes: Vec<u8>,
+    written: usize,
+}
+
+impl<S> NumberedErrors<S> {
+    /// Wraps a connection; `request` identifies a refused head in its response.
+    pub fn new(stream: S, request: RequestId) -> Self {
+        Self { stream, request, outstanding: Outstanding::default(), replacement: None }
+    }
+
+    /// Returns the counter that the connection's service marks its requests with.
+    pub fn outstanding(&self) -> Outstanding {
+        self.outstanding.clone()
+    }
+
+    fn replacement_for(&self, bytes: &[u8]) -> Option<Replacement> {
+        let code = library_error(bytes).filter(|_| self.outstanding.none())?;
+        log::info!(request:% = self.request, code = code.number(); "request head refused");
+        Some(Replacement { bytes: numbered_response(code, &self.request), written: 0 })
+    }
+}
+
+/// Recognises the library's response to a head that does not parse.
+fn library_error(bytes: &[u8]) -> Option<ResultCode> {
+    let empty = bytes.windows(17).any(|part| part == b"content-length: 0");
+    if !empty || !bytes.ends_with(b"\r\n\r\n") {
+        return None;
+    }
+    match bytes.get(..13)? {
+        b"HTTP/1.1 400 " => Some(ResultCode::BadRequest),
+        b"HTTP/1.1 414 " | b"HTTP/1.1 431 " => Some(ResultCode::HeadTooLarge),
+        _ => None,
+    }
+}
+
+fn numbered_response(code: ResultCode, request: &RequestId) -> Vec<u8> {
+    let body = serde_json::to_vec(&Refusal::from(code).body(request)).unwrap_or_default();
+    let status = code.http_status();
+    let mut response = format!(
+        "HTTP/1.1 {status} {}\r\ncontent-type: application/json\r\ncelerygate-request: {request}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        hyper::StatusCode::from_u16(status)
+            .ok()
+            .and_then(|status| status.canonical_reason())
+            .unwrap_or("Error"),
+        body.len()
+    )
+    .into_bytes();
+    response.extend_from_slice(&body);
+    response
+}
+
+impl<S: AsyncWrite + Unpin> NumberedErrors<S> {
+    fn poll_replacement(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while let Some(replacement) = &mut self.replacement {
+            let rest = &replacement.bytes[replacement.written..];
+            if rest.is_empty() {
+                self.replacement = None;
+                break;
+            }
+            let count = ready!(Pin::new(&mut self.stream).poll_write(context, rest))?;
+            if count == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            replacement.written += count;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for NumberedErrors<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for NumberedErrors<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.replacement.is_none() {
+            self.replacement = self.replacement_for(bytes);
+        }
+        if self.replacement.is_none() {
+            return Pin::new(&mut self.stream).poll_write(context, bytes);
+        }
+        ready!(self.poll_replacement(context))?;
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match slices {
+            [only] => self.poll_write(context, only),
+            _ => Pin::new(&mut self.stream).poll_write_vectored(context, slices),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+#[cfg(test)]
+#[path = "parse_errors_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,177 @@
+//! Messages between daemons: encoding, authentication, UDP and TCP.
+
+pub mod codec;
+pub mod tcp;
+pub mod udp;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use anyhow::{Context, Result};
+use celerygate_types::wire::{Envelope, Message};
+use celerygate_types::{Incarnation, VmId};
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use self::codec::{Channel, Codec, CodecError, MESSAGE_VERSION, ReplayGuard};
+
+/// Receives authentic messages; it must not block.
+pub type Inbound = Arc<dyn Fn(Envelope) + Send + Sync>;
+
+struct Peer {
+    address: SocketAddr,
+    frames: mpsc::Sender<Vec<u8>>,
+}
+
+struct ChannelState {
+    codec: Codec,
+    next_sequence: AtomicU64,
+    guard: Mutex<ReplayGuard>,
+}
+
+impl ChannelState {
+    fn new(channel: Channel, secret: &[u8], own: Incarnation, peers: &[(VmId, SocketAddr)]) -> Self {
+        let names = peers.iter().map(|(vm, _)| vm.clone());
+        Self {
+            codec: Codec::new(channel, secret),
+            next_sequence: AtomicU64::new(1),
+            guard: Mutex::new(ReplayGuard::new(own, names)),
+        }
+    }
+
+    fn open(&self, bytes: &[u8]) -> Result<Envelope, CodecError> {
+        let envelope = self.codec.open(bytes)?;
+        self.guard.lock().accept(&envelope)?;
+        Ok(envelope)
+    }
+}
+
+/// What became of a message that was to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// It is on its way; it may still be lost.
+    Handed,
+    /// The peer is unknown, has not been heard of yet, or its queue is full.
+    Dropped,
+}
+
+/// Sends messages to the other daemons.
+pub struct Peers {
+    own: VmId,
+    incarnation: Incarnation,
+    udp: ChannelState,
+    tcp: ChannelState,
+    socket: Arc<UdpSocket>,
+    peers: HashMap<VmId, Peer>,
+    dropped: Box<dyn Fn(CodecError) + Send + Sync>,
+}
+
+impl Peers {
+    /// Binds the socket and starts the senders for the given peers.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn bind(
+        own: VmId,
+        incarnation: Incarnation,
+        address: SocketAddr,
+        secret: &[u8],
+        others: Vec<(VmId, SocketAddr)>,
+        dropped: Box<dyn Fn(CodecError) + Send + Sync>,
+    ) -> Result<(Arc<Self>, TcpListener)> {
+        let socket =
+            UdpSocket::bind(address).await.with_context(|| format!("bind UDP {address}"))?;
+        let listener =
+            TcpListener::bind(address).await.with_context(|| format!("bind TCP {address}"))?;
+        let udp = ChannelState::new(Channel::Udp, secret, incarnation, &others);
+        let tcp = ChannelState::new(Channel::Tcp, secret, incarnation, &others);
+        let peers = others
+            .into_iter()
+            .map(|(vm, address)| {
+                let (frames, queue) = mpsc::channel(tcp::OUTBOUND_FRAMES);
+                tokio::spawn(tcp::send_frames(address, queue));
+                (vm, Peer { address, frames })
+            })
+            .collect();
+        let socket = Arc::new(socket);
+        let peers = Self { own, incarnation, udp, tcp, socket, peers, dropped };
+        Ok((Arc::new(peers), listener))
+    }
+
+    /// Starts receiving.
+    pub fn receive(self: &Arc<Self>, listener: TcpListener, inbound: Inbound) -> [JoinHandle<()>; 2] {
+        let socket = Arc::clone(&self.socket);
+        [
+            tokio::spawn(udp::receive(socket, Arc::clone(self), Arc::clone(&inbound))),
+            tokio::spawn(tcp::accept(listener, Arc::clone(self), inbound)),
+        ]
+    }
+
+    /// Returns the names of the other daemons.
+    pub fn names(&self) -> impl Iterator<Item = &VmId> {
+        self.peers.keys()
+    }
+
+    /// Sends a message on the channel of its kind, without waiting.
+    pub fn send(&self, to: &VmId, message: Message) -> Sent {
+        let Some(peer) = self.peers.get(to) else { return Sent::Dropped };
+        // Heartbeats introduce daemons to each other, so a peer's incarnation is learnt from them.
+        let receiver_incarnation = self.udp.guard.lock().incarnation(to);
+        let introduction = matches!(message, Message::Heartbeat(_));
+        if receiver_incarnation == Incarnation::ZERO && !introduction {
+            return Sent::Dropped;
+        }
+        let datagram = travels_as_datagram(&message);
+        let channel = if datagram { &self.udp } else { &self.tcp };
+        let envelope = Envelope {
+            version: MESSAGE_VERSION,
+            sender: self.own.clone(),
+            sender_incarnation: self.incarnation,
+            receiver_incarnation,
+            sequence: channel.next_sequence.fetch_add(1, Ordering::Relaxed),
+            message,
+        };
+        match channel.codec.seal(&envelope) {
+            Ok(bytes) if datagram => self.send_datagram(peer.address, &bytes),
+            Ok(bytes) => match peer.frames.try_send(bytes) {
+                Ok(()) => Sent::Handed,
+                Err(_) => Sent::Dropped,
+            },
+            Err(error) => {
+                log::warn!(peer:% = to, error:% = error; "message not sent");
+                Sent::Dropped
+            }
+        }
+    }
+
+    fn send_datagram(&self, address: SocketAddr, bytes: &[u8]) -> Sent {
+        match self.socket.try_send_to(bytes, address) {
+            Ok(_) => Sent::Handed,
+            Err(_) => Sent::Dropped,
+        }
+    }
+
+    fn open_datagram(&self, bytes: &[u8]) -> Result<Envelope, CodecError> {
+        self.udp.open(bytes)
+    }
+
+    fn open_frame(&self, bytes: &[u8]) -> Result<Envelope, CodecError> {
+        self.tcp.open(bytes)
+    }
+
+    fn count_dropped(&self, error: CodecError) {
+        (self.dropped)(error);
+    }
+}
+
+const fn travels_as_datagram(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Heartbeat(_) | Message::FreshnessRequest(_) | Message::FreshnessReply(_)
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/tables.rs
@@ -0,0 +1,73 @@
+//! The tables that all workers and connections share, with their lock order.
+//!
+//! A thread may take a lock only while it holds locks of lower rank. The ranks are, in order:
+//! control 10, view 20, neighbours 30, targets 40, slots 50, lookups 60, grants 70, retries 80.
+//! No lock is held across an await.
+
+mod grants;
+mod neighbours;
+mod slots;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use celerygate_steering::outcome::RetryBudget;
+use celerygate_steering::targets::TargetTable;
+use celerygate_types::wire::Configuration;
+
+pub use grants::Grants;
+pub use neighbours::{DEAD_AFTER, Neighbours};
+pub use slots::{SlotGuard, Slots};
+
+use crate::control::Control;
+use crate::locks::Ranked;
+use crate::lookup::LookupState;
+use crate::view::View;
+
+/// The shared tables of a daemon.
+pub struct Tables {
+    /// The control group's state on this daemon.
+    pub control: Ranked<Control>,
+    view: Ranked<Arc<View>>,
+    /// What the other daemons last said of themselves.
+    pub neighbours: Ranked<Neighbours>,
+    /// Announced targets.
+    pub targets: Ranked<TargetTable>,
+    /// Slots in use.
+    pub slots: Ranked<Slots>,
+    /// Regions and entry VMs as lookups see them.
+    pub lookups: Ranked<LookupState>,
+    /// Rate tokens of this VM.
+    pub grants: Ranked<Grants>,
+    /// Limits the share of requests that are sent again.
+    pub retries: Ranked<RetryBudget>,
+}
+
+impl Tables {
+    /// Returns tables without targets, neighbours and grants.
+    pub fn new(control: Control, configuration: Configuration, now: Instant) -> Self {
+        Self {
+            control: Ranked::new(10, control),
+            view: Ranked::new(20, Arc::new(View::new(configuration))),
+            neighbours: Ranked::new(30, Neighbours::default()),
+            targets: Ranked::new(40, TargetTable::new()),
+            slots: Ranked::new(50, Slots::default()),
+            lookups: Ranked::new(60, LookupState::new(now)),
+            grants: Ranked::new(70, Grants::new(now)),
+            retries: Ranked::new(80, RetryBudget::new(now)),
+        }
+    }
+
+    /// Returns the applied configuration.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.lock())
+    }
+
+    /// Replaces the applied configuration unless a later one is in place.
+    pub fn set_view(&self, view: View) {
+        let mut current = self.view.lock();
+        if view.configuration.revision >= current.configuration.revision {
+            *current = Arc::new(view);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tables/neighbours.rs
@@ -0,0 +1,52 @@
+//! What the other daemons last said of themselves.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::Heartbeat;
+use celerygate_types::{Incarnation, VmId};
+
+/// Time without a heartbeat after which a daemon counts as dead: two heartbeats may be lost.
+pub const DEAD_AFTER: Duration = Duration::from_secs(2);
+
+/// A daemon's last heartbeat.
+#[derive(Clone, Debug)]
+pub struct Neighbour {
+    /// Life of the daemon's process.
+    pub incarnation: Incarnation,
+    /// Arrival of the heartbeat.
+    pub heard_at: Instant,
+    /// The heartbeat.
+    pub heartbeat: Heartbeat,
+}
+
+/// The last heartbeat of each daemon.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    known: HashMap<VmId, Neighbour>,
+}
+
+impl Neighbours {
+    /// Records a heartbeat.
+    pub fn record(&mut self, vm: VmId, incarnation: Incarnation, heartbeat: Heartbeat, now: Instant) {
+        self.known.insert(vm, Neighbour { incarnation, heard_at: now, heartbeat });
+    }
+
+    /// Returns a daemon's last heartbeat.
+    pub fn get(&self, vm: &VmId) -> Option<&Neighbour> {
+        self.known.get(vm)
+    }
+
+    /// Returns a daemon's last heartbeat unless the daemon counts as dead.
+    pub fn live(&self, vm: &VmId, now: Instant) -> Option<&Neighbour> {
+        let live = |known: &&Neighbour| now.saturating_duration_since(known.heard_at) < DEAD_AFTER;
+        self.known.get(vm).filter(live)
+    }
+
+    /// Returns every live daemon.
+    pub fn all_live(&self, now: Instant) -> impl Iterator<Item = (&VmId, &Neighbour)> {
+        self.known
+            .iter()
+            .filter(move |(_, known)| now.saturating_duration_since(known.heard_at) < DEAD_AFTER)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry.rs
@@ -0,0 +1,107 @@
+//! Logs and metrics.
+
+use anyhow::{Context, Result};
+use celerygate_types::wire::{LogFormat, LogSettings};
+use flexi_logger::{Logger, LoggerHandle, WriteMode};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Starts logging to standard error. Lines are written by a thread of their own, so that a slow
+/// reader of the log does not delay requests.
+///
+/// # Errors
+///
+/// When the level specification is invalid.
+pub fn start_logging(settings: &LogSettings) -> Result<LoggerHandle> {
+    let format = match settings.format {
+        LogFormat::Plain => flexi_logger::detailed_format,
+        LogFormat::Json => flexi_logger::json_format,
+    };
+    Logger::try_with_str(&settings.level)
+        .with_context(|| format!("log level {:?}", settings.level))?
+        .log_to_stderr()
+        .format(format)
+        .write_mode(WriteMode::Async)
+        .start()
+        .context("start logging")
+}
+
+/// Metrics of the daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    lookups: Counter<u64>,
+    dropped_messages: Counter<u64>,
+    request_seconds: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter cannot be built.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context("build the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("celerygated");
+        Ok(Self {
+            registry,
+            requests: meter
+                .u64_counter("celerygate_requests")
+                .with_description("Requests by service and result code; 0 is a relayed response.")
+                .build(),
+            lookups: meter
+                .u64_counter("celerygate_lookups")
+                .with_description("Lookups by result code; 0 is an answer.")
+                .build(),
+            dropped_messages: meter
+                .u64_counter("celerygate_dropped_messages")
+                .with_description("Messages from peers that were not accepted, by reason.")
+                .build(),
+            request_seconds: meter
+                .f64_histogram("celerygate_request_duration")
+                .with_unit("s")
+                .with_description("Time from a request's head to the end of its response.")
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request. Only known services appear as a label, so that callers cannot grow the
+    /// number of series.
+    pub fn count_request(&self, service: &str, code: u16, seconds: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.requests.add(1, &[service.clone(), KeyValue::new("code", i64::from(code))]);
+        self.request_seconds.record(seconds, &[service]);
+    }
+
+    /// Counts a lookup.
+    pub fn count_lookup(&self, code: u16) {
+        self.lookups.add(1, &[KeyValue::new("code", i64::from(code))]);
+    }
+
+    /// Counts a message from a peer that was not accepted.
+    pub fn count_dropped_message(&self, reason: &'static str) {
+        self.dropped_messages.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Returns all metrics in the text format of the usual scrape.
+    ///
+    /// # Errors
+    ///
+    /// When a metric cannot be encoded.
+    pub fn scrape(&self) -> Result<String> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).context("encode metrics")?;
+        String::from_utf8(text).context("metrics are text")
+    }
+}
