--- a/crates/steering/src/once.rs
+++ b/crates/steering/src/once.rs
@@ -1,1 +1,104 @@
 //! Idempotency keys of non-idempotent requests.
+//!
+//! The three homes of a key are the VMs with the highest rendezvous hash. An entry VM asks all
+//! three to record the request and sends it after two have answered that the key is new. Two of
+//! three overlap with any other two, so at most one of several requests with the same key is sent.
+
+use std::time::Duration;
+
+use celerygate_types::wire::OnceVerdict;
+use celerygate_types::{OrganisationId, ResultCode, VmId};
+use smallvec::SmallVec;
+
+use crate::lookup::rendezvous::{first_8_bytes, id_hash, mix};
+
+mod table;
+
+pub use table::{OnceLimits, OnceTable};
+
+/// VMs that record a key.
+pub const HOMES: usize = 3;
+/// Answers "new" after which a request is sent.
+pub const NEEDED: usize = 2;
+/// Time for which a key is kept; a resend after that is a new request.
+pub const RETENTION: Duration = Duration::from_secs(3_600);
+
+/// The homes of a key, in order of their hash.
+pub type Homes = SmallVec<[VmId; HOMES]>;
+
+/// Returns the hash of an idempotency key that homes store.
+pub fn fingerprint(idempotency_key: &[u8]) -> u64 {
+    first_8_bytes(&blake3::hash(idempotency_key))
+}
+
+/// Returns the homes of a key among the configured VMs, whether they are up or not.
+pub fn homes<'a>(
+    vms: impl IntoIterator<Item = &'a VmId>,
+    organisation: &OrganisationId,
+    fingerprint: u64,
+) -> Homes {
+    let subject = mix(id_hash(organisation.as_str()), fingerprint);
+    let mut best: SmallVec<[(u64, &VmId); HOMES + 1]> = SmallVec::new();
+    for vm in vms {
+        let ranked = (mix(subject, id_hash(vm.as_str())), vm);
+        let place = best.iter().position(|known| ranked > *known).unwrap_or(best.len());
+        if best.iter().all(|(_, known)| *known != vm) {
+            best.insert(place, ranked);
+            best.truncate(HOMES);
+        }
+    }
+    best.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
+
+/// What an entry VM does with a request that carries an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnceDecision {
+    /// Send the request.
+    Send,
+    /// Wait for further answers.
+    Wait,
+    /// Refuse the request. The entry VM never sends it and may release it at the homes.
+    Refuse(ResultCode),
+}
+
+/// Decides from the answers that have arrived so far.
+///
+/// Answers of VMs that are not homes of the key and further answers of the same VM do not count.
+/// One answer "duplicate" refuses the request even if two others call the key new: the two can be
+/// homes that a change of the members has just made. `is_last` tells that no further answer will
+/// arrive in time.
+pub fn decide<'a>(
+    homes: &[VmId],
+    answers: impl IntoIterator<Item = (&'a VmId, OnceVerdict)>,
+    is_last: bool,
+) -> OnceDecision {
+    let mut heard: SmallVec<[&VmId; HOMES]> = SmallVec::new();
+    let mut first = 0;
+    let mut duplicate = false;
+    for (vm, verdict) in answers {
+        if !homes.contains(vm) || heard.contains(&vm) {
+            continue;
+        }
+        heard.push(vm);
+        match verdict {
+            OnceVerdict::First => first += 1,
+            OnceVerdict::Duplicate => duplicate = true,
+            OnceVerdict::Unknown => {}
+        }
+    }
+    let needed = NEEDED.min(homes.len()).max(1);
+    let possible = first + homes.len() - heard.len();
+    if duplicate {
+        OnceDecision::Refuse(ResultCode::DuplicateRequest)
+    } else if first >= needed {
+        OnceDecision::Send
+    } else if is_last || possible < needed {
+        OnceDecision::Refuse(ResultCode::OnceUnavailable)
+    } else {
+        OnceDecision::Wait
+    }
+}
+
+#[cfg(test)]
+#[path = "once_tests.rs"]
+mod tests;
