Add grants: fleet-wide rate and burst by leased tokens

Change: GrantOwner keeps level + outstanding within the burst; GrantHolder asks in batches and has one request in flight, so that a request states all that its holder can still use. GrantAward gains the field "exhausted": a grant below the want may also come from the limit per VM or from a change of owner, and neither may refuse requests.

--- /dev/null
+++ b/crates/steering/src/grants/holder.rs
@@ -0,0 +1,348 @@
+//! The holder of leased tokens: runs on every VM.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::{GrantAsk, GrantReply, GrantRequest};
+use celerygate_types::{OrganisationId, RequestCount, Term};
+use smallvec::SmallVec;
+
+use super::{HOLDER_EXPIRY, REQUEST_INTERVAL, RESEND_AFTER};
+
+/// Time for which a request asks ahead: twice the request interval, so that the tokens last until
+/// the next reply.
+const DEMAND_HORIZON: Duration = Duration::from_millis(200);
+
+/// Longest wait for a token after the owner has answered that tokens are scarce.
+const SCARCE_WAIT: Duration = Duration::from_millis(500);
+
+/// Time for which the owner's last answer counts. Without a newer one the request waits.
+const ANSWER_AGE: Duration = Duration::from_millis(500);
+
+/// Time after its last arrival for which an organisation is listed in requests.
+const ACTIVE_TIME: Duration = Duration::from_millis(2_000);
+
+/// Tokens that expire earlier than this are replaced by the next request, as the reply to the one
+/// after it may come too late.
+const RENEW_BEFORE: Duration = Duration::from_millis(150);
+
+/// Weight of the latest interval in the averages of demand, inflow and round trip.
+const LATEST_WEIGHT: f64 = 0.4;
+
+/// What to do with a request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// A token was taken; the request is admitted.
+    Admit,
+    /// Decide again when a reply has arrived, and at this time at the latest.
+    WaitForTokens {
+        /// When to decide again if no reply arrives.
+        recheck_at: Instant,
+    },
+    /// Refuse with `rate-exceeded`.
+    Refuse {
+        /// When a token is expected.
+        retry_after: Duration,
+    },
+}
+
+/// A request that needs a token.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenNeed {
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// Requests of the same organisation that wait for tokens at this VM and arrived earlier.
+    pub ahead: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Batch {
+    requests: u64,
+    expires_at: Instant,
+}
+
+/// The owner's last answer for an organisation.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Instant,
+    exhausted: bool,
+}
+
+/// What this VM holds and knows of one organisation.
+#[derive(Clone, Debug, Default)]
+struct Tokens {
+    /// Ordered by expiry; the oldest token is used first.
+    batches: SmallVec<[Batch; 4]>,
+    used_requests: u64,
+    arrivals: u64,
+    arrived_at: Option<Instant>,
+    demand_per_s: f64,
+    inflow_per_s: f64,
+    answer: Option<Answer>,
+}
+
+impl Tokens {
+    fn expire(&mut self, now: Instant) {
+        if self.batches.first().is_some_and(|batch| batch.expires_at <= now) {
+            self.batches.retain(|batch| batch.expires_at > now);
+        }
+    }
+
+    fn held(&self) -> u64 {
+        self.batches.iter().map(|batch| batch.requests).sum()
+    }
+
+    fn take(&mut self) {
+        if let Some(batch) = self.batches.first_mut() {
+            batch.requests -= 1;
+            self.used_requests += 1;
+            if batch.requests == 0 {
+                self.batches.remove(0);
+            }
+        }
+    }
+
+    /// Gives up the newest tokens beyond a number.
+    fn keep_oldest(&mut self, mut keep: u64) {
+        for batch in &mut self.batches {
+            batch.requests = batch.requests.min(keep);
+            keep -= batch.requests;
+        }
+        self.batches.retain(|batch| batch.requests > 0);
+    }
+
+    fn is_active(&self, now: Instant) -> bool {
+        let idle = self.arrived_at.map(|at| now.saturating_duration_since(at));
+        idle.is_some_and(|idle| idle < ACTIVE_TIME)
+    }
+
+    /// Returns the tokens to hold: the demand expected within the horizon, and one standard
+    /// deviation of a Poisson arrival more.
+    fn goal(&self) -> u64 {
+        let expected = self.demand_per_s * DEMAND_HORIZON.as_secs_f64();
+        // Below one request in 10 s, holding a token ahead is not worth the messages.
+        if expected < 0.02 { 0 } else { (expected + expected.sqrt()).ceil() as u64 }
+    }
+
+    /// Updates the demand, gives up surplus tokens, and returns the ask, if there is any.
+    fn ask(
+        &mut self,
+        organisation: &OrganisationId,
+        waiting: u64,
+        since_last: Duration,
+        now: Instant,
+    ) -> Option<GrantAsk> {
+        self.expire(now);
+        let latest = self.arrivals as f64 / since_last.max(REQUEST_INTERVAL).as_secs_f64();
+        self.arrivals = 0;
+        let average = self.demand_per_s + LATEST_WEIGHT * (latest - self.demand_per_s);
+        self.demand_per_s = if latest > average { latest } else { average };
+        let goal = self.goal() + waiting;
+        // Twice the goal, so that fluctuating demand does not send tokens back and forth.
+        self.keep_oldest(goal * 2);
+        let lasting = |batch: &&Batch| batch.expires_at > now + RENEW_BEFORE;
+        let held_lasting: u64 =
+            self.batches.iter().filter(lasting).map(|batch| batch.requests).sum();
+        let wanted = goal.saturating_sub(held_lasting);
+        let held = self.held();
+        (held > 0 || wanted > 0 || self.is_active(now)).then(|| GrantAsk {
+            organisation: organisation.clone(),
+            held_requests: RequestCount(held),
+            used_requests: RequestCount(self.used_requests),
+            wanted_requests: RequestCount(wanted),
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    sequence: u64,
+    sent_at: Instant,
+}
+
+/// Holds the tokens of every organisation on one VM.
+#[derive(Clone, Debug)]
+pub struct GrantHolder {
+    term: Term,
+    sequence: u64,
+    pending: Option<Pending>,
+    sent_at: Option<Instant>,
+    replied_at: Option<Instant>,
+    round_trip: Duration,
+    /// Whether the owner may count tokens that this VM no longer has.
+    report_due: bool,
+    tokens: HashMap<OrganisationId, Tokens>,
+}
+
+impl GrantHolder {
+    /// Returns a holder without tokens.
+    pub fn new(term: Term) -> Self {
+        Self {
+            term,
+            sequence: 0,
+            pending: None,
+            sent_at: None,
+            replied_at: None,
+            round_trip: Duration::ZERO,
+            report_due: true,
+            tokens: HashMap::new(),
+        }
+    }
+
+    /// Changes to the owner of a later term. Tokens of the earlier one stay usable until they
+    /// expire; its reply that is still under way is discarded.
+    pub fn set_term(&mut self, term: Term) {
+        if term > self.term {
+            self.term = term;
+            self.pending = None;
+            self.report_due = true;
+        }
+    }
+
+    /// Forgets organisations that the configuration no longer lists.
+    pub fn retain(&mut self, mut keep: impl FnMut(&OrganisationId) -> bool) {
+        self.tokens.retain(|organisation, _| keep(organisation));
+    }
+
+    /// Returns the tokens that are held for an organisation.
+    pub fn held(&self, organisation: &OrganisationId, now: Instant) -> RequestCount {
+        let valid = |batch: &&Batch| batch.expires_at > now;
+        let batches = self.tokens.get(organisation).map(|tokens| tokens.batches.iter());
+        batches.into_iter().flatten().filter(valid).map(|batch| RequestCount(batch.requests)).sum()
+    }
+
+    /// Decides on a request that has just arrived.
+    pub fn admit(
+        &mut self,
+        organisation: &OrganisationId,
+        need: &TokenNeed,
+        now: Instant,
+    ) -> Admission {
+        if !self.tokens.contains_key(organisation) {
+            self.tokens.insert(organisation.clone(), Tokens::default());
+        }
+        if let Some(tokens) = self.tokens.get_mut(organisation) {
+            tokens.arrivals += 1;
+            tokens.arrived_at = Some(now);
+        }
+        self.recheck(organisation, need, now)
+    }
+
+    /// Decides again on a request that waits for a token.
+    pub fn recheck(
+        &mut self,
+        organisation: &OrganisationId,
+        need: &TokenNeed,
+        now: Instant,
+    ) -> Admission {
+        let reply_expected = self.reply_expected(now);
+        let Some(tokens) = self.tokens.get_mut(organisation) else {
+            return Admission::WaitForTokens { recheck_at: need.deadline };
+        };
+        tokens.expire(now);
+        let held = tokens.held();
+        if held > need.ahead {
+            tokens.take();
+            return Admission::Admit;
+        }
+        let recent = |answer: &Answer| now.saturating_duration_since(answer.at) < ANSWER_AGE;
+        let exhausted = tokens.answer.filter(recent).is_some_and(|answer| answer.exhausted);
+        let missing = need.ahead + 1 - held;
+        let (wait, limit) = if exhausted {
+            let wait = missing as f64 / tokens.inflow_per_s.max(1.0);
+            (Duration::from_secs_f64(wait), need.deadline.min(need.arrived + SCARCE_WAIT))
+        } else {
+            (reply_expected.saturating_duration_since(now), need.deadline)
+        };
+        if now >= limit || now + wait > limit {
+            return Admission::Refuse { retry_after: wait.max(REQUEST_INTERVAL) };
+        }
+        Admission::WaitForTokens { recheck_at: limit }
+    }
+
+    /// Returns when the reply to the request in flight, or to the next one, is expected.
+    fn reply_expected(&self, now: Instant) -> Instant {
+        let sent_at = match (self.pending, self.sent_at) {
+            (Some(pending), _) => pending.sent_at,
+            (None, Some(sent_at)) => now.max(sent_at + REQUEST_INTERVAL),
+            (None, None) => now,
+        };
+        sent_at + self.round_trip
+    }
+
+    /// Returns when [`Self::poll`] may next return a request.
+    pub fn next_poll(&self) -> Option<Instant> {
+        match (self.pending, self.sent_at) {
+            (Some(pending), _) => Some(pending.sent_at + RESEND_AFTER),
+            (None, sent_at) => sent_at.map(|at| at + REQUEST_INTERVAL),
+        }
+    }
+
+    /// Returns the request to send to the owner now, if one is due. `waiting` returns the number of
+    /// requests of an organisation that wait for tokens at this VM.
+    pub fn poll(
+        &mut self,
+        waiting: impl Fn(&OrganisationId) -> u64,
+        now: Instant,
+    ) -> Option<GrantRequest> {
+        if self.next_poll().is_some_and(|at| now < at) {
+            return None;
+        }
+        let since_last =
+            self.sent_at.map_or(REQUEST_INTERVAL, |at| now.saturating_duration_since(at));
+        let asks: Vec<GrantAsk> = self
+            .tokens
+            .iter_mut()
+            .filter_map(|(id, tokens)| tokens.ask(id, waiting(id), since_last, now))
+            .collect();
+        if asks.is_empty() && !self.report_due {
+            return None;
+        }
+        self.sequence += 1;
+        self.pending = Some(Pending { sequence: self.sequence, sent_at: now });
+        self.sent_at = Some(now);
+        // The request after the last one with asks tells the owner that nothing is held.
+        self.report_due = !asks.is_empty();
+        Some(GrantRequest { sequence: self.sequence, term: self.term, asks })
+    }
+
+    /// Takes the tokens of a reply, and returns whether the reply was accepted. Only the reply to
+    /// the request in flight is: the owner may have freed the tokens of any other.
+    pub fn accept(&mut self, reply: &GrantReply, now: Instant) -> bool {
+        let expected =
+            |pending: &Pending| reply.term == self.term && reply.sequence == pending.sequence;
+        let Some(pending) = self.pending.filter(expected) else {
+            return false;
+        };
+        self.pending = None;
+        let round_trip = now.saturating_duration_since(pending.sent_at);
+        self.round_trip =
+            self.round_trip.mul_f64(1.0 - LATEST_WEIGHT) + round_trip.mul_f64(LATEST_WEIGHT);
+        let since_last = self
+            .replied_at
+            .replace(now)
+            .map_or(REQUEST_INTERVAL, |at| now.saturating_duration_since(at))
+            .max(REQUEST_INTERVAL);
+        let expires_at = pending.sent_at + HOLDER_EXPIRY;
+        for award in &reply.awards {
+            let Some(tokens) = self.tokens.get_mut(&award.organisation) else {
+                continue;
+            };
+            let granted = award.granted_requests.get();
+            tokens.expire(now);
+            if granted > 0 && expires_at > now {
+                tokens.batches.push(Batch { requests: granted, expires_at });
+            }
+            let inflow = granted as f64 / since_last.as_secs_f64();
+            tokens.inflow_per_s += LATEST_WEIGHT * (inflow - tokens.inflow_per_s);
+            tokens.answer = Some(Answer { at: now, exhausted: award.exhausted });
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+#[path = "holder_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/steering/src/grants/owner.rs
@@ -0,0 +1,366 @@
+//! The owner of the rate buckets: runs on the control leader, one per term.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::{GrantAsk, GrantAward, GrantReply, GrantRequest};
+use celerygate_types::{Incarnation, OrganisationId, RequestCount, Term, VmId};
+
+use super::{Limit, OWNER_EXPIRY};
+
+/// Level and refill are counted in millionths of a token, so that a rate in requests per second
+/// times a time in microseconds is exact.
+const MICRO: u64 = 1_000_000;
+
+/// Time for which an unmet want counts when tokens are scarce: three request intervals, so that one
+/// lost request does not cost a VM its share.
+const WANT_AGE: Duration = Duration::from_millis(300);
+
+/// Longest time after the end of withholding for which a new owner does not report a bucket as
+/// exhausted. Requests that arrived while it withheld tokens wait in the queues, and a rate that is
+/// four fifths used serves the 1.2 s of them in about 5 s.
+const RECOVERY_TIME: Duration = Duration::from_millis(5_000);
+
+/// Shortest time between two searches for expired grants. A search visits every lease; counting a
+/// grant for longer than necessary is safe.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What to do about a grant request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GrantAnswer {
+    /// Send this reply.
+    Reply(GrantReply),
+    /// Send nothing.
+    Ignore(GrantIgnored),
+}
+
+/// Why a grant request is not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum GrantIgnored {
+    /// This owner has no leader lease.
+    NoLease,
+    /// The request is for the owner of another term.
+    OtherTerm,
+    /// A request of this holder with the same or a later sequence number was answered.
+    Repeated,
+    /// A later life of the holder is known.
+    EarlierLife,
+}
+
+/// Tokens that leave the count at the same time.
+#[derive(Clone, Copy, Debug)]
+struct Batch {
+    requests: u64,
+    expires_at: Instant,
+}
+
+/// What one VM may still use of one bucket.
+#[derive(Clone, Debug, Default)]
+struct Lease {
+    /// Ordered by expiry.
+    batches: VecDeque<Batch>,
+    /// The holder's count of used tokens; none until its first report.
+    used_requests: Option<u64>,
+    /// What the last ask left unmet, and when.
+    want: Option<(u64, Instant)>,
+    granted_at: Option<Instant>,
+}
+
+impl Lease {
+    fn held(&self) -> u64 {
+        self.batches.iter().map(|batch| batch.requests).sum()
+    }
+
+    /// Keeps the newest tokens only. Holders use the oldest tokens first, and an expiry that is too
+    /// late is safe.
+    fn keep_newest(&mut self, mut keep: u64) {
+        for batch in self.batches.iter_mut().rev() {
+            batch.requests = batch.requests.min(keep);
+            keep -= batch.requests;
+        }
+        self.batches.retain(|batch| batch.requests > 0);
+    }
+}
+
+/// The bucket of an organisation.
+#[derive(Clone, Debug)]
+struct Bucket {
+    limit: Limit,
+    level_micro: u64,
+    refilled_at: Instant,
+    outstanding: u64,
+    expiry_checked_at: Instant,
+    /// Until when an empty bucket is put down to the change of owner; none once the level has
+    /// covered all wants.
+    recovering_until: Option<Instant>,
+    leases: BTreeMap<VmId, Lease>,
+}
+
+impl Bucket {
+    fn new(limit: Limit, now: Instant) -> Self {
+        Self {
+            limit,
+            level_micro: 0,
+            refilled_at: now,
+            outstanding: 0,
+            expiry_checked_at: now,
+            recovering_until: None,
+            leases: BTreeMap::new(),
+        }
+    }
+
+    /// Stops counting expired grants, then refills. An expired token may have been used, so it is
+    /// not put back.
+    fn settle(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.expiry_checked_at) >= EXPIRY_INTERVAL {
+            self.expiry_checked_at = now;
+            for lease in self.leases.values_mut() {
+                lease.batches.retain(|batch| batch.expires_at > now);
+            }
+            self.outstanding = self.leases.values().map(Lease::held).sum();
+        }
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_micros();
+        let elapsed_us = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        let gained = self.limit.rate.get().saturating_mul(elapsed_us);
+        self.level_micro = self.level_micro.saturating_add(gained);
+        // Advances by whole microseconds only, so that the rest counts next time.
+        self.refilled_at += Duration::from_micros(elapsed_us);
+        self.clamp();
+    }
+
+    /// Restores `level + outstanding <= burst`.
+    fn clamp(&mut self) {
+        let room = self.limit.burst.get().saturating_sub(self.outstanding);
+        self.level_micro = self.level_micro.min(room.saturating_mul(MICRO));
+    }
+
+    /// Replaces what is recorded for a VM by what it reports. Tokens that are neither held nor used
+    /// go back to the level.
+    fn report(&mut self, vm: &VmId, ask: &GrantAsk, old_grants_end: Instant, now: Instant) {
+        let lease = self.leases.entry(vm.clone()).or_default();
+        let counted = lease.held();
+        let (held, used) = (ask.held_requests.get(), ask.used_requests.get());
+        match lease.used_requests.replace(used) {
+            None => {
+                // The first report to this owner: what is held was granted by an earlier one.
+                lease.batches.clear();
+                if held > 0 && now < old_grants_end {
+                    lease.batches.push_back(Batch { requests: held, expires_at: old_grants_end });
+                }
+            }
+            Some(used_before) => {
+                lease.keep_newest(held.min(counted));
+                let used_since = used.saturating_sub(used_before);
+                let unused = counted.saturating_sub(held).saturating_sub(used_since);
+                self.level_micro = self.level_micro.saturating_add(unused.saturating_mul(MICRO));
+            }
+        }
+        self.outstanding = self.outstanding - counted + lease.held();
+        self.clamp();
+    }
+
+    /// Stops counting what a VM holds. Nothing goes back to the level, as any of it may be used.
+    fn drop_lease(&mut self, vm: &VmId) {
+        if let Some(lease) = self.leases.get_mut(vm) {
+            self.outstanding -= lease.held();
+            lease.batches.clear();
+        }
+    }
+
+    /// Grants tokens to a VM. Returns their number and whether the bucket is exhausted.
+    fn grant(&mut self, vm: &VmId, wanted: u64, now: Instant) -> (u64, bool) {
+        let per_vm = self.limit.per_vm().get();
+        let lease = self.leases.entry(vm.clone()).or_default();
+        let want = wanted.min(per_vm.saturating_sub(lease.held()));
+        lease.want = (want > 0).then_some((want, now));
+        let (granted, covers_all) = self.fair_part(vm, want, now);
+        if let Some(lease) = self.leases.get_mut(vm) {
+            lease.want = (want > granted).then_some((want - granted, now));
+            if granted > 0 {
+                let batch = Batch { requests: granted, expires_at: now + OWNER_EXPIRY };
+                lease.batches.push_back(batch);
+                lease.granted_at = Some(now);
+            }
+        }
+        self.level_micro -= granted * MICRO;
+        self.outstanding += granted;
+        let short = granted < want;
+        if covers_all && self.recovering_until.is_some_and(|until| now + RECOVERY_TIME >= until) {
+            self.recovering_until = None;
+        }
+        (granted, short && self.recovering_until.is_none_or(|until| now >= until))
+    }
+
+    /// Returns the max-min fair part of the level for a VM among all VMs with a recent want, and
+    /// whether the level covers all of them.
+    fn fair_part(&self, vm: &VmId, want: u64, now: Instant) -> (u64, bool) {
+        let level = self.level_micro / MICRO;
+        if want == 0 || level == 0 {
+            return (0, false);
+        }
+        let recent = |lease: &Lease| {
+            let (want, at) = lease.want?;
+            (now.saturating_duration_since(at) < WANT_AGE).then_some(want)
+        };
+        let mut wants: Vec<u64> = self.leases.values().filter_map(recent).collect();
+        if wants.iter().sum::<u64>() <= level {
+            return (want, true);
+        }
+        wants.sort_unstable();
+        let (mut left, mut share) = (level, 0);
+        for (index, &other) in wants.iter().enumerate() {
+            share = left / (wants.len() - index) as u64;
+            if other > share {
+                break;
+            }
+            left -= other;
+        }
+        if share > 0 {
+            return (want.min(share), false);
+        }
+        // Fewer tokens than VMs: one token to the VM whose last grant is the oldest.
+        let mine = self.leases.get(vm).and_then(|lease| lease.granted_at);
+        let oldest = self.leases.values().filter(|lease| recent(lease).is_some());
+        let first = oldest.map(|lease| lease.granted_at).min().is_none_or(|oldest| mine <= oldest);
+        (u64::from(first), false)
+    }
+}
+
+/// The last life of a holder that sent a request, and its last sequence number.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    incarnation: Incarnation,
+    sequence: u64,
+}
+
+/// Owns the bucket of every organisation during one term.
+#[derive(Clone, Debug)]
+pub struct GrantOwner {
+    term: Term,
+    lease_until: Instant,
+    old_grants_end: Instant,
+    buckets: BTreeMap<OrganisationId, Bucket>,
+    heard: BTreeMap<VmId, Heard>,
+}
+
+impl GrantOwner {
+    /// Returns an owner that gained the leader lease now. Each VM is counted with the largest
+    /// amount that it may hold until it reports, for at most [`OWNER_EXPIRY`].
+    pub fn new<'a>(
+        term: Term,
+        vms: impl IntoIterator<Item = &'a VmId>,
+        limits: impl IntoIterator<Item = (OrganisationId, Limit)>,
+        lease_until: Instant,
+        now: Instant,
+    ) -> Self {
+        let old_grants_end = now + OWNER_EXPIRY;
+        let vms: Vec<&VmId> = vms.into_iter().collect();
+        let withheld = |limit: Limit| {
+            let batch = Batch { requests: limit.per_vm().get(), expires_at: old_grants_end };
+            let mut bucket = Bucket::new(limit, now);
+            for vm in &vms {
+                let lease = Lease { batches: VecDeque::from([batch]), ..Lease::default() };
+                bucket.leases.insert((*vm).clone(), lease);
+            }
+            bucket.outstanding = bucket.leases.values().map(Lease::held).sum();
+            bucket.recovering_until = Some(old_grants_end + RECOVERY_TIME);
+            bucket
+        };
+        let buckets = limits.into_iter().map(|(id, limit)| (id, withheld(limit))).collect();
+        Self { term, lease_until, old_grants_end, buckets, heard: BTreeMap::new() }
+    }
+
+    /// Returns the term of this owner.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Records a later end of the leader lease.
+    pub fn extend_lease(&mut self, until: Instant) {
+        self.lease_until = self.lease_until.max(until);
+    }
+
+    /// Applies changed limits. Organisations that are not listed lose their bucket; a new one
+    /// starts with level 0.
+    pub fn configure(
+        &mut self,
+        limits: impl IntoIterator<Item = (OrganisationId, Limit)>,
+        now: Instant,
+    ) {
+        let mut before = std::mem::take(&mut self.buckets);
+        for (organisation, limit) in limits {
+            let mut bucket =
+                before.remove(&organisation).unwrap_or_else(|| Bucket::new(limit, now));
+            bucket.settle(now);
+            bucket.limit = limit;
+            bucket.clamp();
+            self.buckets.insert(organisation, bucket);
+        }
+    }
+
+    /// Returns the level of a bucket and the tokens outstanding.
+    pub fn bucket(&self, organisation: &OrganisationId) -> Option<(RequestCount, RequestCount)> {
+        let bucket = self.buckets.get(organisation)?;
+        Some((RequestCount(bucket.level_micro / MICRO), RequestCount(bucket.outstanding)))
+    }
+
+    /// Handles a request that arrived from a VM.
+    pub fn answer(
+        &mut self,
+        vm: &VmId,
+        incarnation: Incarnation,
+        request: &GrantRequest,
+        now: Instant,
+    ) -> GrantAnswer {
+        if now >= self.lease_until {
+            return GrantAnswer::Ignore(GrantIgnored::NoLease);
+        }
+        if request.term != self.term {
+            return GrantAnswer::Ignore(GrantIgnored::OtherTerm);
+        }
+        let new_life = match self.heard.get(vm) {
+            Some(heard) if incarnation < heard.incarnation => {
+                return GrantAnswer::Ignore(GrantIgnored::EarlierLife);
+            }
+            Some(heard)
+                if incarnation == heard.incarnation && request.sequence <= heard.sequence =>
+            {
+                return GrantAnswer::Ignore(GrantIgnored::Repeated);
+            }
+            Some(heard) => incarnation > heard.incarnation,
+            None => false,
+        };
+        self.heard.insert(vm.clone(), Heard { incarnation, sequence: request.sequence });
+        let old_grants_end = self.old_grants_end;
+        let asks: BTreeMap<&OrganisationId, &GrantAsk> =
+            request.asks.iter().map(|ask| (&ask.organisation, ask)).collect();
+        let mut awards = Vec::with_capacity(request.asks.len());
+        for (organisation, bucket) in &mut self.buckets {
+            bucket.settle(now);
+            if new_life && let Some(lease) = bucket.leases.get_mut(vm) {
+                // The tokens ended with the earlier life of the process.
+                lease.used_requests = None;
+                bucket.drop_lease(vm);
+            }
+            let Some(ask) = asks.get(organisation) else {
+                bucket.drop_lease(vm);
+                continue;
+            };
+            bucket.report(vm, ask, old_grants_end, now);
+            let (granted, exhausted) = bucket.grant(vm, ask.wanted_requests.get(), now);
+            if ask.wanted_requests > RequestCount::ZERO {
+                awards.push(GrantAward {
+                    organisation: organisation.clone(),
+                    granted_requests: RequestCount(granted),
+                    exhausted,
+                });
+            }
+        }
+        GrantAnswer::Reply(GrantReply { sequence: request.sequence, term: self.term, awards })
+    }
+}
+
+#[cfg(test)]
+#[path = "owner_tests.rs"]
+mod tests;
