--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod intents;
 pub mod log;
 pub mod membership;
+pub mod node;
 pub mod replica;
 pub mod state;
 pub mod storage;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -1,1 +1,384 @@
 //! The replicated log on disk: segments, snapshots, compaction.
+//!
+//! Files of a data folder:
+//!
+//! - `identity`: the VM's id and the random store id of the folder.
+//! - `vote`: term and vote, replaced atomically.
+//! - `snapshot`: the latest snapshot, replaced atomically.
+//! - `segment-N`: frames, the first a [`SegmentHeader`], each other one a batch of entries. A batch
+//!   whose first index is not above the last one replaces the entries from that index, so that
+//!   conflicting entries are discarded and replaced in one write.
+
+use std::io;
+
+use anyhow::{Context, Result, bail, ensure};
+use celerygate_types::wire::{LogEntry, SnapshotRecord, VoteRecord};
+use celerygate_types::{LogIndex, Term, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::replica::Tail;
+use crate::storage::Storage;
+
+mod frame;
+
+pub use frame::payload_bytes;
+
+const FORMAT_VERSION: u16 = 1;
+const IDENTITY_FILE: &str = "identity";
+const VOTE_FILE: &str = "vote";
+const SNAPSHOT_FILE: &str = "snapshot";
+const SEGMENT_PREFIX: &str = "segment-";
+/// Size above which a new segment is started. Compaction removes whole segments; at a few hundred
+/// bytes for each command this is one to two days of changes at target size.
+pub const SEGMENT_BYTES: u64 = 1024 * 1024;
+
+/// Whose data folder it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Identity {
+    version: u16,
+    vm: VmId,
+    store_id: u64,
+}
+
+/// What precedes the entries of a segment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SegmentHeader {
+    version: u16,
+    number: u64,
+    /// Position of the entry before the first one.
+    base_index: LogIndex,
+    base_term: Term,
+    /// Whether all earlier segments are obsolete, because a snapshot replaced the log.
+    is_reset: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Record {
+    Header(SegmentHeader),
+    Batch(Vec<LogEntry>),
+}
+
+/// A segment on disk.
+#[derive(Clone, Debug)]
+struct Segment {
+    number: u64,
+    bytes: u64,
+    /// Highest index in it or in an earlier segment.
+    last_index: LogIndex,
+}
+
+/// The durable state of the agreement in one data folder.
+pub struct Log {
+    storage: Storage,
+    store_id: u64,
+    segments: Vec<Segment>,
+    last_index: LogIndex,
+    last_term: Term,
+    snapshot_index: LogIndex,
+    segment_bytes: u64,
+    has_failed: bool,
+}
+
+/// What a data folder contained when it was opened.
+pub struct Contents {
+    /// The log, ready for writing.
+    pub log: Log,
+    /// Term and vote.
+    pub vote: VoteRecord,
+    /// The latest snapshot.
+    pub snapshot: Option<SnapshotRecord>,
+    /// The entries after the snapshot.
+    pub tail: Tail,
+}
+
+fn segment_name(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number:016}")
+}
+
+fn segment_number(name: &str) -> Option<u64> {
+    name.strip_prefix(SEGMENT_PREFIX)?.parse().ok()
+}
+
+impl Log {
+    /// Opens a data folder and reads everything in it.
+    ///
+    /// An empty folder gets the store id `new_store_id`, which must be random.
+    pub fn open(storage: Storage, vm: &VmId, new_store_id: u64) -> Result<Contents> {
+        Self::open_with(storage, vm, new_store_id, SEGMENT_BYTES)
+    }
+
+    /// Opens a data folder with another size of segments.
+    pub fn open_with(
+        mut storage: Storage,
+        vm: &VmId,
+        new_store_id: u64,
+        segment_bytes: u64,
+    ) -> Result<Contents> {
+        let names = (storage.list)().context("list the data folder")?;
+        let identity = open_identity(&mut storage, &names, vm, new_store_id)?;
+        let numbers: Vec<u64> = names.iter().filter_map(|name| segment_number(name)).collect();
+        let vote = open_vote(&mut storage, !numbers.is_empty())?;
+        let snapshot = read_snapshot(&mut storage)?;
+        let position = snapshot
+            .as_ref()
+            .map_or((LogIndex::ZERO, Term::ZERO), |record| (record.last_index, record.last_term));
+        let mut log = Self {
+            storage,
+            store_id: identity.store_id,
+            segments: Vec::new(),
+            last_index: position.0,
+            last_term: position.1,
+            snapshot_index: position.0,
+            segment_bytes,
+            has_failed: false,
+        };
+        let stored = log.read_segments(&numbers)?;
+        let tail = log.adopt(stored, position)?;
+        Ok(Contents { log, vote, snapshot, tail })
+    }
+
+    /// Returns the identity of the data folder.
+    pub fn store_id(&self) -> u64 {
+        self.store_id
+    }
+
+    /// Returns the position of the last stored entry.
+    pub fn last_index(&self) -> LogIndex {
+        self.last_index
+    }
+
+    /// Returns the position of the stored snapshot, 0 without one.
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.snapshot_index
+    }
+
+    /// Makes term and vote durable.
+    pub fn store_vote(&mut self, vote: &VoteRecord) -> Result<()> {
+        let bytes = frame::encode(vote)?;
+        self.write("store the vote", |storage| (storage.replace)(VOTE_FILE, &bytes))
+    }
+
+    /// Appends consecutive entries and syncs them. They replace everything from the first of them.
+    pub fn append(&mut self, entries: &[LogEntry]) -> Result<()> {
+        let (Some(first), Some(last)) = (entries.first(), entries.last()) else { return Ok(()) };
+        ensure!(
+            first.index > self.snapshot_index && first.index.0 <= self.last_index.0 + 1,
+            "entries from {} do not continue the log at {}",
+            first.index,
+            self.last_index
+        );
+        if self.segments.last().is_none_or(|segment| segment.bytes >= self.segment_bytes) {
+            self.start_segment(self.last_index, self.last_term, false)?;
+        }
+        let bytes = frame::encode(&Record::Batch(entries.to_vec()))?;
+        let segment = self.segments.last_mut().context("a segment is open")?;
+        segment.bytes += bytes.len() as u64;
+        segment.last_index = segment.last_index.max(last.index);
+        let name = segment_name(segment.number);
+        self.write("append entries", |storage| (storage.append)(&name, &bytes))?;
+        self.write("sync entries", |storage| (storage.sync)(&name))?;
+        (self.last_index, self.last_term) = (last.index, last.term);
+        Ok(())
+    }
+
+    /// Stores a snapshot of entries that are in the log, and removes segments that it covers.
+    pub fn store_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<()> {
+        ensure!(snapshot.last_index <= self.last_index, "the snapshot is ahead of the log");
+        self.replace_snapshot(snapshot)?;
+        while let [first, _, ..] = self.segments.as_slice()
+            && first.last_index <= snapshot.last_index
+        {
+            self.remove_first_segment()?;
+        }
+        Ok(())
+    }
+
+    /// Stores a snapshot that replaces the whole log.
+    pub fn install_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<()> {
+        self.replace_snapshot(snapshot)?;
+        self.reset(snapshot.last_index, snapshot.last_term)
+    }
+
+    /// Reads the latest snapshot.
+    pub fn read_snapshot(&mut self) -> Result<Option<SnapshotRecord>> {
+        read_snapshot(&mut self.storage)
+    }
+
+    /// Runs a write. After one has failed all others are refused: what the disk holds is unknown.
+    fn write(
+        &mut self,
+        what: &'static str,
+        change: impl FnOnce(&mut Storage) -> io::Result<()>,
+    ) -> Result<()> {
+        ensure!(!self.has_failed, "{what}: an earlier write has failed");
+        change(&mut self.storage).inspect_err(|_| self.has_failed = true).context(what)
+    }
+
+    fn replace_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<()> {
+        let bytes = frame::encode(snapshot)?;
+        self.write("store the snapshot", |storage| (storage.replace)(SNAPSHOT_FILE, &bytes))?;
+        self.snapshot_index = snapshot.last_index;
+        Ok(())
+    }
+
+    fn start_segment(
+        &mut self,
+        base_index: LogIndex,
+        base_term: Term,
+        is_reset: bool,
+    ) -> Result<()> {
+        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
+        let header =
+            SegmentHeader { version: FORMAT_VERSION, number, base_index, base_term, is_reset };
+        let bytes = frame::encode(&Record::Header(header))?;
+        let name = segment_name(number);
+        self.write("start a segment", |storage| (storage.replace)(&name, &bytes))?;
+        let bytes = bytes.len() as u64;
+        self.segments.push(Segment { number, bytes, last_index: base_index });
+        Ok(())
+    }
+
+    /// Discards the stored entries and continues after a position.
+    fn reset(&mut self, index: LogIndex, term: Term) -> Result<()> {
+        self.start_segment(index, term, true)?;
+        while self.segments.len() > 1 {
+            self.remove_first_segment()?;
+        }
+        (self.last_index, self.last_term) = (index, term);
+        Ok(())
+    }
+
+    fn remove_first_segment(&mut self) -> Result<()> {
+        let name = segment_name(self.segments.remove(0).number);
+        self.write("remove a segment", |storage| (storage.remove)(&name))
+    }
+
+    /// Reads all segments; returns the entries with the position before them.
+    fn read_segments(&mut self, numbers: &[u64]) -> Result<Option<Tail>> {
+        let mut stored: Option<Tail> = None;
+        for (place, number) in numbers.iter().enumerate() {
+            let name = segment_name(*number);
+            let is_last = place + 1 == numbers.len();
+            let bytes = (self.storage.read)(&name)
+                .with_context(|| format!("read {name}"))?
+                .with_context(|| format!("{name} is missing"))?;
+            let frames = frame::decode(&bytes, is_last).with_context(|| name.clone())?;
+            if frames.torn {
+                log::warn!(file = name.as_str(), dropped_bytes = bytes.len() - frames.valid_bytes;
+                    "dropped an entry whose write was interrupted");
+                let length = frames.valid_bytes as u64;
+                self.write("drop a torn entry", |storage| (storage.truncate)(&name, length))?;
+            }
+            let mut highest = stored.as_ref().map(Tail::last_index).unwrap_or_default();
+            replay(&mut stored, frames.payloads, *number, &mut highest).with_context(|| name)?;
+            let bytes = frames.valid_bytes as u64;
+            self.segments.push(Segment { number: *number, bytes, last_index: highest });
+        }
+        let is_gapless = numbers.windows(2).all(|pair| pair[1] == pair[0] + 1);
+        ensure!(is_gapless, "a segment is missing between {numbers:?}");
+        Ok(stored)
+    }
+
+    /// Combines the stored entries with the snapshot.
+    fn adopt(&mut self, stored: Option<Tail>, (index, term): (LogIndex, Term)) -> Result<Tail> {
+        let Some(mut tail) = stored else {
+            return Ok(Tail::new(index, term));
+        };
+        ensure!(tail.base() <= index, "entries {} to {} are missing", index.0 + 1, tail.base());
+        if tail.term_at(index) == Some(term) {
+            tail.drop_through(index);
+        } else {
+            // A crash interrupted `install_snapshot`; the entries are older than the snapshot.
+            self.reset(index, term)?;
+            tail = Tail::new(index, term);
+        }
+        (self.last_index, self.last_term) = (tail.last_index(), tail.last_term());
+        Ok(tail)
+    }
+}
+
+/// Adds the records of one segment to the entries of the earlier ones.
+fn replay(
+    stored: &mut Option<Tail>,
+    records: Vec<Record>,
+    number: u64,
+    highest: &mut LogIndex,
+) -> Result<()> {
+    let mut records = records.into_iter();
+    let Some(Record::Header(header)) = records.next() else { bail!("the header is missing") };
+    ensure!(header.version == FORMAT_VERSION, "unknown format version {}", header.version);
+    ensure!(header.number == number, "the file belongs at number {}", header.number);
+    let base = Tail::new(header.base_index, header.base_term);
+    let tail = stored.get_or_insert_with(|| base.clone());
+    if header.is_reset {
+        *tail = base;
+    }
+    let is_next = tail.last_index() == header.base_index && tail.last_term() == header.base_term;
+    ensure!(is_next, "the segment does not continue the one before it");
+    *highest = (*highest).max(header.base_index);
+    for record in records {
+        let Record::Batch(entries) = record else { bail!("a second header") };
+        match entries.first() {
+            // Replaces entries of a segment that compaction has removed. The term before the batch
+            // is not known then, nor needed: a snapshot covers the base of the segment.
+            Some(first) if first.index <= tail.base() => {
+                *tail = Tail::new(LogIndex(first.index.0.saturating_sub(1)), Term::ZERO);
+            }
+            Some(first) => tail.truncate_after(LogIndex(first.index.0 - 1)),
+            None => {}
+        }
+        for entry in entries {
+            ensure!(
+                entry.index.0 == tail.last_index().0 + 1,
+                "entry {} is out of order",
+                entry.index
+            );
+            *highest = (*highest).max(entry.index);
+            tail.push(entry);
+        }
+    }
+    Ok(())
+}
+
+fn open_identity(
+    storage: &mut Storage,
+    names: &[String],
+    vm: &VmId,
+    new_store_id: u64,
+) -> Result<Identity> {
+    let Some(bytes) = (storage.read)(IDENTITY_FILE).context("read the identity")? else {
+        ensure!(names.is_empty(), "the data folder has files but no identity");
+        let identity = Identity { version: FORMAT_VERSION, vm: vm.clone(), store_id: new_store_id };
+        let bytes = frame::encode(&identity)?;
+        (storage.replace)(IDENTITY_FILE, &bytes).context("store the identity")?;
+        return Ok(identity);
+    };
+    let identity: Identity = frame::decode_one(&bytes).context("decode the identity")?;
+    ensure!(
+        identity.version == FORMAT_VERSION,
+        "unknown format version {} of the data folder",
+        identity.version
+    );
+    ensure!(identity.vm == *vm, "the data folder belongs to VM {}, not {vm}", identity.vm);
+    Ok(identity)
+}
+
+/// Reads the vote; creates it before the first segment, so that a folder with segments has one.
+fn open_vote(storage: &mut Storage, has_segments: bool) -> Result<VoteRecord> {
+    if let Some(bytes) = (storage.read)(VOTE_FILE).context("read the vote")? {
+        return frame::decode_one(&bytes).context("decode the vote");
+    }
+    ensure!(!has_segments, "the data folder has a log but no vote");
+    let vote = VoteRecord { term: Term::ZERO, voted_for: None };
+    (storage.replace)(VOTE_FILE, &frame::encode(&vote)?).context("store the vote")?;
+    Ok(vote)
+}
+
+fn read_snapshot(storage: &mut Storage) -> Result<Option<SnapshotRecord>> {
+    let bytes = (storage.read)(SNAPSHOT_FILE).context("read the snapshot")?;
+    bytes.map(|bytes| frame::decode_one(&bytes).context("decode the snapshot")).transpose()
+}
+
+#[cfg(test)]
+#[path = "log_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/control/src/log/frame.rs
@@ -0,0 +1,124 @@
+//! Frames: a magic number, a length, a checksum and a payload.
+//!
+//! One frame is appended and synced at a time, so that only the last frame of the last segment can
+//! be torn.
+
+use anyhow::{Context, bail};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// "cglf"; marks the start of a frame, so that a valid frame after an invalid one can be found.
+const MAGIC: [u8; 4] = *b"cglf";
+const HEADER_BYTES: usize = 12;
+/// Unit in which disks write; a sector that never reached the disk reads as zeros.
+const SECTOR_BYTES: usize = 512;
+/// Above the largest configuration at target size (110,000 client blocks of about 50 bytes).
+const PAYLOAD_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// The frames of a file.
+#[derive(Debug, PartialEq)]
+pub struct Frames<T> {
+    /// The decoded payloads.
+    pub payloads: Vec<T>,
+    /// Bytes up to the end of the last valid frame.
+    pub valid_bytes: usize,
+    /// Whether bytes of a torn frame follow.
+    pub torn: bool,
+}
+
+fn checksum(payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&(payload.len() as u64).to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// Encodes a value as one frame.
+pub fn encode<T: Serialize>(value: &T) -> anyhow::Result<Vec<u8>> {
+    let payload = postcard::to_stdvec(value).context("encode a frame")?;
+    if payload.len() > PAYLOAD_BYTES_MAX {
+        bail!("a frame of {} bytes exceeds {PAYLOAD_BYTES_MAX} bytes", payload.len());
+    }
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&MAGIC);
+    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&checksum(&payload).to_le_bytes());
+    frame.extend_from_slice(&payload);
+    Ok(frame)
+}
+
+fn word(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
+}
+
+/// Returns the payload of a valid frame at the start of the bytes.
+fn payload(bytes: &[u8]) -> Option<&[u8]> {
+    if bytes.get(..4)? != MAGIC {
+        return None;
+    }
+    let length = usize::try_from(word(bytes, 4)?).ok()?;
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length)?)?;
+    (checksum(payload) == word(bytes, 8)?).then_some(payload)
+}
+
+/// Returns whether the bytes from `start`, which are no valid frame, can be the rest of an
+/// interrupted append.
+fn is_torn(bytes: &[u8], start: usize) -> bool {
+    let rest = &bytes[start..];
+    let is_followed_by_frame = (1..rest.len())
+        .any(|offset| rest[offset..].starts_with(&MAGIC) && payload(&rest[offset..]).is_some());
+    if is_followed_by_frame {
+        return false;
+    }
+    let has_lost_sector = (start / SECTOR_BYTES..=(bytes.len() - 1) / SECTOR_BYTES).any(|sector| {
+        let from = (sector * SECTOR_BYTES).max(start);
+        let to = ((sector + 1) * SECTOR_BYTES).min(bytes.len());
+        bytes[from..to].iter().all(|byte| *byte == 0)
+    });
+    let is_short = match word(rest, 4) {
+        Some(length) if rest.starts_with(&MAGIC) => {
+            rest.len() < HEADER_BYTES + length as usize && length as usize <= PAYLOAD_BYTES_MAX
+        }
+        _ => rest.len() < HEADER_BYTES && rest.iter().zip(MAGIC).all(|(a, b)| *a == b),
+    };
+    is_short || has_lost_sector
+}
+
+/// Decodes the frames of a file.
+///
+/// `may_be_torn` allows an incomplete last frame. An invalid frame that is followed by a valid one,
+/// or that is complete and lacks no sector, is damage and an error: dropping it would lose
+/// acknowledged entries.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8], may_be_torn: bool) -> anyhow::Result<Frames<T>> {
+    let mut frames = Frames { payloads: Vec::new(), valid_bytes: 0, torn: false };
+    while frames.valid_bytes < bytes.len() {
+        let start = frames.valid_bytes;
+        let Some(payload) = payload(&bytes[start..]) else {
+            if !may_be_torn || !is_torn(bytes, start) {
+                bail!("damaged frame at byte {start} of {}", bytes.len());
+            }
+            frames.torn = true;
+            break;
+        };
+        let value = postcard::from_bytes(payload)
+            .with_context(|| format!("decode the frame at byte {start}"))?;
+        frames.payloads.push(value);
+        frames.valid_bytes = start + HEADER_BYTES + payload.len();
+    }
+    Ok(frames)
+}
+
+/// Decodes a file that holds exactly one frame.
+pub fn decode_one<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<T> {
+    let mut frames = decode(bytes, false)?;
+    match (frames.payloads.pop(), frames.payloads.is_empty()) {
+        (Some(value), true) => Ok(value),
+        _ => bail!("expected exactly one frame"),
+    }
+}
+
+/// Returns the encoded size of a value without the frame.
+pub fn payload_bytes<T: Serialize>(value: &T) -> usize {
+    // An encoding error shows when the value is stored.
+    postcard::experimental::serialized_size(value).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,172 @@
+//! The replica together with its log, without sockets and timers.
+//!
+//! A driver calls [`Node::handle`] with each input, sends the messages and applies the commands
+//! that it returns. When it returns an error the process must exit.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use anyhow::{Context, Result, ensure};
+use celerygate_types::wire::{Configuration, InstallSnapshot, LogEntry, Message, SnapshotRecord};
+use celerygate_types::{LogIndex, Term, VmId};
+
+use crate::log::{Contents, Log, payload_bytes};
+use crate::replica::{Action, Input, ProposeRefusal, Replica, Start, step};
+use crate::storage::Storage;
+
+/// Applied entries after which a snapshot is due. Below the entries that stay in memory, and few
+/// enough that a restart replays them in milliseconds.
+pub const SNAPSHOT_ENTRIES: u64 = 500;
+
+/// What the driver has to do, in the given order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message; it may be lost.
+    Send {
+        /// The receiver.
+        to: VmId,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// Apply committed entries.
+    Apply(Vec<LogEntry>),
+    /// Replace the applied state.
+    Install(Box<SnapshotRecord>),
+    /// The proposed command has this position; it is accepted once an entry with this index and
+    /// term is applied, and lost once an entry with this index and another term is.
+    Proposed {
+        /// Position of the entry.
+        index: LogIndex,
+        /// Term of the entry.
+        term: Term,
+    },
+    /// The proposed command was not appended.
+    Refused(ProposeRefusal),
+    /// This VM leads the term. It may act as leader while [`Replica::has_lease`] holds.
+    BecameLeader(Term),
+    /// This VM no longer leads.
+    SteppedDown(Term),
+}
+
+/// A member of the control group.
+pub struct Node {
+    replica: Replica,
+    log: Log,
+    has_failed: bool,
+}
+
+/// A node with the state from which its driver continues.
+pub struct Opened {
+    /// The node.
+    pub node: Node,
+    /// The state after the stored snapshot; entries after it are handed out again once they are
+    /// known to be committed.
+    pub snapshot: Option<SnapshotRecord>,
+}
+
+impl Node {
+    /// Opens a data folder. `new_store_id` is the identity of an empty one and must be random, as
+    /// must `random`, from which the first election timeout is drawn.
+    pub fn open(
+        storage: Storage,
+        vm: &VmId,
+        new_store_id: u64,
+        random: u64,
+        now: Instant,
+    ) -> Result<Opened> {
+        let contents = Log::open(storage, vm, new_store_id).context("open the data folder")?;
+        Ok(Self::from_contents(contents, vm, random, now))
+    }
+
+    /// Starts with an opened log.
+    pub fn from_contents(contents: Contents, vm: &VmId, random: u64, now: Instant) -> Opened {
+        let Contents { log, vote, snapshot, tail } = contents;
+        let members = snapshot.as_ref().map(|record| record.configuration.members.clone());
+        let start = Start {
+            vm: vm.clone(),
+            store_id: log.store_id(),
+            vote,
+            members: members.unwrap_or_default(),
+            tail,
+            random,
+            entry_bytes: payload_bytes::<LogEntry>,
+        };
+        let node = Self { replica: Replica::new(start, now), log, has_failed: false };
+        Opened { node, snapshot }
+    }
+
+    /// Returns the state of the agreement.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Handles an input: stores what has to be durable, then returns what depends on it.
+    ///
+    /// After an error the node refuses all further inputs, because it is unknown what the disk
+    /// holds.
+    pub fn handle(&mut self, input: Input, now: Instant) -> Result<Vec<Output>> {
+        ensure!(!self.has_failed, "the data folder has failed");
+        self.perform(input, now).inspect_err(|_| self.has_failed = true)
+    }
+
+    fn perform(&mut self, input: Input, now: Instant) -> Result<Vec<Output>> {
+        let mut outputs = Vec::new();
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            for action in step(&mut self.replica, input, now) {
+                match action {
+                    Action::PersistVote(vote) => self.log.store_vote(&vote)?,
+                    Action::Store { write, entries } => {
+                        self.log.append(&entries)?;
+                        inputs.push_back(Input::Stored(write));
+                    }
+                    Action::InstallSnapshot { write, snapshot } => {
+                        self.log.install_snapshot(&snapshot)?;
+                        inputs.push_back(Input::Stored(write));
+                        outputs.push(Output::Install(snapshot));
+                    }
+                    Action::SendSnapshot { to, term, round } => {
+                        outputs.extend(self.snapshot_message(to, term, round)?);
+                    }
+                    Action::Send { to, message } => outputs.push(Output::Send { to, message }),
+                    Action::Apply(entries) => outputs.push(Output::Apply(entries)),
+                    Action::Proposed { index, term } => {
+                        outputs.push(Output::Proposed { index, term });
+                    }
+                    Action::Refused(refusal) => outputs.push(Output::Refused(refusal)),
+                    Action::BecomeLeader(term) => outputs.push(Output::BecameLeader(term)),
+                    Action::StepDown(term) => outputs.push(Output::SteppedDown(term)),
+                }
+            }
+        }
+        Ok(outputs)
+    }
+
+    fn snapshot_message(&mut self, to: VmId, term: Term, round: u64) -> Result<Option<Output>> {
+        let record = self.log.read_snapshot()?;
+        Ok(record.map(|SnapshotRecord { configuration, last_index, last_term }| {
+            let message =
+                InstallSnapshot { configuration, last_index, last_term, round, term }.into();
+            Output::Send { to, message: Box::new(message) }
+        }))
+    }
+
+    /// Returns whether enough entries were applied since the last snapshot.
+    pub fn is_snapshot_due(&self) -> bool {
+        self.replica.commit_index().0 >= self.log.snapshot_index().0 + SNAPSHOT_ENTRIES
+    }
+
+    /// Stores the state after all entries that were handed out so far, and forgets old entries.
+    pub fn store_snapshot(&mut self, configuration: Configuration) -> Result<()> {
+        ensure!(!self.has_failed, "the data folder has failed");
+        let last_index = self.replica.commit_index();
+        if last_index <= self.log.snapshot_index() {
+            return Ok(());
+        }
+        let last_term = self.replica.term_at(last_index).context("the entry is in memory")?;
+        let snapshot = SnapshotRecord { configuration, last_index, last_term };
+        self.log.store_snapshot(&snapshot).inspect_err(|_| self.has_failed = true)?;
+        self.replica.compact(last_index);
+        Ok(())
+    }
+}
