Let the control VMs agree, plan, execute and distribute

Cause: the driver of the control group lacked the executor and the distribution that were written at the same time.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,7 +15,7 @@
 use celerygate_control::node::{Node, Output};
 use celerygate_control::replica::{Input, ProposeRefusal};
 use celerygate_control::state::{self, Applied};
-use celerygate_control::storage::Storage;
+use celerygate_control::storage;
 use celerygate_steering::grants::GrantOwner;
 use celerygate_types::wire::{
     Command, Configuration, Deployment, Envelope, Member, MemberRole, Message, Settings,
@@ -47,6 +47,8 @@
 struct Leading {
     term: Term,
     in_force: InForce,
+    /// When the lease of this term was first held.
+    lease_since: Option<Instant>,
     /// Rate buckets; none until the lease is gained.
     owner: Option<GrantOwner>,
 }
@@ -84,7 +86,7 @@
     ///
     /// When the folder cannot be read or is damaged.
     pub fn open(own: &VmId, folder: &Path, first: Configuration, now: Instant) -> Result<Self> {
-        let storage = Storage::open(folder)
+        let storage = storage::open_folder(folder)
             .with_context(|| format!("open the data folder {}", folder.display()))?;
         let opened = Node::open(storage, own, rand::random(), rand::random(), now)?;
         let mut control = Self::without_disk(state::empty_configuration());
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use celerygate_control::distribution::reports_directly;
 use celerygate_control::freshness::InForce;
 use celerygate_control::intents::{ExecutorAction, LeaderLease, Now, next_action};
 use celerygate_control::replica::Input;
-use celerygate_types::Term;
-use celerygate_types::wire::{Command, HoldCommand, StepCommand};
+use celerygate_types::{Term, VmId};
+use celerygate_types::wire::{Command, Configuration};
 
 use super::{Control, Leading, handle, rates};
 use crate::daemon::Daemon;
@@ -17,11 +18,11 @@
 pub fn begin(daemon: &Daemon, control: &mut Control, term: Term, now: Instant) {
     log::warn!(term:% = term; "leadership began");
     let mut in_force = InForce::default();
-    in_force.set_members(control.configuration.members.iter().map(|member| member.vm.clone()));
+    in_force.set_members(reporting(&control.configuration), now);
     in_force.committed(control.configuration.revision, now);
-    daemon.tables.grants.lock().holder.set_term(term, now);
+    daemon.tables.grants.lock().holder.set_term(term);
     if let Some(vm) = &mut control.vm {
-        vm.leading = Some(Leading { term, in_force, owner: None });
+        vm.leading = Some(Leading { term, in_force, owner: None, lease_since: None });
     }
 }
 
@@ -33,8 +34,8 @@
     }
     rates::maintain_owner(daemon, control);
     if let Some(leading) = control.vm.as_mut().and_then(|vm| vm.leading.as_mut()) {
-        let members = control.configuration.members.iter().map(|member| member.vm.clone());
-        leading.in_force.set_members(members);
+        leading.lease_since.get_or_insert(now);
+        leading.in_force.set_members(reporting(&control.configuration), now);
     }
     let change = control.vm.as_ref().and_then(|vm| vm.node.replica().next_membership_change(now));
     if let Some(change) = change {
@@ -47,20 +48,36 @@
     }
 }
 
+/// Returns the members and whether each reports to the leader itself.
+fn reporting(configuration: &Configuration) -> impl Iterator<Item = (VmId, bool)> {
+    configuration
+        .members
+        .iter()
+        .map(|member| (member.vm.clone(), reports_directly(configuration, &member.vm)))
+}
+
 /// Returns the command that the running intents need next.
 fn next_command(daemon: &Daemon, control: &Control, now: Instant) -> Option<Command> {
-    let at_unix_ms = daemon.clock.unix_ms();
+    let vm = control.vm.as_ref()?;
+    let since = vm.leading.as_ref()?.lease_since?;
+    let until = vm.node.replica().lease_end()?;
+    let lease = LeaderLease { since, until };
     let measurements = measure::measurements(daemon, &control.configuration);
-    let action = next_action(&control.configuration, &measurements, now, at_unix_ms);
-    match action {
-        ExecutorAction::Step { intent, step } => {
-            log::info!(intent:% = intent, step = step; "step proposed");
-            Some(Command::Step(StepCommand { intent, step, at_unix_ms }))
+    let now = Now { monotonic: now, unix_ms: daemon.clock.unix_ms() };
+    match next_action(&control.configuration, &measurements, Some(lease), now) {
+        ExecutorAction::Step(command) => {
+            log::info!(intent:% = command.intent, step = command.step; "step proposed");
+            Some(Command::Step(command))
+        }
+        ExecutorAction::Hold(command) => {
+            let reason = command.reason.as_deref().unwrap_or_default();
+            log::warn!(intent:% = command.intent, reason = reason; "intent held");
+            Some(Command::Hold(command))
         }
-        ExecutorAction::Hold { intent, reason } => {
-            log::warn!(intent:% = intent, reason = reason.as_deref().unwrap_or("none"); "hold proposed");
-            Some(Command::Hold(HoldCommand { intent, reason, at_unix_ms }))
+        ExecutorAction::ClearHold(command) => {
+            log::info!(intent:% = command.intent; "intent continues");
+            Some(Command::Hold(command))
         }
-        ExecutorAction::WaitUntil(_) | ExecutorAction::Nothing => None,
+        ExecutorAction::WaitUntil { .. } | ExecutorAction::Nothing => None,
     }
 }
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use celerygate_steering::headers::{self, HeaderFilter};
-use celerygate_steering::outcome::{Ended, FailedAttempt, NextAttempt, Reached, is_idempotent};
-use celerygate_steering::outcome::{give_up, next_attempt};
+use celerygate_steering::outcome::{
+    FailedAttempt, NextAttempt, give_up, is_idempotent, next_attempt,
+};
 use celerygate_types::{OrganisationId, RequestId, ResultCode, ServiceId};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
--- a/crates/daemon/src/lookup.rs
+++ b/crates/daemon/src/lookup.rs
@@ -6,7 +6,6 @@
 use celerygate_steering::lookup::{
     AnswerLedger, CACHE_TIME, Decision, EntryInput, EntryTable, Lookup, RegionRoom, decide,
 };
-use celerygate_steering::shares;
 use celerygate_types::wire::{EntryVm, LookupAnswer, VmState};
 use celerygate_types::{RegionId, RequestId, ResultCode, ServiceId, VmId};
 use hyper::body::Incoming;
@@ -32,7 +31,7 @@
 impl LookupState {
     /// Returns a state without entry VMs.
     pub fn new(now: Instant) -> Self {
-        Self { entries: EntryTable::default(), rooms: Vec::new(), ledger: AnswerLedger::new(now) }
+        Self { entries: EntryTable::default(), rooms: Vec::new(), ledger: AnswerLedger::new(0, now) }
     }
 
     /// Replaces the entry table and the rooms.
@@ -77,7 +76,7 @@
     let mut state = daemon.tables.lookups.lock();
     let LookupState { entries, rooms, ledger } = &mut *state;
     let room = rooms.iter().find(|(known, _)| known == service).map_or(&[][..], |(_, r)| r);
-    let segment = |home: &RegionId, hash: u64| shares::region_of(view.routes(service), home, hash);
+    let segment = |home: &RegionId, hash: u64| view.region_of_block(service, home, hash);
     let Lookup::Use(decision) = decide(&view.blocks, entries, room, ledger, client, segment, now)
     else {
         return Err(ResultCode::NoCapacity.into());
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -60,18 +60,18 @@
 /// Plans a new intent, or finds the record of a resent one.
 fn prepare(daemon: &Daemon, request: &IntentRequest) -> Result<Prepared, Refusal> {
     let now = daemon.clock.now();
-    let control = daemon.tables.control.lock();
+    let mut control = daemon.tables.control.lock();
     if !control.is_leading(now) {
         return Err(not_leader(&control));
     }
-    let configuration = &control.configuration;
-    if let Some(record) = state::find_intent(configuration, &request.intent) {
+    if let Some(record) = state::find_intent(&control.configuration, &request.intent).cloned() {
         if record.kind != request.kind {
             return Err(ResultCode::IntentMismatch.into());
         }
-        let answer = answer_for(&control, record.clone(), now);
+        let answer = answer_for(&mut control, record, now);
         return Ok(Prepared::Recorded(Box::new(answer)));
     }
+    let configuration = &control.configuration;
     let at_unix_ms = daemon.clock.unix_ms();
     let based_on = request.based_on.unwrap_or(configuration.revision);
     let measurements = measure::measurements(daemon, configuration);
@@ -131,7 +131,7 @@
                 intent:% = command.intent, code = refusal.code, reason = refusal.reason.as_str();
                 "confirm refused"
             );
-            let code = state::result_code(refusal.code).unwrap_or(ResultCode::IntentRefused);
+            let code = ResultCode::from_number(refusal.code).unwrap_or(ResultCode::IntentRefused);
             Err(Refusal::with_detail(code, refusal.reason))
         }
     }
@@ -146,17 +146,17 @@
 /// Returns the record of an intent; only a leader with a lease knows that it is the latest.
 fn answer(daemon: &Daemon, intent: &IntentId) -> Result<Response, Refusal> {
     let now = daemon.clock.now();
-    let control = daemon.tables.control.lock();
+    let mut control = daemon.tables.control.lock();
     if !control.is_leading(now) {
         return Err(not_leader(&control));
     }
-    let record =
-        state::find_intent(&control.configuration, intent).ok_or(ResultCode::IntentUnknown)?;
-    Ok(api::json(StatusCode::OK, &answer_for(&control, record.clone(), now)))
+    let record = state::find_intent(&control.configuration, intent).cloned();
+    let record = record.ok_or(ResultCode::IntentUnknown)?;
+    Ok(api::json(StatusCode::OK, &answer_for(&mut control, record, now)))
 }
 
 fn answer_for(
-    control: &control::Control,
+    control: &mut control::Control,
     record: IntentRecord,
     now: std::time::Instant,
 ) -> IntentAnswer {
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -53,7 +53,7 @@
             targets: Ranked::new(40, TargetTable::new()),
             slots: Ranked::new(50, Slots::default()),
             lookups: Ranked::new(60, LookupState::new(now)),
-            grants: Ranked::new(70, Grants::new(now)),
+            grants: Ranked::new(70, Grants::new()),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
     }
--- a/crates/daemon/src/tables/grants.rs
+++ b/crates/daemon/src/tables/grants.rs
@@ -17,8 +17,8 @@
 
 impl Grants {
     /// Returns an empty table.
-    pub fn new(now: Instant) -> Self {
-        let holder = GrantHolder::new(Term::ZERO, now);
+    pub fn new() -> Self {
+        let holder = GrantHolder::new(Term::ZERO);
         Self { holder, waiting: HashMap::new(), next_number: 0 }
     }
 
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -4,8 +4,9 @@
 
 use celerygate_steering::keys::KeyTable;
 use celerygate_steering::lookup::BlockTable;
+use celerygate_steering::shares;
 use celerygate_types::wire::{Configuration, DrainSubject, Member, Organisation, Route, Service};
-use celerygate_types::{OrganisationId, RegionId, ServiceId, TargetId, VmId};
+use celerygate_types::{OrganisationId, RegionId, ServiceId, SharePpm, TargetId, VmId};
 
 /// A configuration revision with its indexes. A change makes a new view; requests in progress keep
 /// theirs.
@@ -83,9 +84,17 @@
         self.organisations.get(organisation).map(|&at| &self.configuration.organisations[at])
     }
 
-    /// Returns the routes of a service; without a route a block stays in its home region.
-    pub fn routes(&self, service: &ServiceId) -> &[Route] {
-        self.routes.get(service).map_or(&[], Vec::as_slice)
+    /// Returns the region that serves a client block; without a route a block stays in its home
+    /// region.
+    pub fn region_of_block(
+        &self,
+        service: &ServiceId,
+        home: &RegionId,
+        block_hash: u64,
+    ) -> Option<RegionId> {
+        let route = self.routes.get(service)?.iter().find(|route| route.home_region == *home)?;
+        let position = SharePpm((block_hash % u64::from(SharePpm::WHOLE.get())) as u32);
+        shares::region_at(route, position).cloned()
     }
 
     /// Returns a VM of the deployment.
--- a/crates/types/tests/generated.rs
+++ b/crates/types/tests/generated.rs
@@ -149,7 +149,10 @@
     push_method(&mut code, "advice", "Returns what to do.", "&'static str", &rows, |row| {
         format!("{:?}", row.advice)
     });
-    code.truncate(code.len() - 1);
+    code.push_str(
+        "    /// Returns the code of a number.\n    pub fn from_number(number: u16) -> Option<Self> {\n        \
+         use strum::IntoEnumIterator as _;\n        Self::iter().find(|code| code.number() == number)\n    }\n",
+    );
     code.push_str("}\n");
     expect_file!["../src/generated/result_codes.rs"].assert_eq(&code);
 }
