--- /dev/null
+++ b/crates/control/src/intents/executor.rs
@@ -0,0 +1,153 @@
+//! Carries out running intents. Everything the executor needs is in the configuration, so the next
+//! leader continues where the last one stopped.
+
+use std::time::{Duration, Instant};
+
+use celerygate_steering::moves::{SETTLE, StepCheck, check_step};
+use celerygate_types::wire::{
+    Configuration, HoldCommand, IntentKind, IntentRecord, IntentState, Refusal, StepCommand,
+};
+use celerygate_types::{IntentId, Measurements};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::state;
+
+/// The lease under which a leader acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderLease {
+    /// When this leader first held the lease of its term.
+    pub since: Instant,
+    /// When the lease ends unless it is renewed.
+    pub until: Instant,
+}
+
+/// The present on both clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    /// For the lease.
+    pub monotonic: Instant,
+    /// For times in records.
+    pub unix_ms: u64,
+}
+
+/// What the leader does next for the running intents.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExecutorAction {
+    /// Propose the next step of an intent.
+    Step(StepCommand),
+    /// Propose that an intent is held, with the reason.
+    Hold(HoldCommand),
+    /// Propose that a held intent continues.
+    ClearHold(HoldCommand),
+    /// Ask again at this time.
+    WaitUntil {
+        /// Time since the Unix epoch.
+        unix_ms: u64,
+    },
+    /// No intent is running, or this VM has no lease.
+    Nothing,
+}
+
+/// Time between two checks of a held intent.
+const RECHECK_MS: u64 = 1_000;
+
+/// Returns the next action. The caller applies it before it asks again.
+///
+/// Intents take turns: the one whose last step is the oldest is asked first, so a long move does not
+/// keep the others waiting until its end.
+pub fn next_action(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    lease: Option<LeaderLease>,
+    now: Now,
+) -> ExecutorAction {
+    let Some(lease) = lease.filter(|lease| now.monotonic < lease.until) else {
+        return ExecutorAction::Nothing;
+    };
+    let last_step = last_step_unix_ms(configuration, lease, now);
+    let mut wait_until: Option<u64> = None;
+    for record in in_turn(configuration) {
+        let Some(step) = record.plan.steps.get(record.next_step as usize) else { continue };
+        let check = check_step(configuration, measurements, step, last_step, now.unix_ms);
+        let unix_ms = match (check, record.state) {
+            (StepCheck::Proceed, IntentState::Held) => {
+                let intent = record.intent.clone();
+                return ExecutorAction::ClearHold(HoldCommand { intent, reason: None });
+            }
+            (StepCheck::Proceed, _) => return ExecutorAction::Step(step_command(record, now)),
+            (StepCheck::WaitUntil { unix_ms }, _) => unix_ms,
+            (StepCheck::Hold(refusal), _) if is_held_for(record, &refusal) => {
+                now.unix_ms.saturating_add(RECHECK_MS)
+            }
+            (StepCheck::Hold(refusal), _) => {
+                return ExecutorAction::Hold(hold_command(&record.intent, &refusal));
+            }
+        };
+        wait_until = Some(wait_until.map_or(unix_ms, |earlier| earlier.min(unix_ms)));
+    }
+    wait_until.map_or(ExecutorAction::Nothing, |unix_ms| ExecutorAction::WaitUntil { unix_ms })
+}
+
+/// Returns the running and held intents, the longest untouched first.
+fn in_turn(configuration: &Configuration) -> Vec<&IntentRecord> {
+    let active =
+        |record: &&IntentRecord| matches!(record.state, IntentState::Running | IntentState::Held);
+    let mut records: Vec<&IntentRecord> = configuration.intents.iter().filter(active).collect();
+    records.sort_by_key(|record| (record.step_applied_at_unix_ms, record.confirmed_revision));
+    records
+}
+
+fn step_command(record: &IntentRecord, now: Now) -> StepCommand {
+    let intent = record.intent.clone();
+    StepCommand { at_unix_ms: now.unix_ms, intent, step: record.next_step }
+}
+
+/// Returns when the last step of any move or drain was applied.
+///
+/// A time in the future comes from a predecessor whose wall clock is ahead. Small differences are
+/// waited for; a large one counts as passed once this leader has held its lease for the settling
+/// time, because the step was applied before that.
+fn last_step_unix_ms(configuration: &Configuration, lease: LeaderLease, now: Now) -> Option<u64> {
+    let moves = configuration
+        .intents
+        .iter()
+        .filter(|record| matches!(record.kind, IntentKind::Move(_) | IntentKind::Drain(_)));
+    let settle_ms = u64::try_from(SETTLE.as_millis()).unwrap_or(u64::MAX);
+    let last = moves.filter_map(|record| record.step_applied_at_unix_ms).max()?;
+    let is_ahead = last > now.unix_ms.saturating_add(settle_ms);
+    if !is_ahead {
+        return Some(last);
+    }
+    let held_for: Duration = now.monotonic.saturating_duration_since(lease.since);
+    let unsettled = SETTLE.saturating_sub(held_for);
+    let unsettled_ms = u64::try_from(unsettled.as_millis()).unwrap_or(u64::MAX);
+    (unsettled_ms > 0).then(|| now.unix_ms.saturating_add(unsettled_ms).saturating_sub(settle_ms))
+}
+
+/// The code comes first: a hold is only replaced when its code changes, not with each new figure.
+fn hold_reason(refusal: &Refusal) -> SmolStr {
+    format_smolstr!("{}: {}", refusal.code, refusal.reason)
+}
+
+fn hold_command(intent: &IntentId, refusal: &Refusal) -> HoldCommand {
+    HoldCommand { intent: intent.clone(), reason: Some(hold_reason(refusal)) }
+}
+
+fn is_held_for(record: &IntentRecord, refusal: &Refusal) -> bool {
+    let code = format_smolstr!("{}:", refusal.code);
+    let held = record.state == IntentState::Held;
+    held && record.held_reason.as_ref().is_some_and(|reason| reason.starts_with(code.as_str()))
+}
+
+/// Returns the unfinished intent that moves the same traffic, if any: two plans that set the same
+/// routes would undo each other's steps.
+pub(super) fn conflicting<'a>(
+    configuration: &'a Configuration,
+    kind: &IntentKind,
+) -> Option<&'a IntentRecord> {
+    let mut unfinished = configuration.intents.iter().filter(|record| state::is_unfinished(record));
+    unfinished.find(|record| match (&record.kind, kind) {
+        (IntentKind::Move(running), IntentKind::Move(new)) => running.service == new.service,
+        _ => state::is_stepped(&record.kind) && state::is_stepped(kind),
+    })
+}
--- a/crates/steering/src/moves.rs
+++ b/crates/steering/src/moves.rs
@@ -1,1 +1,269 @@
 //! Step plans for moves and drains.
+//!
+//! Moved traffic costs slots in the region that serves it and bytes per second on the links between
+//! that region and the callers' home region. While the caches there are cold it costs twice as much.
+//! A step is planned so that every region and link stays within its limit at the cold cost; the next
+//! step starts when that cost has passed.
+
+mod load;
+mod steps;
+
+use std::time::Duration;
+
+use celerygate_types::wire::{
+    Change, Configuration, DrainSubject, MoveIntent, PlanStep, Refusal, RegionHeadroom, TargetName,
+};
+use celerygate_types::{
+    Measurements, RegionId, ResultCode, ServiceId, SharePpm, SlotCount, TargetPlace,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::shares;
+use load::{Flow, Load, flow_of, stale_region};
+
+/// Largest part of the region's blocks that one step moves.
+pub const STEP_SHARE: SharePpm = SharePpm(100_000);
+/// Smallest part that one step moves; smaller steps would let a plan grow to thousands of them.
+pub const MIN_STEP_SHARE: SharePpm = SharePpm(5_000);
+/// Cost of moved traffic while the caches of its new region are cold.
+pub const COLD_FACTOR: u64 = 2;
+/// Time between two steps: twice the time for which lookup responses are cached.
+pub const SETTLE: Duration = Duration::from_secs(10);
+/// Measurements of this age are stale.
+pub const MAX_AGE: Duration = Duration::from_secs(3);
+/// Largest use of regions and links that moved traffic may cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Part of a region's capacity.
+    pub region: SharePpm,
+    /// Part of a link's cap.
+    pub link: SharePpm,
+}
+
+/// Limits of a step when it starts. The rest absorbs load that grew since the measurement; 5% of a
+/// link are reserved for control traffic.
+pub const STEP_LIMITS: Limits = Limits { region: SharePpm(900_000), link: SharePpm(950_000) };
+/// Limits of a plan. They are lower than those of its steps, so that a step which fills them is not
+/// held by small changes of the load.
+pub const PLAN_LIMITS: Limits = Limits { region: SharePpm(850_000), link: SharePpm(900_000) };
+
+/// A plan that can be carried out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MovePlan {
+    /// Steps in order.
+    pub steps: Vec<PlanStep>,
+    /// Shortest time from the confirm until the last step has settled.
+    pub predicted: Duration,
+}
+
+/// Whether the next step may start.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StepCheck {
+    /// Start it now.
+    Proceed,
+    /// The step before has not settled; check again at this time.
+    WaitUntil {
+        /// Time since the Unix epoch.
+        unix_ms: u64,
+    },
+    /// The measurements do not allow it, for this reason.
+    Hold(Refusal),
+}
+
+/// Plans the move of a share of a service's traffic between two regions.
+pub fn plan_move(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    intent: &MoveIntent,
+) -> Result<MovePlan, Refusal> {
+    let MoveIntent { from, service, share_ppm, to } = intent;
+    if !configuration.services.iter().any(|known| known.service == *service) {
+        return Err(refuse(ResultCode::SubjectUnknown, format_smolstr!("no service {service}")));
+    }
+    for region in [from, to] {
+        known_region(configuration, region)?;
+    }
+    if from == to || *share_ppm == SharePpm::ZERO || *share_ppm > SharePpm::WHOLE {
+        let reason = "a move needs two regions and a share above 0 and at most the whole";
+        return Err(refuse(ResultCode::IntentRefused, reason));
+    }
+    if is_drained(configuration, to) {
+        let reason = format_smolstr!("region {to} is drained");
+        return Err(refuse(ResultCode::NoHeadroom, reason));
+    }
+    let goals = [(service.clone(), *share_ppm)];
+    let steps =
+        steps::plan_steps(configuration, measurements, from, &goals, std::slice::from_ref(to))?;
+    if steps.is_empty() {
+        let reason = format_smolstr!("{from} serves nothing of {service}");
+        return Err(refuse(ResultCode::IntentRefused, reason));
+    }
+    Ok(finish_plan(steps))
+}
+
+/// Plans the drain of a region: all services are spread over the other regions by headroom, and the
+/// last step marks the region as drained.
+pub fn plan_region_drain(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    region: &RegionId,
+) -> Result<MovePlan, Refusal> {
+    known_region(configuration, region)?;
+    if is_drained(configuration, region) {
+        let reason = format_smolstr!("region {region} is drained already");
+        return Err(refuse(ResultCode::IntentRefused, reason));
+    }
+    let others = configuration.regions.iter();
+    let others = others.filter(|other| *other != region && !is_drained(configuration, other));
+    let others: Vec<RegionId> = others.cloned().collect();
+    let services = configuration.services.iter();
+    let goals: Vec<(ServiceId, SharePpm)> =
+        services.map(|known| (known.service.clone(), SharePpm::WHOLE)).collect();
+    let mut steps = steps::plan_steps(configuration, measurements, region, &goals, &others)?;
+    let drain = Change::Drain(DrainSubject::Region(region.clone()));
+    match steps.last_mut() {
+        Some(last) => last.changes.push(drain),
+        None => steps.push(PlanStep {
+            changes: vec![drain],
+            links: Vec::new(),
+            note: format_smolstr!("drains region {region}, which serves nothing"),
+            regions: Vec::new(),
+        }),
+    }
+    Ok(finish_plan(steps))
+}
+
+/// Returns the load of a region after one of its targets has left, or why the others cannot carry
+/// it.
+pub fn load_without_target(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    name: &TargetName,
+    place: &TargetPlace,
+) -> Result<RegionHeadroom, Refusal> {
+    let TargetPlace { region, slots } = place;
+    if configuration.drains.contains(&DrainSubject::Target(name.clone())) {
+        let reason = format_smolstr!("target {} is drained already", name.target);
+        return Err(refuse(ResultCode::IntentRefused, reason));
+    }
+    let whole = measurements.regions.get(region).filter(|load| load.age < MAX_AGE);
+    let whole = whole.ok_or_else(|| stale_region(region))?;
+    let service = measurements.service(&name.service, region);
+    let left = service.capacity_slots.saturating_sub(*slots);
+    let mut routes = configuration
+        .regions
+        .iter()
+        .map(|home| shares::route_of(configuration, &name.service, home));
+    let is_served = routes.any(|route| shares::share_at(&route, region) > SharePpm::ZERO);
+    let limit = STEP_LIMITS.region.of(u64::from(left.get()));
+    let overloaded = u64::from(service.running_slots.get()) > limit;
+    if overloaded || (left == SlotCount::ZERO && is_served) {
+        let running = service.running_slots;
+        let reason = format_smolstr!(
+            "{} in {region} runs {running} and would have {left} left",
+            name.service
+        );
+        return Err(refuse(ResultCode::NoHeadroom, reason));
+    }
+    Ok(RegionHeadroom {
+        capacity_slots: whole.capacity_slots.saturating_sub(*slots),
+        load_slots: whole.load_slots,
+        region: region.clone(),
+    })
+}
+
+/// Checks the next step against measurements taken after the one before.
+///
+/// `last_step_unix_ms` is the time of the last step of any move or drain, because they share links
+/// and regions.
+pub fn check_step(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    step: &PlanStep,
+    last_step_unix_ms: Option<u64>,
+    now_unix_ms: u64,
+) -> StepCheck {
+    let settle_ms = u64::try_from(SETTLE.as_millis()).unwrap_or(u64::MAX);
+    let settled_at = last_step_unix_ms.map(|at| at.saturating_add(settle_ms));
+    if let Some(unix_ms) = settled_at.filter(|at| now_unix_ms < *at) {
+        return StepCheck::WaitUntil { unix_ms };
+    }
+    let load = Load::new(configuration, measurements, STEP_LIMITS);
+    let fits =
+        step_flows(configuration, measurements, &load, step).and_then(|flows| load.fits(&flows));
+    fits.map_or_else(StepCheck::Hold, |()| StepCheck::Proceed)
+}
+
+/// Returns the traffic that the route changes of a step move, at the measured load.
+fn step_flows(
+    configuration: &Configuration,
+    measurements: &Measurements,
+    load: &Load,
+    step: &PlanStep,
+) -> Result<Vec<Flow>, Refusal> {
+    let mut flows = Vec::new();
+    for change in &step.changes {
+        let Change::Route(after) = change else { continue };
+        let (service, home) = (&after.service, &after.home_region);
+        let before = shares::route_of(configuration, service, home);
+        for (from, to, share) in shares::moved_shares(&before, after) {
+            if !load.is_measured(&from) {
+                return Err(stale_region(&from));
+            }
+            let part = u128::from(share.get()) * block_weight(configuration, home);
+            let whole = served_weight(configuration, service, &from);
+            flows.push(flow_of(measurements, service, home, (&from, &to), (part, whole)));
+        }
+    }
+    Ok(flows)
+}
+
+/// Returns the number of client blocks of a home region, at least one: callers outside the table
+/// have a home region by hash.
+fn block_weight(configuration: &Configuration, home: &RegionId) -> u128 {
+    let blocks = configuration.client_blocks.iter().filter(|block| block.region == *home).count();
+    blocks.max(1) as u128
+}
+
+/// Returns the blocks of a service that a region serves, times the size of the hash space.
+fn served_weight(configuration: &Configuration, service: &ServiceId, region: &RegionId) -> u128 {
+    let served = configuration.regions.iter().map(|home| {
+        let route = shares::route_of(configuration, service, home);
+        u128::from(shares::share_at(&route, region).get()) * block_weight(configuration, home)
+    });
+    served.sum()
+}
+
+fn finish_plan(mut steps: Vec<PlanStep>) -> MovePlan {
+    let count = steps.len();
+    let settle_s = SETTLE.as_secs() as usize;
+    for (index, step) in steps.iter_mut().enumerate() {
+        step.note = format_smolstr!(
+            "step {} of {count}, settled {} s after the confirm at the earliest: {}",
+            index + 1,
+            (index + 1) * settle_s,
+            step.note
+        );
+    }
+    let predicted = SETTLE * u32::try_from(count).unwrap_or(u32::MAX);
+    MovePlan { steps, predicted }
+}
+
+fn known_region(configuration: &Configuration, region: &RegionId) -> Result<(), Refusal> {
+    if configuration.regions.contains(region) {
+        return Ok(());
+    }
+    Err(refuse(ResultCode::SubjectUnknown, format_smolstr!("no region {region}")))
+}
+
+fn is_drained(configuration: &Configuration, region: &RegionId) -> bool {
+    configuration.drains.contains(&DrainSubject::Region(region.clone()))
+}
+
+fn refuse(code: ResultCode, reason: impl Into<SmolStr>) -> Refusal {
+    Refusal { code: code.number(), reason: reason.into() }
+}
+
+#[cfg(test)]
+#[path = "moves_tests.rs"]
+mod tests;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod generated;
 pub mod ids;
+pub mod measurements;
 mod number;
 pub mod sizes;
 
@@ -13,5 +14,6 @@
     DataCentreId, IdError, Incarnation, IntentId, KeyHash, KeyId, LogIndex, OrganisationId,
     RegionId, RequestId, Revision, ServiceId, TargetId, Term, VmId,
 };
+pub use measurements::{LinkMeasure, Measurements, RegionLoad, ServiceRegionLoad, TargetPlace};
 pub use number::NumberError;
 pub use sizes::{ByteCount, ByteRate, RequestCount, RequestRate, SharePpm, SlotCount};
--- /dev/null
+++ b/crates/types/src/measurements.rs
@@ -0,0 +1,69 @@
+//! Measured load of regions, links, services and targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{ByteRate, RegionId, ServiceId, SlotCount, TargetId};
+
+/// Load and capacity of a region over all services.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RegionLoad {
+    /// Slots in use.
+    pub load_slots: SlotCount,
+    /// Slots of all usable targets.
+    pub capacity_slots: SlotCount,
+    /// Time since the oldest report that is part of this load.
+    pub age: Duration,
+}
+
+/// Use of the directed link between two regions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkMeasure {
+    /// Bytes per second of all traffic in this direction.
+    pub use_bytes_per_s: ByteRate,
+    /// Time since the oldest report that is part of this use.
+    pub age: Duration,
+}
+
+/// Load of a service in the region that serves it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceRegionLoad {
+    /// Slots in use.
+    pub running_slots: SlotCount,
+    /// Slots of the service's usable targets in the region.
+    pub capacity_slots: SlotCount,
+    /// Bytes per second sent to callers.
+    pub sent_bytes_per_s: ByteRate,
+}
+
+/// Place and size of a known target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetPlace {
+    /// Region of the target.
+    pub region: RegionId,
+    /// Announced slots.
+    pub slots: SlotCount,
+}
+
+/// What the leader knows about the load of the system.
+///
+/// A region or a link that is missing has not been measured. A service that is missing in a
+/// measured region has no load and no targets there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Measurements {
+    /// Load of each region.
+    pub regions: BTreeMap<RegionId, RegionLoad>,
+    /// Use of each link, by sending and receiving region.
+    pub links: BTreeMap<(RegionId, RegionId), LinkMeasure>,
+    /// Load of each service in each region.
+    pub services: BTreeMap<(ServiceId, RegionId), ServiceRegionLoad>,
+    /// Targets in use.
+    pub targets: BTreeMap<(ServiceId, TargetId), TargetPlace>,
+}
+
+impl Measurements {
+    /// Returns the load of a service in a region, zero when it has none.
+    pub fn service(&self, service: &ServiceId, region: &RegionId) -> ServiceRegionLoad {
+        self.services.get(&(service.clone(), region.clone())).copied().unwrap_or_default()
+    }
+}
