Test freshness and distribution under faults

Change: a simulation of leader, relay and children with seeds from proptest, random delivery of updates with restarts of both ends, and cases for limits.

--- a/crates/control/src/distribution_tests.rs
+++ b/crates/control/src/distribution_tests.rs
@@ -1,1 +1,333 @@
+//! Tests of parents, updates and the receiving side.
 
+use std::collections::BTreeSet;
+
+use celerygate_types::wire::{
+    Change, Command, ConfigurationDelta, ConfigurationSnapshot, ConfirmCommand, IntentKind,
+    Organisation, Plan, PlanStep, ProposeCommand, RateIntent,
+};
+use celerygate_types::{RequestCount, RequestRate, Revision, Term};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+
+use super::*;
+use crate::state::{self, apply, digest, empty_configuration};
+
+fn vm(number: usize) -> VmId {
+    format!("vm-{number:03}").parse().unwrap()
+}
+
+/// Returns a deployment in which every seventh of the first 49 VMs is a voter.
+fn members(count: usize, data_centres: usize) -> Configuration {
+    let mut configuration = empty_configuration();
+    configuration.members.extend((0..count).map(|number| Member {
+        callers_address: "127.0.0.1:1".into(),
+        data_centre: format!("dc-{}", number % data_centres).parse().unwrap(),
+        operators_address: "127.0.0.1:2".into(),
+        peer_address: "127.0.0.1:3".into(),
+        region: "a".parse().unwrap(),
+        role: if number < 49 && number % 7 == 0 { MemberRole::Voter } else { MemberRole::Follower },
+        store_id: None,
+        vm: vm(number),
+    }));
+    configuration
+}
+
+fn booted() -> Configuration {
+    let mut first = empty_configuration();
+    first.organisations = vec![Organisation {
+        burst_requests: RequestCount(1),
+        keys: Vec::new(),
+        organisation: "granite".parse().unwrap(),
+        rate_requests_per_s: RequestRate(0),
+        weight: 1,
+    }];
+    let mut configuration = empty_configuration();
+    apply(&mut configuration, &Command::Bootstrap(first));
+    configuration
+}
+
+/// Returns the propose and the confirm of a change of a rate.
+fn rate_commands(number: u64, based_on: Revision) -> [Command; 2] {
+    let rate = RateIntent {
+        burst_requests: RequestCount(1),
+        organisation: "granite".parse().unwrap(),
+        rate_requests_per_s: RequestRate(number),
+    };
+    let changes = vec![Change::Rate(rate.clone())];
+    let step = PlanStep { changes, links: Vec::new(), note: "".into(), regions: Vec::new() };
+    let intent: celerygate_types::IntentId = format!("intent-{number}").parse().unwrap();
+    let propose = ProposeCommand {
+        at_unix_ms: 0,
+        based_on,
+        intent: intent.clone(),
+        kind: IntentKind::Rate(rate),
+        plan: Plan { refusal: None, risks: Vec::new(), steps: vec![step] },
+    };
+    let confirm = ConfirmCommand { at_unix_ms: 0, based_on, intent };
+    [Command::Propose(propose), Command::Confirm(confirm)]
+}
+
+/// A parent that applies commands and keeps them.
+struct Sender {
+    configuration: Configuration,
+    recent: Recent,
+}
+
+impl Sender {
+    fn new() -> Self {
+        let configuration = booted();
+        let recent = Recent::new(&configuration);
+        Self { configuration, recent }
+    }
+
+    fn apply(&mut self, command: &Command) {
+        let applied = apply(&mut self.configuration, command);
+        self.recent.push(&self.configuration, command, &applied);
+    }
+
+    fn change(&mut self, number: u64) {
+        let commands = rate_commands(number, self.configuration.revision);
+        commands.iter().for_each(|command| self.apply(command));
+    }
+
+    fn update(&self, child: &Configuration, digest: u64) -> Update {
+        self.recent.update_for(&self.configuration, Term(1), child.revision, digest)
+    }
+}
+
+fn receive(child: &Configuration, update: Update) -> Received {
+    match update {
+        Update::Nothing => Received::AlreadyApplied,
+        Update::Delta(delta) => receive_delta(child, Term(1), &delta),
+        Update::Snapshot(snapshot) => receive_snapshot(child, Term(1), snapshot),
+    }
+}
+
+/// Guards against more than 32 daemons, or a relay's children, that all ask the leader.
+#[test]
+fn select_parent_sizes() {
+    let leader = vm(0);
+    let small = members(32, 2);
+    let large = members(700, 20);
+    let parent = |configuration: &Configuration, own: usize| {
+        select_parent(configuration, &vm(own), Some(&leader), |_| true).unwrap()
+    };
+    assert!((1..32).all(|own| parent(&small, own) == Parent::Leader(leader.clone())));
+    assert_eq!(parent(&small, 0), Parent::Nobody);
+    let parents: Vec<Parent> = (0..700).map(|own| parent(&large, own)).collect();
+    let of_leader = parents.iter().filter(|parent| **parent == Parent::Leader(leader.clone()));
+    // 20 relays and the 6 voters that are not the leader.
+    assert_eq!(of_leader.count(), 26);
+    let relays: BTreeSet<String> = parents
+        .iter()
+        .filter_map(|parent| match parent {
+            Parent::Relay(relay) => Some(relay.to_string()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(relays.len(), 20);
+    assert_eq!(select_parent(&large, &vm(1), None, |_| true), None);
+}
+
+/// Guards against children that stay with a dead relay, and against a loss that moves the children
+/// of other data centres.
+#[test]
+fn select_parent_dead_relay() {
+    let large = members(700, 20);
+    let parent = |own: usize, dead: Option<&VmId>| {
+        let is_live = |vm: &VmId| Some(vm) != dead;
+        select_parent(&large, &vm(own), Some(&vm(0)), is_live).unwrap()
+    };
+    let Parent::Relay(relay) = parent(1, None) else { panic!("vm-001 is a relay") };
+    for own in (1..700).filter(|own| vm(*own) != relay) {
+        let (before, after) = (parent(own, None), parent(own, Some(&relay)));
+        assert_ne!(after, Parent::Relay(relay.clone()));
+        assert!(before == after || before == Parent::Relay(relay.clone()));
+    }
+}
+
+/// Guards against polls that are too frequent, too rare or all at the same time.
+#[test]
+fn poll_delay_bounds() {
+    let delays = [0, u32::MAX / 2, u32::MAX].map(|random| poll_delay(random).as_millis());
+    assert_eq!(delays, [400, 500, 600]);
+    let first = [0, u32::MAX].map(|random| first_poll_delay(random).as_millis());
+    assert_eq!(first, [0, 500]);
+}
+
+/// Guards against a daemon that cannot catch up, or is sent everything, after missing many changes.
+#[test]
+fn update_for_missed_changes() {
+    let mut parent = Sender::new();
+    let old = parent.configuration.clone();
+    (1..=500).for_each(|number| parent.change(number));
+    let update = parent.update(&old, digest(&old));
+    assert!(matches!(&update, Update::Delta(delta) if delta.commands.len() == 1_000));
+    let received = receive(&old, update);
+    assert_eq!(received, Received::Applied(Box::new(parent.configuration.clone())));
+    (501..=1_000).for_each(|number| parent.change(number));
+    assert!(matches!(parent.update(&old, digest(&old)), Update::Delta(_)));
+    parent.change(1_001);
+    assert!(matches!(parent.update(&old, digest(&old)), Update::Snapshot(_)));
+}
+
+/// Guards against a daemon that keeps a damaged configuration of the right revision.
+#[test]
+fn update_for_other_digest() {
+    let mut parent = Sender::new();
+    let mut child = parent.configuration.clone();
+    child.organisations[0].weight = 9;
+    let repaired = receive(&child, parent.update(&child, digest(&child)));
+    assert_eq!(repaired, Received::Applied(Box::new(parent.configuration.clone())));
+    let good = parent.configuration.clone();
+    parent.change(1);
+    // The state is damaged after its digest was computed: the delta is refused, not applied.
+    let delta = parent.update(&child, digest(&good));
+    assert_eq!(receive(&child, delta), Received::DigestDiffers);
+    assert!(matches!(parent.update(&child, DIGEST_UNKNOWN), Update::Snapshot(_)));
+}
+
+/// Guards against an old leader, a late message or a gap that takes a daemon back or astray.
+#[test]
+fn receive_older_or_gap() {
+    let mut parent = Sender::new();
+    let old = parent.configuration.clone();
+    parent.change(1);
+    let child = parent.configuration.clone();
+    parent.change(2);
+    let delta = |child: &Configuration| match parent.update(child, digest(child)) {
+        Update::Delta(delta) => delta,
+        other => panic!("{other:?}"),
+    };
+    let (long, short): (ConfigurationDelta, ConfigurationDelta) = (delta(&old), delta(&child));
+    assert_eq!(receive_delta(&child, Term(2), &short), Received::Older);
+    assert_eq!(receive_delta(&child, Term(1), &long), Received::OtherBase(Revision(2)));
+    assert_eq!(receive_delta(&old, Term(1), &short), Received::OtherBase(Revision(1)));
+    assert_eq!(receive_delta(&parent.configuration, Term(1), &long), Received::AlreadyApplied);
+    let snapshot = ConfigurationSnapshot { configuration: old, term: Term(1) };
+    assert_eq!(receive_snapshot(&child, Term(1), snapshot.clone()), Received::Older);
+    let newer = ConfigurationSnapshot { configuration: parent.configuration.clone(), ..snapshot };
+    assert_eq!(receive_snapshot(&child, Term(2), newer), Received::Older);
+}
+
+/// Guards against a delta that no frame can hold, which would keep a daemon behind for ever.
+#[test]
+fn update_for_large_commands() {
+    let mut parent = Sender::new();
+    let mut child = parent.configuration.clone();
+    for number in 1..=40 {
+        let [mut propose, confirm] = rate_commands(number, parent.configuration.revision);
+        if let Command::Propose(propose) = &mut propose {
+            propose.plan.risks = vec!["x".repeat(100_000).into()];
+        }
+        [propose, confirm].iter().for_each(|command| parent.apply(command));
+    }
+    let mut rounds = 0;
+    while child.revision < parent.configuration.revision {
+        let update = parent.update(&child, digest(&child));
+        if let Update::Delta(delta) = &update {
+            assert!(postcard::to_stdvec(delta).unwrap().len() < 1024 * 1024);
+        }
+        let Received::Applied(next) = receive(&child, update) else { panic!("not applied") };
+        child = *next;
+        rounds += 1;
+    }
+    assert_eq!((child, rounds), (parent.configuration, 5));
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Propose,
+    Confirm { back: usize },
+    Poll { child: usize },
+    Deliver { child: usize, position: usize },
+    Restart { child: usize },
+    ParentRestart,
+}
+
+fn any_op() -> impl Strategy<Value = Op> {
+    let child = 0..3_usize;
+    prop_oneof![
+        3 => Just(Op::Propose),
+        3 => (0..3_usize).prop_map(|back| Op::Confirm { back }),
+        4 => child.clone().prop_map(|child| Op::Poll { child }),
+        2 => (child.clone(), any::<usize>())
+            .prop_map(|(child, position)| Op::Deliver { child, position }),
+        1 => child.prop_map(|child| Op::Restart { child }),
+        1 => Just(Op::ParentRestart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against children that differ from their parent at the same revision, go back, or never
+    /// catch up, when updates are late, repeated or lost and both ends restart.
+    #[test]
+    fn updates_random_order(ops in prop::collection::vec(any_op(), 1..80)) {
+        let mut parent = Sender::new();
+        let mut children = vec![(booted(), false); 3];
+        let mut sent: Vec<Update> = Vec::new();
+        let mut proposed: Vec<[Command; 2]> = Vec::new();
+        let take = |child: &mut (Configuration, bool), update: Update| {
+            match receive(&child.0, update) {
+                Received::Applied(next) => *child = (*next, false),
+                Received::DigestDiffers => child.1 = true,
+                _ => {}
+            }
+        };
+        let poll = |parent: &Sender, child: &(Configuration, bool)| {
+            let stated = if child.1 { DIGEST_UNKNOWN } else { digest(&child.0) };
+            parent.update(&child.0, stated)
+        };
+        for op in ops {
+            let before = children.clone();
+            match op {
+                Op::Propose => {
+                    let number = proposed.len() as u64 + 1;
+                    proposed.push(rate_commands(number, parent.configuration.revision));
+                    parent.apply(&proposed[proposed.len() - 1][0]);
+                }
+                Op::Confirm { back } => {
+                    if let Some(commands) = proposed.iter().rev().nth(back) {
+                        parent.apply(&commands[1]);
+                    }
+                }
+                Op::Poll { child } => {
+                    let update = poll(&parent, &children[child]);
+                    sent.push(update.clone());
+                    take(&mut children[child], update);
+                }
+                Op::Deliver { child, position } => {
+                    if !sent.is_empty() {
+                        take(&mut children[child], sent[position % sent.len()].clone());
+                    }
+                }
+                Op::Restart { child } => children[child] = (empty_configuration(), false),
+                Op::ParentRestart => parent.recent = Recent::new(&parent.configuration),
+            }
+            for (child, before) in children.iter().zip(&before) {
+                let restarted = child.0.revision == Revision::ZERO;
+                prop_assert!(child.0.revision >= before.0.revision || restarted);
+                if child.0.revision == parent.configuration.revision {
+                    prop_assert_eq!(digest(&child.0), digest(&parent.configuration));
+                }
+            }
+        }
+        for child in &mut children {
+            // A delta and, when proposals were missed, a snapshot.
+            for _ in 0..2 {
+                let update = poll(&parent, child);
+                take(child, update);
+            }
+            prop_assert_eq!(child.0.revision, parent.configuration.revision);
+            prop_assert_eq!(state::digest(&child.0), state::digest(&parent.configuration));
+        }
+    }
+}
--- a/crates/control/src/intents/executor.rs
+++ b/crates/control/src/intents/executor.rs
@@ -7,8 +7,9 @@
 use celerygate_types::wire::{
     Configuration, HoldCommand, IntentKind, IntentRecord, IntentState, Refusal, StepCommand,
 };
-use celerygate_types::{IntentId, Measurements};
+use celerygate_types::{IntentId, Measurements, ResultCode};
 use smol_str::{SmolStr, format_smolstr};
+use strum::IntoEnumIterator;
 
 use crate::state;
 
@@ -124,19 +125,22 @@
     (unsettled_ms > 0).then(|| now.unix_ms.saturating_add(unsettled_ms).saturating_sub(settle_ms))
 }
 
-/// The code comes first: a hold is only replaced when its code changes, not with each new figure.
-fn hold_reason(refusal: &Refusal) -> SmolStr {
-    format_smolstr!("{}: {}", refusal.code, refusal.reason)
+/// Returns the name of the refusal's code, which starts the visible reason. A hold is only replaced
+/// when its code changes, not with each new figure.
+fn reason_prefix(refusal: &Refusal) -> SmolStr {
+    let code = ResultCode::iter().find(|code| code.number() == refusal.code);
+    code.map_or_else(|| format_smolstr!("{}:", refusal.code), |code| format_smolstr!("{code}:"))
 }
 
 fn hold_command(intent: &IntentId, refusal: &Refusal) -> HoldCommand {
-    HoldCommand { intent: intent.clone(), reason: Some(hold_reason(refusal)) }
+    let reason = format_smolstr!("{} {}", reason_prefix(refusal), refusal.reason);
+    HoldCommand { intent: intent.clone(), reason: Some(reason) }
 }
 
 fn is_held_for(record: &IntentRecord, refusal: &Refusal) -> bool {
-    let code = format_smolstr!("{}:", refusal.code);
+    let prefix = reason_prefix(refusal);
     let held = record.state == IntentState::Held;
-    held && record.held_reason.as_ref().is_some_and(|reason| reason.starts_with(code.as_str()))
+    held && record.held_reason.as_ref().is_some_and(|reason| reason.starts_with(prefix.as_str()))
 }
 
 /// Returns the unfinished intent that moves the same traffic, if any: two plans that set the same
--- a/crates/control/src/state/digest.rs
+++ b/crates/control/src/state/digest.rs
@@ -1,6 +1,8 @@
 //! Digest of a configuration.
 
 use celerygate_types::RegionId;
+use std::io::BufWriter;
+
 use celerygate_types::Revision;
 use celerygate_types::wire::{
     ClientBlock, Configuration, DrainSubject, IntentRecord, Link, Member, Organisation, Route,
@@ -23,25 +25,6 @@
     services: &'a [Service],
 }
 
-/// Feeds encoded bytes into a hasher.
-struct HashBytes(blake3::Hasher);
-
-impl Extend<u8> for HashBytes {
-    fn extend<T: IntoIterator<Item = u8>>(&mut self, bytes: T) {
-        let mut buffer = [0; 64];
-        let mut used = 0;
-        for byte in bytes {
-            buffer[used] = byte;
-            used += 1;
-            if used == buffer.len() {
-                self.0.update(&buffer);
-                used = 0;
-            }
-        }
-        self.0.update(&buffer[..used]);
-    }
-}
-
 /// Returns a hash of the configuration's encoding that is the same on every VM and in every run.
 ///
 /// Intents without a confirm are left out: they do not raise the revision, so a daemon may have
@@ -60,10 +43,10 @@
         routes: &configuration.routes,
         services: &configuration.services,
     };
-    // The writer accepts every byte and the types have no custom encoding that fails.
-    let bytes = postcard::to_extend(&view, HashBytes(blake3::Hasher::new()));
-    let hash = bytes.map(|hasher| hasher.0.finalize());
-    hash.map_or(0, |hash| u64::from_le_bytes(first_8(hash.as_bytes())))
+    // Neither the hasher nor the encoding of these types fails.
+    let encoded = postcard::to_io(&view, BufWriter::new(blake3::Hasher::new()));
+    let hasher = encoded.ok().and_then(|writer| writer.into_inner().ok());
+    hasher.map_or(0, |hasher| u64::from_le_bytes(first_8(hasher.finalize().as_bytes())))
 }
 
 fn first_8(bytes: &[u8; 32]) -> [u8; 8] {
