--- a/crates/steering/src/moves/load.rs
+++ b/crates/steering/src/moves/load.rs
@@ -129,7 +129,7 @@
             });
         };
         let use_after = gauge.used.saturating_add(added);
-        if added > 0 && use_after > self.limits.link.of(gauge.capacity) {
+        if use_after > self.limits.link.of(gauge.capacity) {
             let (use_after, cap) = (ByteRate(use_after), ByteRate(gauge.capacity));
             let reason = format_smolstr!("link {from} to {to} would carry {use_after} of {cap}");
             return Err(refuse(ResultCode::LinkCap, reason));
@@ -146,7 +146,7 @@
         let after = gauge.used.saturating_add(added);
         let limit = self.limits.region.of(gauge.capacity);
         // Without any capacity, even a service without load cannot be moved there.
-        if gauge.capacity > 0 && (added == 0 || after <= limit) {
+        if gauge.capacity > 0 && after <= limit {
             return Ok(());
         }
         let (after, limit) = (after.div_ceil(MILLI), limit / MILLI);
