Fuzz three to five replicas under faults

Cause: nothing showed that the agreement keeps accepted commands.

Change: `tests/agreement.rs` runs 3 to 5 nodes on in-memory disks and a queue of messages, with lost, delayed, duplicated and reordered messages, cuts, crashes at writes, torn writes, failed syncs, pauses, clock steps, clock rates that differ by 10%, and lost disks. The oracle compares all applied entries and checks leases at every step.

--- /dev/null
+++ b/crates/control/tests/agreement.rs
@@ -0,0 +1,211 @@
+//! Agreement of several replicas under faults.
+//!
+//! The oracle in `support/cluster.rs` guards P12: an accepted command is never lost, never
+//! reverted, and applied once and in the same order everywhere; at most one VM holds a lease, and
+//! it knows everything that was accepted.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use celerygate_control::storage::memory::Tear;
+use cluster::Cluster;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Run { ms: u64 },
+    Propose { vm: usize, count: usize },
+    Cut { from: usize, to: usize, both: bool },
+    Isolate { vm: usize },
+    Heal,
+    Network { loss_percent: u64, delay_ms: u64 },
+    Crash { vm: usize, tear: Tear, down_ms: u64 },
+    CrashAtWrite { vm: usize, before: u64, takes_effect: bool, tear: Tear },
+    FailSync { vm: usize },
+    Pause { vm: usize, ms: u64 },
+    StepClock { ms: u64 },
+    LoseDisk { vm: usize },
+}
+
+fn tear() -> impl Strategy<Value = Tear> {
+    prop_oneof![
+        Just(Tear::Lose),
+        Just(Tear::Keep),
+        any::<usize>().prop_map(Tear::Prefix),
+        any::<usize>().prop_map(Tear::ZeroSector),
+    ]
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let vm = 0..5_usize;
+    prop_oneof![
+        8 => (10..1_500_u64).prop_map(|ms| Fault::Run { ms }),
+        6 => (vm.clone(), 1..8_usize).prop_map(|(vm, count)| Fault::Propose { vm, count }),
+        2 => (vm.clone(), vm.clone(), any::<bool>())
+            .prop_map(|(from, to, both)| Fault::Cut { from, to, both }),
+        2 => vm.clone().prop_map(|vm| Fault::Isolate { vm }),
+        2 => Just(Fault::Heal),
+        1 => (0..30_u64, 1..400_u64)
+            .prop_map(|(loss_percent, delay_ms)| Fault::Network { loss_percent, delay_ms }),
+        2 => (vm.clone(), tear(), 0..3_000_u64)
+            .prop_map(|(vm, tear, down_ms)| Fault::Crash { vm, tear, down_ms }),
+        3 => (vm.clone(), 0..8_u64, any::<bool>(), tear()).prop_map(
+            |(vm, before, takes_effect, tear)| Fault::CrashAtWrite {
+                vm, before, takes_effect, tear
+            }
+        ),
+        1 => vm.clone().prop_map(|vm| Fault::FailSync { vm }),
+        1 => (vm.clone(), 100..3_000_u64).prop_map(|(vm, ms)| Fault::Pause { vm, ms }),
+        1 => (100..3_000_u64).prop_map(|ms| Fault::StepClock { ms }),
+        2 => vm.prop_map(|vm| Fault::LoseDisk { vm }),
+    ]
+}
+
+fn inject(cluster: &mut Cluster, fault: Fault) {
+    let count = cluster.vms.len();
+    match fault {
+        Fault::Run { ms } => cluster.run(ms),
+        Fault::Propose { vm, count: proposals } => {
+            let vm = cluster.leader().unwrap_or(vm % count);
+            (0..proposals).for_each(|_| cluster.propose(vm));
+        }
+        Fault::Cut { from, to, both } => {
+            cluster.cuts.insert((from % count, to % count));
+            if both {
+                cluster.cuts.insert((to % count, from % count));
+            }
+        }
+        Fault::Isolate { vm } => {
+            let vm = cluster.leader().unwrap_or(vm % count);
+            cluster.cuts.extend((0..count).flat_map(|other| [(vm, other), (other, vm)]));
+        }
+        Fault::Heal => cluster.cuts.clear(),
+        Fault::Network { loss_percent, delay_ms } => {
+            (cluster.loss_percent, cluster.delay_ms) = (loss_percent, delay_ms);
+        }
+        Fault::Crash { vm, tear, down_ms } => cluster.crash(vm % count, tear, down_ms),
+        Fault::CrashAtWrite { vm, before, takes_effect, tear } => {
+            cluster.crash_at_write(vm % count, before, takes_effect, tear);
+        }
+        Fault::FailSync { vm } => cluster.vms[vm % count].disk.fail_next_sync(),
+        Fault::Pause { vm, ms } => cluster.pause(vm % count, ms),
+        Fault::StepClock { ms } => cluster.clock.advance(std::time::Duration::from_millis(ms)),
+        Fault::LoseDisk { vm } => {
+            cluster.lose_disk(vm % count);
+        }
+    }
+}
+
+fn started(count: usize, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(count, count, seed);
+    cluster.run_until("the group is founded", Cluster::is_complete);
+    cluster
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against any interleaving of faults that breaks the oracle, or after which the group
+    /// does not work again.
+    #[test]
+    fn cluster_random_faults(
+        count in 3..6_usize,
+        seed in any::<u64>(),
+        faults in prop::collection::vec(fault(), 10..60),
+    ) {
+        let mut cluster = started(count, seed);
+        faults.into_iter().for_each(|fault| inject(&mut cluster, fault));
+        cluster.heal_and_check();
+    }
+}
+
+/// Guards against a write that leaves the folder unreadable, or whose loss loses a command.
+#[test]
+fn cluster_crash_at_every_write() {
+    let tears = [Tear::Lose, Tear::Keep, Tear::Prefix(40), Tear::ZeroSector(1)];
+    for (write, vm) in (0..24).flat_map(|write| (0..3).map(move |vm| (write, vm))) {
+        for takes_effect in [false, true] {
+            let mut cluster = Cluster::new(3, 3, write);
+            let tear = tears[(write as usize + vm) % tears.len()];
+            cluster.crash_at_write(vm, write, takes_effect, tear);
+            for _ in 0..12 {
+                cluster.run(400);
+                if let Some(leader) = cluster.leader() {
+                    cluster.propose(leader);
+                }
+            }
+            cluster.heal_and_check();
+        }
+    }
+}
+
+/// Guards against a replaced VM that is counted before it holds the log: after the second loss
+/// only the replacement and one old voter remain.
+#[test]
+fn cluster_second_loss_after_replacement() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(4, 3, seed);
+        cluster.run_until("the group is founded", Cluster::is_complete);
+        for _ in 0..10 {
+            if let Some(leader) = cluster.leader() {
+                cluster.propose(leader);
+            }
+            cluster.run(100);
+        }
+        let lost = (seed % 3) as usize;
+        cluster.crash(lost, Tear::Lose, u64::from(u32::MAX));
+        cluster.retired = [cluster::vm_id(lost)].into();
+        cluster.run_until("the VM is replaced", Cluster::is_complete);
+        cluster.run(1_000);
+        let second = (lost + 1) % 3;
+        assert!(cluster.lose_disk(second), "the second loss was not allowed");
+        // The old VM comes back with its old log, which still lists it as a voter.
+        cluster.restart(lost);
+        cluster.heal_and_check();
+        assert!(cluster.accepted.len() >= 10, "accepted {}", cluster.accepted.len());
+    }
+}
+
+/// Guards against an old leader that serves freshness while a new one accepts changes.
+#[test]
+fn cluster_leader_cut_off() {
+    for seed in 0..20 {
+        let mut cluster = started(3, seed);
+        let old = cluster.leader().unwrap();
+        cluster.propose(old);
+        cluster.run(500);
+        inject(&mut cluster, Fault::Isolate { vm: old });
+        cluster.propose(old);
+        cluster.run_until("a new lease", |cluster| {
+            cluster.lease_changes.last().is_some_and(|holder| *holder != old)
+        });
+        cluster.run(5_000);
+        let new = cluster.leader().unwrap();
+        assert_ne!(new, old);
+        cluster.propose(new);
+        cluster.heal_and_check();
+    }
+}
+
+/// Guards against a VM that raises the term when it returns from a partition and so ends the lease
+/// of a working leader.
+#[test]
+fn cluster_returning_vm_keeps_leader() {
+    let mut cluster = started(3, 7);
+    let leader = cluster.leader().unwrap();
+    let term = cluster.vms[leader].node.as_ref().unwrap().replica().term();
+    let cut = (leader + 1) % 3;
+    cluster.cuts.extend((0..3).flat_map(|other| [(cut, other), (other, cut)]));
+    cluster.run(20_000);
+    cluster.cuts.clear();
+    cluster.run(5_000);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.vms[cut].node.as_ref().unwrap().replica().term(), term);
+}
--- /dev/null
+++ b/crates/control/tests/support/cluster.rs
@@ -0,0 +1,497 @@
+//! Replicas in one process with a queue of messages as network, and the oracle.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use celerygate_control::log::Log;
+use celerygate_control::membership;
+use celerygate_control::node::{Node, Output};
+use celerygate_control::replica::Input;
+use celerygate_control::storage::memory::{MemoryDisk, Tear};
+use celerygate_types::wire::{
+    Command, Configuration, HoldCommand, LogEntry, Member, MemberRole, MembershipChange, Message,
+};
+use celerygate_types::{IdError, ManualClock, Revision, VmId};
+
+const STEP: Duration = Duration::from_millis(10);
+/// Applied entries after which the test takes a snapshot.
+const SNAPSHOT_EVERY: u64 = 7;
+/// Small enough that a run fills several segments.
+const SEGMENT_BYTES: u64 = 600;
+/// Clock rates in parts per thousand; the extremes differ by 10%.
+const RATES: [u32; 5] = [1_000, 952, 1_047, 980, 1_020];
+
+pub struct Vm {
+    pub id: VmId,
+    pub disk: MemoryDisk,
+    pub node: Option<Node>,
+    pub state: Configuration,
+    applied: u64,
+    snapshot_at: u64,
+    store_id: Option<u64>,
+    /// The members in its log.
+    members: Vec<Member>,
+    restart_at: Option<Duration>,
+    paused_until: Duration,
+    tear: Tear,
+    rate: u32,
+    next_tick: Duration,
+}
+
+struct Packet {
+    due: Duration,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+pub struct Cluster {
+    pub vms: Vec<Vm>,
+    pub clock: ManualClock,
+    base: Instant,
+    packets: Vec<Packet>,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub loss_percent: u64,
+    pub delay_ms: u64,
+    pub retired: BTreeSet<VmId>,
+    random: u64,
+    /// All entries that any VM applied, in order.
+    pub applied: Vec<LogEntry>,
+    /// Commands whose proposer saw them applied.
+    pub accepted: BTreeMap<String, usize>,
+    proposals: Vec<(usize, u64, u64, String)>,
+    next_command: u64,
+    pub lease_changes: Vec<usize>,
+}
+
+fn id<T: FromStr<Err = IdError>>(text: &str) -> T {
+    text.parse().expect("a valid id")
+}
+
+pub fn vm_id(number: usize) -> VmId {
+    id(&format!("vm-{number}"))
+}
+
+pub fn member(vm: VmId, role: MemberRole, store_id: Option<u64>) -> Member {
+    Member {
+        callers_address: "127.0.0.1:1".into(),
+        operators_address: "127.0.0.1:2".into(),
+        peer_address: "127.0.0.1:3".into(),
+        data_centre: id("dc"),
+        region: id("r"),
+        role,
+        store_id,
+        vm,
+    }
+}
+
+fn configuration(members: Vec<Member>) -> Configuration {
+    Configuration {
+        client_blocks: vec![],
+        drains: vec![],
+        intents: vec![],
+        links: vec![],
+        members,
+        organisations: vec![],
+        regions: vec![],
+        revision: Revision(0),
+        routes: vec![],
+        services: vec![],
+    }
+}
+
+/// A state machine that appends the name of each command to a list.
+fn apply(state: &mut Configuration, entry: &LogEntry) {
+    if let Command::Bootstrap(first) = &entry.command {
+        *state = first.clone();
+    }
+    membership::apply_command(&mut state.members, &entry.command);
+    if let Command::Hold(hold) = &entry.command {
+        state.regions.push(id(hold.intent.as_str()));
+        state.revision = state.revision.saturating_add(Revision(1));
+    }
+}
+
+impl Cluster {
+    /// Starts `count` VMs, the first `control` of which found the group.
+    pub fn new(count: usize, control: usize, seed: u64) -> Self {
+        let vm = |number: usize| Vm {
+            id: vm_id(number),
+            disk: MemoryDisk::new(),
+            node: None,
+            state: configuration(vec![]),
+            applied: 0,
+            snapshot_at: 0,
+            store_id: None,
+            members: vec![],
+            restart_at: Some(Duration::ZERO),
+            paused_until: Duration::ZERO,
+            tear: Tear::Lose,
+            rate: RATES[number % RATES.len()],
+            next_tick: Duration::ZERO,
+        };
+        let mut cluster = Self {
+            vms: (0..count).map(vm).collect(),
+            clock: ManualClock::new(),
+            base: Instant::now(),
+            packets: vec![],
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            delay_ms: 10,
+            retired: BTreeSet::new(),
+            random: seed,
+            applied: vec![],
+            accepted: BTreeMap::new(),
+            proposals: vec![],
+            next_command: 0,
+            lease_changes: vec![],
+        };
+        cluster.retired.extend((control..count).map(vm_id));
+        cluster
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (mixed ^ (mixed >> 31)) % below.max(1)
+    }
+
+    fn local_now(&self, vm: usize) -> Instant {
+        self.base + self.clock.elapsed() * self.vms[vm].rate / 1_000
+    }
+
+    fn start(&mut self, number: usize) {
+        let (store_id, random) = (self.draw(u64::MAX), self.draw(u64::MAX));
+        let now = self.local_now(number);
+        let vm = &mut self.vms[number];
+        let contents = Log::open_with(vm.disk.storage(), &vm.id, store_id, SEGMENT_BYTES);
+        let Ok(contents) = contents else { return self.crash(number, Tear::Lose, 50) };
+        vm.store_id = Some(contents.log.store_id());
+        let opened = Node::from_contents(contents, &vm.id, random, now);
+        vm.applied = opened.snapshot.as_ref().map_or(0, |snapshot| snapshot.last_index.0);
+        vm.snapshot_at = vm.applied;
+        vm.state = opened.snapshot.map_or_else(|| configuration(vec![]), |s| s.configuration);
+        vm.node = Some(opened.node);
+        if number == 0 && vm.applied == 0 {
+            let control = (0..self.vms.len()).map(vm_id).filter(|id| !self.retired.contains(id));
+            let members = control.map(|id| member(id, MemberRole::Learner, None)).collect();
+            let configuration = Box::new(configuration(members));
+            self.handle(number, Input::Found { configuration });
+        }
+    }
+
+    /// Ends a process; it starts again after a time.
+    pub fn crash(&mut self, number: usize, tear: Tear, down_ms: u64) {
+        let restart_at = self.clock.elapsed() + Duration::from_millis(down_ms);
+        let vm = &mut self.vms[number];
+        vm.node = None;
+        vm.disk.crash(tear);
+        vm.restart_at = Some(restart_at);
+        self.proposals.retain(|(proposer, ..)| *proposer != number);
+    }
+
+    /// Arms a crash at a later write.
+    pub fn crash_at_write(&mut self, number: usize, before: u64, takes_effect: bool, tear: Tear) {
+        self.vms[number].disk.stop_at_write(before, takes_effect);
+        self.vms[number].tear = tear;
+    }
+
+    /// Replaces the disk by an empty one, unless too few intact voters would remain. Changes of the
+    /// group that are in the log of any VM count, because they may still be committed.
+    pub fn lose_disk(&mut self, number: usize) -> bool {
+        let Some(members) = self.committed_members() else { return false };
+        let keeps_quorum = |members: &[Member]| {
+            let is_kept =
+                |voter: &&Member| voter.vm != self.vms[number].id && self.is_intact(voter);
+            let kept = membership::voters(members).filter(is_kept).count();
+            membership::voters(members).count() >= 3 && kept >= membership::quorum(members)
+        };
+        let in_use = self.vms.iter().filter(|vm| !self.retired.contains(&vm.id));
+        let mut known = in_use.map(|vm| &vm.members).filter(|known| !known.is_empty());
+        if !keeps_quorum(&members) || !known.all(|members| keeps_quorum(members)) {
+            return false;
+        }
+        self.crash(number, Tear::Lose, 300);
+        self.vms[number].disk.erase();
+        self.vms[number].store_id = None;
+        self.vms[number].members.clear();
+        true
+    }
+
+    fn is_intact(&self, member: &Member) -> bool {
+        let Some(vm) = self.vms.iter().find(|vm| vm.id == member.vm) else { return false };
+        !self.retired.contains(&member.vm) && vm.store_id == member.store_id
+    }
+
+    /// Returns the members after everything that was applied anywhere.
+    fn committed_members(&self) -> Option<Vec<Member>> {
+        let mut members = vec![];
+        self.applied.iter().for_each(|e| membership::apply_command(&mut members, &e.command));
+        (!members.is_empty()).then_some(members)
+    }
+
+    pub fn restart(&mut self, number: usize) {
+        self.vms[number].restart_at = Some(self.clock.elapsed());
+    }
+
+    pub fn pause(&mut self, number: usize, ms: u64) {
+        self.vms[number].paused_until = self.clock.elapsed() + Duration::from_millis(ms);
+    }
+
+    fn handle(&mut self, number: usize, input: Input) {
+        let now = self.local_now(number);
+        let vm = &mut self.vms[number];
+        let Some(node) = &mut vm.node else { return };
+        let command = match &input {
+            Input::Propose(Command::Hold(hold)) => Some(hold.intent.to_string()),
+            _ => None,
+        };
+        let outputs = match node.handle(input, now) {
+            Ok(outputs) => outputs,
+            Err(_) => {
+                assert!(
+                    node.handle(Input::Tick { random: 0 }, now).is_err(),
+                    "a failed node went on"
+                );
+                let tear = vm.tear;
+                return self.crash(number, tear, 200);
+            }
+        };
+        let members = node.replica().members();
+        if vm.members != members {
+            vm.members = members.to_vec();
+        }
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.send(number, &to, *message),
+                Output::Apply(entries) => {
+                    entries.into_iter().for_each(|entry| self.check_applied(number, entry));
+                }
+                Output::Install(snapshot) => {
+                    let mut expected = configuration(vec![]);
+                    let through = snapshot.last_index.0 as usize;
+                    self.applied[..through].iter().for_each(|e| apply(&mut expected, e));
+                    assert_eq!(snapshot.configuration, expected, "snapshot of another history");
+                    self.vms[number].applied = snapshot.last_index.0;
+                    self.vms[number].snapshot_at = snapshot.last_index.0;
+                    self.vms[number].state = snapshot.configuration;
+                }
+                Output::Proposed { index, term } => {
+                    let proposal = command.clone().map(|name| (number, index.0, term.0, name));
+                    self.proposals.extend(proposal);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The oracle: all VMs apply the same entries in the same order, each once.
+    fn check_applied(&mut self, number: usize, entry: LogEntry) {
+        let vm = &mut self.vms[number];
+        assert_eq!(entry.index.0, vm.applied + 1, "{} skipped or repeated an entry", vm.id);
+        vm.applied = entry.index.0;
+        apply(&mut vm.state, &entry);
+        let position = entry.index.0 as usize;
+        match self.applied.get(position - 1) {
+            Some(known) => assert_eq!(*known, entry, "{} reverted an entry", vm.id),
+            None => self.applied.push(entry.clone()),
+        }
+        assert!(position <= self.applied.len(), "{} applied ahead of a gap", vm.id);
+        self.proposals.retain(|(proposer, index, term, name)| {
+            let is_decided = *proposer == number && *index == entry.index.0;
+            if is_decided && *term == entry.term.0 {
+                self.accepted.insert(name.clone(), position);
+            }
+            !is_decided
+        });
+    }
+
+    /// The oracle: one VM holds a lease, and it has applied whatever any VM has applied.
+    fn check_lease(&mut self) {
+        let has_lease = |number: &usize| {
+            let node = self.vms[*number].node.as_ref();
+            node.is_some_and(|node| node.replica().has_lease(self.local_now(*number)))
+        };
+        let holders: Vec<usize> = (0..self.vms.len()).filter(has_lease).collect();
+        assert!(holders.len() <= 1, "VMs {holders:?} hold a lease at {:?}", self.clock.elapsed());
+        if let Some(holder) = holders.first() {
+            let applied = self.vms[*holder].applied;
+            assert_eq!(applied, self.applied.len() as u64, "lease of a VM that is behind");
+            if self.lease_changes.last() != Some(holder) {
+                self.lease_changes.push(*holder);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &VmId, message: Message) {
+        let Some(to) = self.vms.iter().position(|vm| vm.id == *to) else { return };
+        for _ in 0..1 + u64::from(self.draw(100) < self.loss_percent) {
+            if self.cuts.contains(&(from, to)) || self.draw(100) < self.loss_percent {
+                continue;
+            }
+            let mut delay_ms = 1 + self.draw(self.delay_ms);
+            if self.draw(100) < self.loss_percent {
+                delay_ms += self.draw(3_000);
+            }
+            let due = self.clock.elapsed() + Duration::from_millis(delay_ms);
+            self.packets.push(Packet { due, from, to, message: message.clone() });
+        }
+    }
+
+    fn describe(&self) -> String {
+        let line = |vm: &Vm| {
+            let state = vm.node.as_ref().map(|node| {
+                let replica = node.replica();
+                let members: Vec<_> =
+                    replica.members().iter().map(|m| (&m.vm, m.role, m.store_id)).collect();
+                let position = (replica.commit_index(), replica.last_index());
+                format!("{} {} {position:?} {members:?}", replica.term(), replica.is_leader())
+            });
+            format!("{} store {:?} {state:?}\n", vm.id, vm.store_id)
+        };
+        self.vms.iter().map(line).collect()
+    }
+
+    /// Returns the VM that believes to lead the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &usize| self.vms[*n].node.as_ref().is_some_and(|n| n.replica().is_leader());
+        let term = |n: &usize| self.vms[*n].node.as_ref().map(|node| node.replica().term());
+        (0..self.vms.len()).filter(leads).max_by_key(term)
+    }
+
+    pub fn propose(&mut self, number: usize) {
+        self.next_command += 1;
+        let intent = id(&format!("c-{}", self.next_command));
+        let command = Command::Hold(HoldCommand { intent, reason: None });
+        self.handle(number, Input::Propose(command));
+    }
+
+    /// Does what a driver does with the group on each tick of a leader.
+    fn manage_members(&mut self, number: usize) {
+        let now = self.local_now(number);
+        let Some(node) = &self.vms[number].node else { return };
+        let replica = node.replica();
+        let members = replica.members();
+        let is_missing =
+            |id: &VmId| !self.retired.contains(id) && membership::find(members, id).is_none();
+        let change = replica.next_membership_change(now).or_else(|| {
+            let mut leaving = members.iter().filter(|m| self.retired.contains(&m.vm));
+            leaving.next().map(|m| MembershipChange::Remove(m.vm.clone()))
+        });
+        let change = change.or_else(|| {
+            let id = (0..self.vms.len()).map(vm_id).find(is_missing)?;
+            Some(MembershipChange::AddLearner(member(id, MemberRole::Learner, None)))
+        });
+        if let Some(change) = change.filter(|_| replica.is_leader()) {
+            self.handle(number, Input::Propose(Command::Membership(change)));
+        }
+    }
+
+    fn run_vm(&mut self, number: usize) {
+        let time = self.clock.elapsed();
+        if self.vms[number].restart_at.is_some_and(|at| at <= time) {
+            self.vms[number].restart_at = None;
+            self.start(number);
+        }
+        if self.vms[number].paused_until > time || self.vms[number].node.is_none() {
+            return;
+        }
+        let mut due: Vec<Packet> =
+            self.packets.extract_if(.., |p| p.to == number && p.due <= time).collect();
+        due.sort_by_key(|packet| packet.due);
+        for packet in due {
+            let from = vm_id(packet.from);
+            self.handle(number, Input::Message { from, message: packet.message });
+        }
+        if self.vms[number].next_tick <= time {
+            self.vms[number].next_tick = time + Duration::from_millis(50);
+            let random = self.draw(u64::MAX);
+            self.handle(number, Input::Tick { random });
+            self.manage_members(number);
+        }
+        let vm = &mut self.vms[number];
+        if let Some(node) = &mut vm.node
+            && vm.applied >= vm.snapshot_at + SNAPSHOT_EVERY
+        {
+            vm.snapshot_at = vm.applied;
+            if node.store_snapshot(vm.state.clone()).is_ok() {
+                return;
+            }
+            let tear = vm.tear;
+            self.crash(number, tear, 200);
+        }
+    }
+
+    /// Lets time pass and checks the oracle all the time.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.clock.elapsed() + Duration::from_millis(ms);
+        while self.clock.elapsed() < end {
+            self.clock.advance(STEP);
+            // Packets to processes that are down are lost.
+            let (vms, time) = (&self.vms, self.clock.elapsed());
+            self.packets.retain(|packet| packet.due > time || vms[packet.to].node.is_some());
+            for number in 0..self.vms.len() {
+                self.run_vm(number);
+                self.check_lease();
+            }
+        }
+    }
+
+    /// Runs until the condition holds; panics after a simulated minute.
+    pub fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = self.clock.elapsed() + Duration::from_secs(60);
+        while !condition(self) {
+            assert!(self.clock.elapsed() < end, "not reached in 60 s: {what}\n{}", self.describe());
+            self.run(10);
+        }
+    }
+
+    /// Returns whether the voters are exactly the VMs that are not retired.
+    pub fn is_complete(&self) -> bool {
+        let Some(members) = self.committed_members() else { return false };
+        let is_voter = |vm: &&Vm| {
+            let store_id = vm.store_id.unwrap_or_default();
+            membership::counts_as_voter(&members, &vm.id, store_id)
+        };
+        members.len() == self.vms.len() - self.retired.len()
+            && self.vms.iter().filter(|vm| !self.retired.contains(&vm.id)).all(|vm| is_voter(&vm))
+    }
+
+    /// Ends all faults; then the group must accept a command and become equal everywhere.
+    pub fn heal_and_check(&mut self) {
+        (self.loss_percent, self.delay_ms) = (0, 10);
+        self.cuts.clear();
+        for number in 0..self.vms.len() {
+            self.vms[number].paused_until = Duration::ZERO;
+            self.vms[number].disk.stop_at_write(u64::MAX, true);
+        }
+        self.run_until("all voters back", Self::is_complete);
+        self.run_until("a leader", |c| c.leader().is_some());
+        let accepted = self.accepted.len();
+        let end = self.clock.elapsed() + Duration::from_secs(60);
+        while self.accepted.len() == accepted {
+            assert!(self.clock.elapsed() < end, "no command accepted within 60 s");
+            if let Some(leader) = self.leader() {
+                self.propose(leader);
+            }
+            self.run(500);
+        }
+        self.run_until("equal states", |c| {
+            let retired = &c.retired;
+            let mut others = c.vms.iter().filter(|vm| !retired.contains(&vm.id));
+            others.all(|vm| vm.applied == c.applied.len() as u64)
+        });
+        let mut expected = configuration(vec![]);
+        self.applied.iter().for_each(|entry| apply(&mut expected, entry));
+        for (name, position) in &self.accepted {
+            let found = expected.regions.iter().filter(|region| region.as_str() == name).count();
+            assert_eq!(found, 1, "accepted command {name} at {position}");
+        }
+        for vm in self.vms.iter().filter(|vm| !self.retired.contains(&vm.id)) {
+            assert_eq!(vm.state, expected, "state of {}", vm.id);
+        }
+    }
+}
