--- a/crates/steering/src/lookup.rs
+++ b/crates/steering/src/lookup.rs
@@ -2,8 +2,9 @@
 //!
 //! Client address to client block, block to home region, home region to region by the segments of
 //! the route, region to entry VMs in an order that is stable for the block. A region that is lost
-//! or has no headroom is passed over in favour of regions with room, in proportion to their
-//! headroom.
+//! or has no capacity is passed over in favour of regions with room, in proportion to their
+//! headroom; one that has capacity and no headroom is passed over for a growing share of its
+//! blocks.
 
 use std::net::IpAddr;
 use std::time::Instant;
@@ -14,11 +15,13 @@
 mod blocks;
 mod entries;
 mod ledger;
+mod overflow;
 pub mod rendezvous;
 
 pub use blocks::{Block, BlockTable};
 pub use entries::{EntryInput, EntryTable, EntryVmInfo};
 pub use ledger::{AnswerLedger, CACHE_TIME, MEASUREMENT_LAG};
+pub use overflow::Overflow;
 
 /// Most entry VMs of the chosen region in an answer.
 pub const MAX_NEAR: usize = 3;
@@ -29,15 +32,56 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RegionIndex(pub u16);
 
-/// Room of one region for one service.
+/// Load and capacity of one region for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionRoom {
-    /// Free slots of the service's usable targets in the region, over all VMs.
-    pub headroom_slots: f32,
+    /// Slots of the service's usable targets in the region.
+    pub capacity_slots: f32,
+    /// Slots in use and requests waiting for one, over all VMs.
+    pub load_slots: f32,
     /// Slots that one answer adds when its caller was served elsewhere before.
     pub slots_per_answer: f32,
 }
 
+impl RegionRoom {
+    /// Returns the free slots, negative if requests wait.
+    pub fn headroom_slots(&self) -> f32 {
+        self.capacity_slots - self.load_slots
+    }
+}
+
+/// Room of all regions for one service, and what this daemon's answers do to it.
+#[derive(Clone, Debug)]
+pub struct Capacity {
+    /// Measured room, one element for each region of the [`EntryTable`].
+    pub room: Vec<RegionRoom>,
+    /// Shares of blocks that full regions pass on.
+    pub overflow: Overflow,
+    /// Answers that the measurements do not show yet.
+    pub ledger: AnswerLedger,
+}
+
+impl Capacity {
+    /// Returns a state without measurements: no region has room.
+    pub fn new(regions: usize, now: Instant) -> Self {
+        Self {
+            room: vec![RegionRoom::default(); regions],
+            overflow: Overflow::new(),
+            ledger: AnswerLedger::new(regions, now),
+        }
+    }
+
+    /// Takes over new measurements.
+    pub fn update(&mut self, room: Vec<RegionRoom>, now: Instant) {
+        self.overflow.update(&room, now);
+        self.room = room;
+    }
+
+    fn has_capacity(&self, region: RegionIndex) -> bool {
+        self.room.get(usize::from(region.0)).is_some_and(|room| room.capacity_slots > 0.0)
+    }
+}
+
 /// Why a region was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -46,7 +90,7 @@
     Route,
     /// The region of the route has no serving entry VM.
     RegionLost,
-    /// The region of the route has no headroom.
+    /// The region of the route has no headroom for this block.
     RegionFull,
 }
 
@@ -74,13 +118,12 @@
 
 /// Decides which entry VMs a caller should use.
 ///
-/// `room` has one element for each region of `entries`. `segment` maps a home region and the hash
-/// of a block to the region that serves the block; `None` keeps the block in its home region.
+/// `segment` maps a home region and the hash of a block to the region that serves the block; `None`
+/// keeps the block in its home region.
 pub fn decide(
     blocks: &BlockTable,
     entries: &EntryTable,
-    room: &[RegionRoom],
-    ledger: &mut AnswerLedger,
+    capacity: &mut Capacity,
     client: IpAddr,
     segment: impl FnOnce(&RegionId, u64) -> Option<RegionId>,
     now: Instant,
@@ -94,23 +137,22 @@
         Some(region) => entries.region_index(&region),
         None => home,
     };
-    let has_room = |region: RegionIndex| {
-        room.get(usize::from(region.0)).is_some_and(|room| room.headroom_slots > 0.0)
-    };
     let reason = match routed {
         Some(region) if entries.is_lost(region) => Reason::RegionLost,
-        Some(region) if !has_room(region) => Reason::RegionFull,
-        Some(region) => return use_region(entries, room, block, region, Reason::Route),
+        Some(region) if !capacity.has_capacity(region) => Reason::RegionFull,
+        Some(region) if capacity.overflow.passes_on(region, block.hash) => Reason::RegionFull,
+        Some(region) => return use_region(entries, &capacity.room, block, region, Reason::Route),
         None => Reason::RegionLost,
     };
-    let budget_left = |region: RegionIndex| ledger.left(entries, room, region, now);
     let substitute = entries.best_region(block.hash, |region| {
-        if Some(region) == routed { 0.0 } else { budget_left(region) }
+        let is_excluded = Some(region) == routed || capacity.overflow.share(region) > 0.0;
+        if is_excluded { 0.0 } else { capacity.ledger.left(entries, &capacity.room, region, now) }
     });
     match substitute {
         Some(region) => {
-            ledger.charge(region, room[usize::from(region.0)].slots_per_answer, now);
-            use_region(entries, room, block, region, reason)
+            let slots = capacity.room[usize::from(region.0)].slots_per_answer;
+            capacity.ledger.charge(region, slots, now);
+            use_region(entries, &capacity.room, block, region, reason)
         }
         None => Lookup::NoCapacity,
     }
--- a/crates/steering/src/lookup/entries.rs
+++ b/crates/steering/src/lookup/entries.rs
@@ -192,7 +192,7 @@
     {
         // Regions without headroom remain possible: an entry VM there can forward to other regions.
         let weight = |other: RegionIndex| {
-            room.get(usize::from(other.0)).map_or(0.0, |room| room.headroom_slots).max(0.001)
+            room.get(usize::from(other.0)).map_or(0.0, RegionRoom::headroom_slots).max(0.001)
         };
         let without = |skipped: &[RegionIndex]| {
             let weight = |other| if skipped.contains(&other) { 0.0 } else { weight(other) };
--- a/crates/steering/src/lookup/ledger.rs
+++ b/crates/steering/src/lookup/ledger.rs
@@ -71,7 +71,7 @@
         now: Instant,
     ) -> f32 {
         let Some(room) = room.get(usize::from(region.0)) else { return 0.0 };
-        let part = room.headroom_slots / entries.vms().len().max(1) as f32;
+        let part = room.headroom_slots() / entries.vms().len().max(1) as f32;
         part - self.outstanding(region, now) - room.slots_per_answer.max(0.0)
     }
 
--- a/crates/steering/src/outcome_tests.rs
+++ b/crates/steering/src/outcome_tests.rs
@@ -1,1 +1,117 @@
-//! Tests of outcome.
+//! Tests of outcomes: a wrong answer runs a request twice or calls a request not run that ran.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use strum::IntoEnumIterator;
+
+use super::*;
+
+fn fixed(seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    ProptestConfig { cases: 200, rng_seed, failure_persistence: None, ..Default::default() }
+}
+
+fn all_attempts() -> Vec<FailedAttempt> {
+    let mut attempts = Vec::new();
+    for reached in Reached::iter() {
+        for ended in Ended::iter() {
+            for bits in 0..32_u32 {
+                attempts.push(FailedAttempt {
+                    reached,
+                    ended,
+                    idempotent: bits & 1 != 0,
+                    replayable: bits & 2 != 0,
+                    sent_earlier: bits & 4 != 0,
+                    earlier_attempts: bits >> 3,
+                });
+            }
+        }
+    }
+    attempts
+}
+
+/// Guards against a second run of a non-idempotent request, "not-run" for a request of which a byte
+/// was sent, more than two retries, and an answer after the head was passed on.
+#[test]
+fn next_attempt_every_case() {
+    let now = Instant::now();
+    let mut retries = 0;
+    for attempt in all_attempts() {
+        let sent = attempt.sent_earlier || attempt.reached >= Reached::BytesSent;
+        let answered = attempt.reached >= Reached::HeadReceived;
+        let next = next_attempt(&attempt, &mut RetryBudget::new(now), now);
+        let allowed = attempt.ended == Ended::TargetFailed
+            && attempt.replayable
+            && attempt.earlier_attempts < MAX_RETRIES
+            && (!sent || attempt.idempotent)
+            && !answered;
+        assert_eq!(next == NextAttempt::Retry, allowed, "{attempt:?}");
+        retries += u32::from(allowed);
+        let gone = attempt.ended == Ended::CallerGone;
+        assert_eq!(next == NextAttempt::Abandon, gone, "{attempt:?}");
+        let passed_on = attempt.reached == Reached::HeadForwarded && !gone;
+        assert_eq!(next == NextAttempt::AbortCaller, passed_on, "{attempt:?}");
+        if let NextAttempt::Fail { code, outcome } = next {
+            assert_eq!(outcome == Outcome::NotRun, !sent, "{attempt:?}");
+            assert_eq!(outcome, code.outcome());
+        }
+    }
+    // Two counts of earlier attempts; two unsent states with three combinations of method and
+    // earlier sending, and one sent state with two.
+    assert_eq!(retries, 2 * (2 * 3 + 2));
+}
+
+#[test]
+fn give_up_codes() {
+    let attempt = |reached, ended| FailedAttempt {
+        reached,
+        ended,
+        idempotent: true,
+        replayable: true,
+        earlier_attempts: 0,
+        sent_earlier: false,
+    };
+    let code = |reached, ended| match give_up(&attempt(reached, ended)) {
+        NextAttempt::Fail { code, .. } => Some(code),
+        _ => None,
+    };
+    use Ended::{DeadlinePassed, TargetFailed};
+    let unreachable = Some(ResultCode::TargetUnreachable);
+    assert_eq!(code(Reached::NotConnected, TargetFailed), unreachable);
+    assert_eq!(code(Reached::BytesSent, TargetFailed), Some(ResultCode::TargetFailed));
+    let waiting = Some(ResultCode::DeadlinePassedWaiting);
+    assert_eq!(code(Reached::Connected, DeadlinePassed), waiting);
+    assert_eq!(code(Reached::HeadReceived, DeadlinePassed), Some(ResultCode::DeadlinePassed));
+}
+
+#[test]
+fn is_idempotent_methods() {
+    assert!(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"].into_iter().all(is_idempotent));
+    assert!(!["POST", "PATCH", "get", "CONNECT", ""].into_iter().any(is_idempotent));
+}
+
+proptest! {
+    #![proptest_config(fixed(31))]
+
+    /// Guards against retries that multiply the load of failing targets.
+    #[test]
+    fn take_retry_within_share(
+        steps in prop::collection::vec((0..4_000_u64, 0..60_u64, 0..30_u64), 1..40),
+    ) {
+        let mut now = Instant::now();
+        let start = now;
+        let mut budget = RetryBudget::new(start);
+        let mut events: Vec<(u64, u64, u64)> = Vec::new();
+        for (wait_ms, requests, tries) in steps {
+            now += Duration::from_millis(wait_ms);
+            (0..requests).for_each(|_| budget.count_request(now));
+            let taken = (0..tries).filter(|_| budget.take_retry(now)).count() as u64;
+            let at_s = (now - start).as_secs();
+            events.push((at_s, requests, taken));
+            let recent = events.iter().filter(|(at, _, _)| at + 10 > at_s);
+            let (seen, retried) = recent.fold((0, 0), |sum, event| (sum.0 + event.1, sum.1 + event.2));
+            prop_assert!(taken == 0 || retried <= MIN_RETRIES.max(seen / 10), "{retried} of {seen}");
+            prop_assert!(taken == tries || retried >= MIN_RETRIES.max(seen / 10));
+        }
+    }
+}
--- a/crates/steering/src/targets.rs
+++ b/crates/steering/src/targets.rs
@@ -28,8 +28,11 @@
 /// Added to the age of a relayed record for its time on the way, so that a record that two daemons
 /// keep sending to each other ages and expires.
 pub const RELAY_ALLOWANCE: Duration = Duration::from_millis(50);
-/// Time for which a departure is remembered, longer than any renewal can be under way.
-pub const DEPARTURE_KEPT: Duration = Duration::from_secs(60);
+/// Time for which a target that departed or whose lease has expired is remembered, so that late
+/// messages of this or an earlier incarnation are recognised.
+pub const KEPT: Duration = Duration::from_secs(60);
+/// Time for which a departure is relayed to other daemons.
+pub const DEPARTURE_RELAYED: Duration = Duration::from_secs(10);
 /// Most targets that are known, so that announcements use bounded memory.
 pub const MAX_TARGETS: usize = 16_384;
 
@@ -58,6 +61,8 @@
     pub known_since: Instant,
     /// Own observations.
     pub health: Health,
+    /// When the target last announced itself to this daemon.
+    announced_at: Option<Instant>,
     pub(crate) hash: u64,
 }
 
@@ -73,8 +78,16 @@
     }
 
     fn is_forgotten(&self, now: Instant) -> bool {
-        let kept = if self.leaving { DEPARTURE_KEPT } else { LEASE };
-        now.saturating_duration_since(self.renewed_at) >= kept
+        now.saturating_duration_since(self.renewed_at) >= KEPT
+    }
+
+    fn is_relayed(&self, now: Instant) -> bool {
+        let relayed = if self.leaving { DEPARTURE_RELAYED } else { LEASE };
+        now.saturating_duration_since(self.renewed_at) < relayed
+    }
+
+    fn is_announced_here(&self, now: Instant) -> bool {
+        self.announced_at.is_some_and(|at| now.saturating_duration_since(at) < LEASE)
     }
 }
 
@@ -96,6 +109,8 @@
 pub struct TargetTable {
     services: HashMap<ServiceId, Vec<Target>>,
     len: usize,
+    /// Departures of targets that were not known here, for records that arrive late.
+    departures: Vec<(Departure, Instant)>,
 }
 
 impl TargetTable {
@@ -146,10 +161,14 @@
             announcement.incarnation < known.incarnation
                 || (announcement.incarnation == known.incarnation && known.leaving)
         });
-        if refused {
+        if refused || self.has_departed(&record) {
             return Accepted::Refused(ResultCode::AnnouncementRefused);
         }
-        self.apply(&record, now, now)
+        let accepted = self.apply(&record, now, now);
+        if let Some(known) = self.get_mut(&announcement.service, &announcement.target) {
+            known.announced_at = Some(now);
+        }
+        accepted
     }
 
     /// Records that a target leaves.
@@ -158,23 +177,36 @@
             Some(known) if departure.incarnation < known.incarnation => {
                 Accepted::Refused(ResultCode::AnnouncementRefused)
             }
-            Some(known) if known.leaving && departure.incarnation == known.incarnation => {
-                Accepted::Unchanged
-            }
             Some(known) => {
+                let is_repeated = known.leaving && departure.incarnation == known.incarnation;
                 known.incarnation = departure.incarnation;
                 known.leaving = true;
                 known.renewed_at = now;
-                Accepted::Renewed
+                known.announced_at = Some(now);
+                if is_repeated { Accepted::Unchanged } else { Accepted::Renewed }
+            }
+            None => {
+                if self.departures.len() < MAX_TARGETS {
+                    self.departures.push((departure.clone(), now));
+                }
+                Accepted::Unchanged
             }
-            None => Accepted::Unchanged,
         }
     }
 
+    /// Returns whether a record belongs to a target that departed before it was known here.
+    fn has_departed(&self, record: &TargetRecord) -> bool {
+        self.departures.iter().any(|(departure, _)| {
+            departure.service == record.service
+                && departure.target == record.target
+                && departure.incarnation >= record.incarnation
+        })
+    }
+
     /// Merges a record that another daemon relayed.
     pub fn merge(&mut self, record: &TargetRecord, now: Instant) -> Accepted {
         let age = Duration::from_millis(record.age_ms).saturating_add(RELAY_ALLOWANCE);
-        let kept = if record.leaving { DEPARTURE_KEPT } else { LEASE };
+        let kept = if record.leaving { KEPT } else { LEASE };
         match now.checked_sub(age) {
             Some(renewed_at) if age < kept => self.apply(record, renewed_at, now),
             _ => Accepted::Unchanged,
@@ -183,20 +215,29 @@
 
     fn apply(&mut self, record: &TargetRecord, renewed_at: Instant, now: Instant) -> Accepted {
         let is_full = self.len >= MAX_TARGETS;
+        let has_departed = self.has_departed(record);
+        let fresh = || {
+            let mut target = target_from(record, renewed_at, now);
+            if has_departed {
+                target.leaving = true;
+                target.renewed_at = now;
+                target.announced_at = Some(now);
+            }
+            target
+        };
         let Some(known) = self.get_mut(&record.service, &record.target) else {
             if is_full {
                 return Accepted::Refused(ResultCode::AnnouncementRefused);
             }
             self.len += 1;
-            let target = target_from(record, renewed_at, now);
-            self.services.entry(record.service.clone()).or_default().push(target);
+            self.services.entry(record.service.clone()).or_default().push(fresh());
             return Accepted::New;
         };
         if record.incarnation < known.incarnation {
             return Accepted::Unchanged;
         }
         if record.incarnation > known.incarnation {
-            *known = target_from(record, renewed_at, now);
+            *known = fresh();
             return Accepted::New;
         }
         if record.leaving && !known.leaving {
@@ -216,13 +257,27 @@
         Accepted::Renewed
     }
 
-    /// Returns the records to relay to other daemons.
+    /// Returns the records of targets that announce themselves to this daemon, or have departed
+    /// here; the daemons of a small deployment send these to each other.
+    pub fn own_records(&self, now: Instant) -> Vec<TargetRecord> {
+        self.records_of(|target| target.is_announced_here(now) || target.leaving, now)
+    }
+
+    /// Returns all records, for a relay between groups of daemons.
     pub fn records(&self, now: Instant) -> Vec<TargetRecord> {
-        let live = self.iter().filter(|(_, target)| !target.is_forgotten(now));
-        live.map(|(service, target)| record_of(service, target, now)).collect()
+        self.records_of(|_| true, now)
+    }
+
+    /// Returns the selected records, departures first, so that these are in the first datagram.
+    fn records_of(&self, selects: impl Fn(&Target) -> bool, now: Instant) -> Vec<TargetRecord> {
+        let relayed = self.iter().filter(|(_, target)| target.is_relayed(now) && selects(target));
+        let mut records: Vec<_> =
+            relayed.map(|(service, target)| record_of(service, target, now)).collect();
+        records.sort_by_key(|record| (!record.leaving, record.age_ms));
+        records
     }
 
-    /// Forgets targets whose lease has expired and returns them.
+    /// Forgets targets that departed or whose lease expired [`KEPT`] ago, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<(ServiceId, TargetId)> {
         let mut forgotten = Vec::new();
         for (service, targets) in &mut self.services {
@@ -235,6 +290,8 @@
             });
         }
         self.services.retain(|_, targets| !targets.is_empty());
+        let is_kept = |at: Instant| now.saturating_duration_since(at) < KEPT;
+        self.departures.retain(|(_, at)| is_kept(*at));
         self.len -= forgotten.len();
         forgotten
     }
@@ -290,6 +347,7 @@
         renewed_at,
         known_since: now,
         health: Health::new(now),
+        announced_at: None,
         hash: id_hash(record.target.as_str()),
     }
 }
--- a/crates/steering/src/targets/choice.rs
+++ b/crates/steering/src/targets/choice.rs
@@ -113,7 +113,8 @@
             distance: distance(place, target),
             sits_out: !taking_part,
             load: load_after(target, current),
-            hash,
+            // Independent of the hash above, which is small for every cold target that takes part.
+            tie: mix(hash, draw),
         };
         if best.as_ref().is_none_or(|(known, _)| rank.is_before(known)) {
             best = Some((rank, target));
@@ -135,15 +136,20 @@
     distance: Distance,
     sits_out: bool,
     load: f64,
-    hash: u64,
+    tie: u64,
 }
 
 impl Rank {
+    /// Within a region, a target that does not sit out is worth the way to another data centre.
+    fn place(&self) -> (bool, bool, Distance) {
+        (self.distance == Distance::Remote, self.sits_out, self.distance)
+    }
+
     fn is_before(&self, other: &Self) -> bool {
-        (self.distance, self.sits_out)
-            .cmp(&(other.distance, other.sits_out))
+        self.place()
+            .cmp(&other.place())
             .then(self.load.total_cmp(&other.load))
-            .then(self.hash.cmp(&other.hash))
+            .then(self.tie.cmp(&other.tie))
             .is_lt()
     }
 }
--- a/crates/steering/src/targets_tests.rs
+++ b/crates/steering/src/targets_tests.rs
@@ -1,1 +1,309 @@
-//! Tests of targets.
+//! Tests of targets: a wrong choice sends work to a target that leaves, fails or has no room.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::health::{FIRST_EJECTION, LONGEST_EJECTION};
+use super::*;
+
+fn fixed(seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    ProptestConfig { cases: 300, rng_seed, failure_persistence: None, ..Default::default() }
+}
+
+fn service() -> ServiceId {
+    "holddesk".parse().unwrap()
+}
+
+fn announcement(target: u32, incarnation: u64, place: (&str, &str), slots: u32) -> Announcement {
+    Announcement {
+        address: "127.0.0.1:1".into(),
+        connections: 300,
+        data_centre: place.1.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        region: place.0.parse().unwrap(),
+        service: service(),
+        slots: SlotCount(slots),
+        target: id(target),
+    }
+}
+
+fn id(target: u32) -> TargetId {
+    format!("t{target}").parse().unwrap()
+}
+
+fn departure(target: u32, incarnation: u64) -> Departure {
+    Departure { incarnation: Incarnation(incarnation), service: service(), target: id(target) }
+}
+
+fn here() -> Place {
+    Place { region: "r1".parse().unwrap(), data_centre: "r1a".parse().unwrap() }
+}
+
+fn table(targets: u32, place: (&str, &str), now: Instant) -> TargetTable {
+    let mut table = TargetTable::new();
+    for target in 0..targets {
+        table.announce(&announcement(target, 1, place, 3), now);
+    }
+    table
+}
+
+fn merge_all(table: &mut TargetTable, records: &[TargetRecord], now: Instant) {
+    for record in records {
+        table.merge(record, now);
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+proptest! {
+    #![proptest_config(fixed(41))]
+
+    /// Guards against an old record that revives a target which departed or was replaced.
+    #[test]
+    fn merge_never_revives(
+        steps in prop::collection::vec((0..5_u8, 1..5_u64, 0..2_usize, 0..3_000_u64), 1..60),
+    ) {
+        let start = Instant::now() + Duration::from_secs(100);
+        let mut now = start;
+        let mut tables = [TargetTable::new(), TargetTable::new()];
+        let mut departed = [(0_u64, start); 2];
+        let mut highest = [0_u64; 2];
+        for (step, incarnation, at, wait_ms) in steps {
+            now += ms(wait_ms);
+            let other = tables[1 - at].records(now);
+            match step {
+                0 => _ = tables[at].announce(&announcement(0, incarnation, ("r1", "r1a"), 3), now),
+                1 => {
+                    let accepted = tables[at].depart(&departure(0, incarnation), now);
+                    if !matches!(accepted, Accepted::Refused(_)) && incarnation > departed[at].0 {
+                        departed[at] = (incarnation, now);
+                    }
+                }
+                2 => drop(tables[at].expire(now)),
+                _ => merge_all(&mut tables[at], &other, now),
+            }
+            let Some(known) = tables[at].get(&service(), &id(0)) else { highest[at] = 0; continue };
+            prop_assert!(known.incarnation.get() >= highest[at]);
+            highest[at] = known.incarnation.get();
+            let remembered = now.saturating_duration_since(departed[at].1) < KEPT;
+            if known.incarnation.get() <= departed[at].0 && remembered {
+                prop_assert!(!known.is_usable(now), "departed {}", departed[at].0);
+            }
+        }
+    }
+
+    /// Guards against a target without announcements that two daemons keep alive for each other.
+    #[test]
+    fn merge_relayed_in_circles(delays in prop::collection::vec(0..50_u64, 400)) {
+        let start = Instant::now() + Duration::from_secs(100);
+        let mut tables = [table(1, ("r1", "r1a"), start), TargetTable::new()];
+        let mut now = start;
+        for (at, delay) in (0..).zip(delays) {
+            let records = tables[at % 2].records(now);
+            now += ms(delay);
+            merge_all(&mut tables[1 - at % 2], &records, now);
+        }
+        let live = |at: usize| tables[at].iter().any(|(_, target)| target.is_live(start + LEASE));
+        prop_assert!(!live(0) && !live(1));
+    }
+
+    /// Guards against a choice without room, of a target that may not be used, of a farther or of
+    /// a more loaded target than necessary.
+    #[test]
+    fn choose_best_with_room(
+        uses in prop::collection::vec((0..3_usize, 1..5_u32, 0..6_u32, 0..4_u32, 0..8_u8), 0..12),
+        draw in any::<u64>(),
+    ) {
+        let start = Instant::now();
+        let now = start + ms(4_000);
+        let mut table = TargetTable::new();
+        let places = [("r1", "r1a"), ("r1", "r1b"), ("r2", "r2a")];
+        for (at, (place, slots, _, _, state)) in (0..).zip(&uses) {
+            let seen = if *state == 0 { start - LEASE } else { start };
+            table.announce(&announcement(at, 1, places[*place], *slots), seen);
+            if *state == 1 {
+                table.depart(&departure(at, 1), now);
+            }
+        }
+        // Far enough from the announcement that no target is cold.
+        let targets: Vec<Target> = table
+            .of_service(&service())
+            .iter()
+            .map(|target| Target { known_since: start - Duration::from_secs(60), ..target.clone() })
+            .collect();
+        let usage = |target: &Target| {
+            let at: usize = target.target.as_str()[1..].parse().ok()?;
+            let (_, _, running, free, state) = uses[at];
+            (state != 2).then_some(TargetUse {
+                running: SlotCount(running),
+                free: SlotCount(free),
+                connections: if state == 3 { 300 } else { 0 },
+            })
+        };
+        let load = |at: usize| f64::from(uses[at].2 + 1) / f64::from(uses[at].1);
+        let usable: Vec<usize> = (0..uses.len()).filter(|at| uses[*at].4 > 2).collect();
+        let best = usable
+            .iter()
+            .filter(|at| uses[**at].3 > 0 && uses[**at].4 > 3)
+            .map(|at| (uses[*at].0, load(*at)))
+            .min_by(|one, other| one.partial_cmp(other).unwrap());
+        match choose(&targets, &here(), usage, draw, now) {
+            Choice::Use(pick) => {
+                let at: usize = pick.target.as_str()[1..].parse().unwrap();
+                prop_assert_eq!(Some((uses[at].0, load(at))), best);
+                prop_assert_eq!(pick.distance as usize, uses[at].0);
+            }
+            Choice::Wait => prop_assert!(best.is_none() && !usable.is_empty()),
+            Choice::NoTarget => prop_assert!(usable.is_empty()),
+        }
+    }
+
+    /// Guards against ejections that leave too few targets or too little capacity in a region.
+    #[test]
+    fn observe_within_caps(
+        slots in prop::collection::vec((0..2_usize, 1..6_u32), 1..14),
+        steps in prop::collection::vec((0..14_u32, 0..4_u8, 0..30_u32, 0..900_u64), 1..300),
+    ) {
+        let regions = ["r1", "r2"];
+        let mut now = Instant::now();
+        let mut table = TargetTable::new();
+        let mut gone = Vec::new();
+        for (target, action, load, wait_ms) in steps {
+            now += ms(wait_ms);
+            for (at, (region, slots)) in (0..).zip(&slots) {
+                if !gone.contains(&at) {
+                    table.announce(&announcement(at, 1, (regions[*region], "dc"), *slots), now);
+                }
+            }
+            let observation = match action {
+                0 => Observation::Success,
+                1 => Observation::Failure,
+                _ => Observation::ConnectFailure,
+            };
+            let region_load = |_: &RegionId| SlotCount(load);
+            let observed =
+                table.observe(&service(), &id(target), Incarnation(1), observation, region_load, now);
+            if action == 3 && gone.len() < 3 && !gone.contains(&target) {
+                table.depart(&departure(target, 1), now);
+                gone.push(target);
+            }
+            if action == 3 || matches!(observed, Observed::Ejected { .. }) {
+                if action == 3 {
+                    table.review(|_, _| SlotCount(load), now);
+                }
+                for region in regions {
+                    let live: Vec<&Target> = table
+                        .of_service(&service())
+                        .iter()
+                        .filter(|target| target.region.as_str() == region && target.is_live(now))
+                        .collect();
+                    let usable = || live.iter().filter(|target| target.is_usable(now));
+                    let ejected = live.len() - usable().count();
+                    let room: u32 = usable().map(|target| target.slots.get()).sum();
+                    prop_assert!(ejected * 3 <= live.len(), "{ejected} of {}", live.len());
+                    let was_reviewed = action == 3;
+                    prop_assert!(ejected == 0 || room >= load || !was_reviewed, "{room} for {load}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a departure that is lost because the target's record arrives after it.
+#[test]
+fn depart_before_record() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let (mut table, other) = (TargetTable::new(), table(1, ("r1", "r1a"), now));
+    table.depart(&departure(0, 1), now);
+    merge_all(&mut table, &other.records(now), now + ms(100));
+    assert!(!table.get(&service(), &id(0)).unwrap().is_usable(now + ms(100)));
+    assert!(table.own_records(now + ms(100))[0].leaving);
+    let refused = Accepted::Refused(ResultCode::AnnouncementRefused);
+    assert_eq!(table.announce(&announcement(0, 1, ("r1", "r1a"), 3), now), refused);
+    assert_eq!(table.announce(&announcement(0, 2, ("r1", "r1a"), 3), now), Accepted::New);
+    assert_eq!(table.announce(&announcement(0, 1, ("r1", "r1a"), 3), now), refused);
+}
+
+/// Guards against a cold target that gets its full share at once, or none.
+#[test]
+fn choose_slow_start_share() {
+    let start = Instant::now();
+    let mut table = table(3, ("r1", "r1a"), start - Duration::from_secs(60));
+    for target in 0..3 {
+        table.announce(&announcement(target, 1, ("r1", "r1a"), 3), start);
+    }
+    table.announce(&announcement(9, 1, ("r1", "r1a"), 3), start);
+    let idle = TargetUse { free: SlotCount(3), ..TargetUse::default() };
+    let share = |after: u64| {
+        let now = start + Duration::from_secs(after);
+        let targets: Vec<Target> = table
+            .of_service(&service())
+            .iter()
+            .map(|target| Target { renewed_at: now, ..target.clone() })
+            .collect();
+        let cold = (0..20_000_u64).filter(|draw| {
+            let draw = crate::lookup::rendezvous::mix(*draw, 1);
+            let choice = choose(&targets, &here(), |_| Some(idle), draw, now);
+            matches!(choice, Choice::Use(pick) if pick.target == id(9))
+        });
+        cold.count() as f64 / 20_000.0
+    };
+    // Of four equal targets, one with weight w is in a share w of the choices, and wins a quarter.
+    for (after, expected) in [(0, 0.1), (10, 0.4), (30, 1.0), (60, 1.0)] {
+        let measured = share(after) * 4.0;
+        assert!((measured - expected).abs() < 0.15 * expected + 0.02, "{after} s: {measured}");
+    }
+}
+
+/// Guards against ejection by an old incarnation's failures, and against one that never ends or
+/// does not grow.
+#[test]
+fn observe_ejection_doubles() {
+    let mut now = Instant::now();
+    let mut table = table(3, ("r1", "r1a"), now);
+    let fail = |table: &mut TargetTable, incarnation, now| {
+        let observation = Observation::ConnectFailure;
+        let incarnation = Incarnation(incarnation);
+        table.observe(&service(), &id(0), incarnation, observation, |_| SlotCount(0), now)
+    };
+    assert_eq!(fail(&mut table, 0, now), Observed::Ignored);
+    for round in 0..7_u32 {
+        for target in 0..3 {
+            table.announce(&announcement(target, 1, ("r1", "r1a"), 3), now);
+        }
+        assert!((0..4).all(|_| fail(&mut table, 1, now) == Observed::Kept));
+        let until = now + (FIRST_EJECTION * (1 << round)).min(LONGEST_EJECTION);
+        assert_eq!(fail(&mut table, 1, now), Observed::Ejected { until });
+        assert!(!table.get(&service(), &id(0)).unwrap().is_usable(now));
+        now = until;
+    }
+    assert_eq!(table.announce(&announcement(0, 2, ("r1", "r1a"), 3), now), Accepted::New);
+    assert!(table.get(&service(), &id(0)).unwrap().is_usable(now));
+}
+
+/// Guards against ejection on few requests, on half of the requests, or on old ones.
+#[test]
+fn observe_failure_rate() {
+    let start = Instant::now();
+    let run = |failures: u32, successes: u32, pause: Duration| {
+        let mut table = table(3, ("r1", "r1a"), start);
+        let observe = |table: &mut TargetTable, observation, now| {
+            table.observe(&service(), &id(0), Incarnation(1), observation, |_| SlotCount(0), now)
+        };
+        for _ in 0..successes {
+            observe(&mut table, Observation::Success, start);
+        }
+        let last = (0..failures).map(|_| observe(&mut table, Observation::Failure, start)).last();
+        table.announce(&announcement(0, 1, ("r1", "r1a"), 3), start + pause);
+        let later = observe(&mut table, Observation::Failure, start + pause);
+        [last, Some(later)].into_iter().any(|seen| matches!(seen, Some(Observed::Ejected { .. })))
+    };
+    assert!(!run(8, 0, ms(0)));
+    assert!(run(9, 0, ms(0)));
+    assert!(!run(5, 6, ms(0)));
+    assert!(run(6, 6, ms(0)));
+    assert!(!run(9, 0, Duration::from_secs(30)));
+}
