Add the operators' command line

Cause: intents can only be created by hand-written HTTP requests, and an operator who repeats an unanswered request by hand may change its content or take it for failed.

Change: `celerygate` gets intent, plan, confirm, status and completions. One request is sent unchanged to the given daemons in turn; a leader named in an answer is followed once per try. One try without an answer makes the outcome unknown unless the control group itself decides a later try. Exit codes follow the result codes. Keys are made locally and only their hash is sent.

--- /dev/null
+++ b/crates/cli/src/commands/confirm.rs
@@ -0,0 +1,135 @@
+//! `confirm`: carries out the plan of an intent.
+
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::{IntentAnswer, IntentState};
+use celerygate_types::{IntentId, ResultCode, Revision};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use indicatif::{ProgressBar, ProgressStyle};
+
+use super::{intent_argument, required};
+use crate::client::Client;
+use crate::exit::Failure;
+use crate::output::{Format, Output, state};
+
+/// Time between two looks at a running intent.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long following survives missing answers; elections and restarts take a few seconds.
+const MAX_SILENCE: Duration = Duration::from_secs(30);
+
+/// Builds the subcommand.
+pub fn build() -> Command {
+    Command::new("confirm")
+        .about("Carry out the plan of an intent")
+        .arg(intent_argument())
+        .arg(
+            Arg::new("based-on")
+                .long("based-on")
+                .value_name("REVISION")
+                .help("Revision the plan was reviewed at; the one the plan is based on by default")
+                .value_parser(value_parser!(Revision)),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .help("Follow the intent until its last change is in force everywhere")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+/// Confirms the intent, follows it if asked to, and prints it.
+pub async fn execute(
+    matches: &ArgMatches,
+    client: &Client,
+    output: &Output,
+) -> Result<(), Failure> {
+    let intent: IntentId = required(matches, "intent");
+    let based_on = match matches.get_one::<Revision>("based-on") {
+        Some(revision) => *revision,
+        None => client.intent(&intent).await?.record.based_on,
+    };
+    let mut answer = client.confirm(&intent, based_on).await?;
+    if matches.get_flag("wait") {
+        answer = follow(client, output, answer).await?;
+    }
+    output.intent(&answer);
+    match answer.record.state {
+        state @ (IntentState::Cancelled | IntentState::Refused) => {
+            let failure = Failure::new(ResultCode::IntentState, format!("The intent is {state}."));
+            Err(failure.with_intent(&intent))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// What to do with a followed intent.
+#[derive(Debug, PartialEq)]
+enum Follow {
+    /// Look again later.
+    Wait,
+    /// Nothing more is going to happen.
+    End,
+}
+
+fn next(answer: &IntentAnswer) -> Follow {
+    let record = &answer.record;
+    match record.state {
+        IntentState::Cancelled | IntentState::Refused => Follow::End,
+        // Without the last condition a move would end after its first step.
+        _ if answer.in_force && record.next_step as usize >= record.plan.steps.len() => Follow::End,
+        _ => Follow::Wait,
+    }
+}
+
+async fn follow(
+    client: &Client,
+    output: &Output,
+    mut answer: IntentAnswer,
+) -> Result<IntentAnswer, Failure> {
+    let bar = progress_bar(output.format);
+    let mut heard = Instant::now();
+    while next(&answer) == Follow::Wait {
+        show(&bar, &answer);
+        tokio::time::sleep(POLL_INTERVAL).await;
+        match client.intent(&answer.record.intent).await {
+            Ok(newer) => {
+                answer = newer;
+                heard = Instant::now();
+            }
+            Err(failure) if heard.elapsed() < MAX_SILENCE => {
+                bar.set_message(format!("{}: {}", failure.name, failure.message));
+            }
+            Err(failure) => {
+                bar.finish_and_clear();
+                let advice = "The intent is confirmed; look at it with plan show.";
+                return Err(failure.with_advice(advice));
+            }
+        }
+    }
+    bar.finish_and_clear();
+    Ok(answer)
+}
+
+/// Draws on the standard error output, and only if that is a terminal.
+fn progress_bar(format: Format) -> ProgressBar {
+    if format == Format::Json {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new(0);
+    let style = ProgressStyle::with_template("{spinner} {elapsed} [{bar:20}] {pos}/{len} {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar.enable_steady_tick(Duration::from_millis(100));
+    bar
+}
+
+fn show(bar: &ProgressBar, answer: &IntentAnswer) {
+    bar.set_length(answer.record.plan.steps.len() as u64);
+    bar.set_position(u64::from(answer.record.next_step));
+    let force = if answer.in_force { "in force" } else { "not yet in force everywhere" };
+    bar.set_message(format!("{}, last change {force}", state(&answer.record)));
+}
+
+#[cfg(test)]
+#[path = "confirm_tests.rs"]
+mod tests;
--- a/crates/cli/src/commands/hash_key.rs
+++ b/crates/cli/src/commands/hash_key.rs
@@ -1,12 +1,14 @@
 //! `hash-key`: the hash under which a deployment file knows a key.
 
-use std::fs;
 use std::path::PathBuf;
 
-use anyhow::Context as _;
 use celerygate_types::KeyHash;
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use super::read_text;
+use crate::exit::Failure;
+use crate::output::Output;
+
 /// Builds the subcommand.
 pub fn build() -> Command {
     Command::new("hash-key").about("Print the blake3 hash of keys for a deployment file").arg(
@@ -20,10 +22,9 @@
 }
 
 /// Prints one hash for each file, in their order.
-pub fn execute(matches: &ArgMatches) -> anyhow::Result<()> {
+pub fn execute(matches: &ArgMatches, output: &Output) -> Result<(), Failure> {
     for path in matches.get_many::<PathBuf>("file").into_iter().flatten() {
-        let text = fs::read_to_string(path).with_context(|| format!("read {}", path.display()))?;
-        println!("{}", hash(text.trim()));
+        output.print(&hash(&read_text(path)?).to_string());
     }
     Ok(())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,16 +1,19 @@
 //! The operators' command line of celerygate.
 
+mod client;
 mod commands;
+mod exit;
+mod output;
+mod share;
+#[cfg(test)]
+#[path = "stand_in_tests.rs"]
+mod stand_in;
 
 use std::process::ExitCode;
 
-fn main() -> ExitCode {
-    let matches = commands::build().get_matches();
-    match commands::execute(&matches) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::from(3)
-        }
-    }
+use output::Printer;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    commands::run(std::env::args_os(), Printer::standard()).await
 }
