--- /dev/null
+++ b/crates/daemon/examples/stand_in_target.rs
@@ -0,0 +1,95 @@
+//! A stand-in for a target: announces itself, answers with bodies that can be checked, and stalls,
+//! sheds, truncates or delays on request.
+//!
+//! - `GET /echo/BYTES` and `GET /echo/BYTES/ANYTHING`: a body that is derived from the path, with
+//!   its digest in a header.
+//! - `POST /count` with the header `idempotency-key`: how often a request with this key ran.
+
+#[path = "stand_in_target/announcer.rs"]
+mod announcer;
+#[path = "shared/body.rs"]
+mod body;
+#[path = "shared/http.rs"]
+mod http;
+#[path = "stand_in_target/options.rs"]
+mod options;
+#[path = "stand_in_target/serve.rs"]
+mod serve;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use announcer::Announcer;
+use serve::Target;
+
+/// Longest wait for requests in progress after the departure.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(30);
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let options = options::parse()?;
+    let listen = &options.listen;
+    let listener =
+        TcpListener::bind(listen).await.with_context(|| format!("listen on {listen}"))?;
+    let address = listener.local_addr().context("read the address of the listener")?.to_string();
+    let mut terminate = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("wait for SIGINT")?;
+
+    let target = Arc::new(Target::new(&options));
+    let announcer = Announcer::new(&options, &address);
+    let renewals = tokio::spawn(announcer.clone().renew());
+    eprintln!("target {} serves {} on {address}", options.target, options.service);
+
+    let open = GracefulShutdown::new();
+    {
+        let accept = accept(&listener, &target, &open);
+        tokio::pin!(accept);
+        tokio::select! {
+            () = &mut accept => {}
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        renewals.abort();
+        announcer.leave().await;
+        // Daemons may send new work until they have all heard of the departure.
+        let _ = tokio::time::timeout(options.drain, accept).await;
+    }
+    if tokio::time::timeout(FINISH_TIMEOUT, open.shutdown()).await.is_err() {
+        eprintln!("target {}: requests in progress did not finish", options.target);
+    }
+    println!("target {}: {}", options.target, target.summary());
+    Ok(())
+}
+
+/// Accepts connections; does not return.
+async fn accept(listener: &TcpListener, target: &Arc<Target>, open: &GracefulShutdown) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                eprintln!("accept: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let target = target.clone();
+        let service = service_fn(move |request| {
+            let target = target.clone();
+            async move { target.answer(request).await }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = open.watch(connection);
+        // Errors are of the peer's making or the wanted truncation.
+        tokio::spawn(async move { watched.await.ok() });
+    }
+}
--- /dev/null
+++ b/crates/daemon/examples/stand_in_target/serve.rs
@@ -0,0 +1,226 @@
+//! Answers requests.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use blake3::{Hasher, OutputReader};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+
+use crate::body::{DIGEST_HEADER, stream};
+use crate::options::{Faults, Options};
+
+/// Size of the pieces in which bodies are made.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// Largest body; a typing error must not keep the machine busy.
+const MAX_BODY_BYTES: u64 = 1 << 30;
+
+type AnyBody = UnsyncBoxBody<Bytes, Truncated>;
+
+/// The wanted end of a body before its last byte.
+#[derive(Debug)]
+pub struct Truncated;
+
+impl std::fmt::Display for Truncated {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("truncated on request")
+    }
+}
+
+impl std::error::Error for Truncated {}
+
+/// What the target has done so far.
+#[derive(Default)]
+struct Seen {
+    requests: AtomicU64,
+    running: AtomicU64,
+    most_running: AtomicU64,
+    over_slots: AtomicU64,
+    with_key: AtomicU64,
+    counts: Mutex<HashMap<String, u64>>,
+}
+
+/// The target.
+pub struct Target {
+    slots: u64,
+    faults: Faults,
+    seen: Arc<Seen>,
+}
+
+/// Counts a request as running until its body is gone.
+struct Running(Arc<Seen>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn is_nth(number: u64, every: u64) -> bool {
+    every != 0 && number.is_multiple_of(every)
+}
+
+impl Target {
+    /// Makes the target that the options describe.
+    pub fn new(options: &Options) -> Self {
+        let slots = u64::from(options.slots.get());
+        Self { slots, faults: options.faults, seen: Arc::default() }
+    }
+
+    /// Answers one request.
+    pub async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnyBody>, Infallible> {
+        let running = self.begin(&request);
+        let number = self.seen.requests.fetch_add(1, Ordering::Relaxed) + 1;
+        tokio::time::sleep(self.faults.delay).await;
+        if is_nth(number, self.faults.stall_every) {
+            std::future::pending::<()>().await;
+        }
+        if is_nth(number, self.faults.shed_every) {
+            return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "shed", running));
+        }
+        let (head, body) = request.into_parts();
+        // The body is read so that the connection can be used again.
+        if body.collect().await.is_err() {
+            return Ok(text(StatusCode::BAD_REQUEST, "the body is incomplete", running));
+        }
+        let path = head.uri.path();
+        Ok(match (&head.method, path.strip_prefix("/echo/")) {
+            (&Method::GET, Some(rest)) => {
+                let cut = is_nth(number, self.faults.truncate_every);
+                echo(path, rest, cut, running)
+            }
+            (&Method::POST, None) if path == "/count" => {
+                match head.headers.get("idempotency-key").and_then(|key| key.to_str().ok()) {
+                    Some(key) => text(StatusCode::OK, &self.count(key).to_string(), running),
+                    None => text(StatusCode::BAD_REQUEST, "idempotency-key is missing", running),
+                }
+            }
+            _ => text(StatusCode::NOT_FOUND, "unknown path", running),
+        })
+    }
+
+    fn begin(&self, request: &Request<Incoming>) -> Running {
+        let running = self.seen.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.seen.most_running.fetch_max(running, Ordering::Relaxed);
+        if running > self.slots {
+            self.seen.over_slots.fetch_add(1, Ordering::Relaxed);
+        }
+        if request.headers().contains_key(AUTHORIZATION) {
+            self.seen.with_key.fetch_add(1, Ordering::Relaxed);
+        }
+        Running(self.seen.clone())
+    }
+
+    fn count(&self, key: &str) -> u64 {
+        let mut counts = self.seen.counts.lock();
+        let count = counts.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+
+    /// Describes what the target has done.
+    pub fn summary(&self) -> String {
+        let seen = &self.seen;
+        let repeated = seen.counts.lock().values().filter(|count| **count > 1).count();
+        format!(
+            "requests={} most_running={} slots={} over_slots={} with_key={} repeated_keys={repeated}",
+            seen.requests.load(Ordering::Relaxed),
+            seen.most_running.load(Ordering::Relaxed),
+            self.slots,
+            seen.over_slots.load(Ordering::Relaxed),
+            seen.with_key.load(Ordering::Relaxed),
+        )
+    }
+}
+
+fn response(status: StatusCode, body: AnyBody) -> Response<AnyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
+fn text(status: StatusCode, text: &str, running: Running) -> Response<AnyBody> {
+    let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
+    let body = body.map_err(|never| match never {}).map_frame(move |frame| {
+        let _until_sent = &running;
+        frame
+    });
+    response(status, body.boxed_unsync())
+}
+
+fn echo(path: &str, rest: &str, cut: bool, running: Running) -> Response<AnyBody> {
+    let size = rest.split('/').next().and_then(|size| size.parse().ok());
+    let Some(size) = size.filter(|size| *size <= MAX_BODY_BYTES) else {
+        return text(StatusCode::BAD_REQUEST, "the size is invalid", running);
+    };
+    let sent = if cut { size / 2 } else { size };
+    let body = Echo { reader: stream(path), left: size, cut_at: size - sent, _running: running };
+    let mut response = response(StatusCode::OK, body.boxed_unsync());
+    if let Ok(digest) = digest(path, size).parse() {
+        response.headers_mut().insert(DIGEST_HEADER, digest);
+    }
+    response
+}
+
+/// Returns the digest of the first bytes of the stream.
+fn digest(path: &str, len: u64) -> String {
+    let mut hasher = Hasher::new();
+    let mut reader = stream(path);
+    let mut piece = vec![0; PIECE_BYTES];
+    let mut left = len;
+    while left > 0 {
+        let size = left.min(PIECE_BYTES as u64) as usize;
+        reader.fill(&mut piece[..size]);
+        hasher.update(&piece[..size]);
+        left -= size as u64;
+    }
+    hasher.finalize().to_hex().to_string()
+}
+
+/// A body that is made while it is sent.
+struct Echo {
+    reader: OutputReader,
+    left: u64,
+    /// The body fails when this much is left; 0 for a complete one.
+    cut_at: u64,
+    _running: Running,
+}
+
+impl Body for Echo {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        if self.left == self.cut_at {
+            return Poll::Ready((self.cut_at > 0).then_some(Err(Truncated)));
+        }
+        let size = (self.left - self.cut_at).min(PIECE_BYTES as u64);
+        let mut piece = vec![0; size as usize];
+        self.reader.fill(&mut piece);
+        self.left -= size;
+        Poll::Ready(Some(Ok(Frame::data(piece.into()))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+}
