--- a/crates/daemon/examples/stand_in_target/serve.rs
+++ b/crates/daemon/examples/stand_in_target/serve.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::Future as _;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use blake3::{Hasher, OutputReader};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -14,6 +16,7 @@
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
+use tokio::time::{Sleep, sleep};
 
 use crate::body::{DIGEST_HEADER, stream};
 use crate::options::{Faults, Options};
@@ -21,6 +24,9 @@
 /// Size of the pieces in which bodies are made.
 const PIECE_BYTES: usize = 64 << 10;
 
+/// Time to send the first part of a body that is cut; hyper drops what it has not sent.
+const CUT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Largest body; a typing error must not keep the machine busy.
 const MAX_BODY_BYTES: u64 = 1 << 30;
 
@@ -166,7 +172,13 @@
         return text(StatusCode::BAD_REQUEST, "the size is invalid", running);
     };
     let sent = if cut { size / 2 } else { size };
-    let body = Echo { reader: stream(path), left: size, cut_at: size - sent, _running: running };
+    let body = Echo {
+        reader: stream(path),
+        left: size,
+        cut_at: size - sent,
+        before_cut: None,
+        _running: running,
+    };
     let mut response = response(StatusCode::OK, body.boxed_unsync());
     if let Ok(digest) = digest(path, size).parse() {
         response.headers_mut().insert(DIGEST_HEADER, digest);
@@ -195,6 +207,8 @@
     left: u64,
     /// The body fails when this much is left; 0 for a complete one.
     cut_at: u64,
+    /// Runs while the first part is sent.
+    before_cut: Option<Pin<Box<Sleep>>>,
     _running: Running,
 }
 
@@ -204,10 +218,15 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         if self.left == self.cut_at {
-            return Poll::Ready((self.cut_at > 0).then_some(Err(Truncated)));
+            if self.cut_at == 0 {
+                return Poll::Ready(None);
+            }
+            let pause = || Box::pin(sleep(CUT_PAUSE));
+            ready!(self.before_cut.get_or_insert_with(pause).as_mut().poll(context));
+            return Poll::Ready(Some(Err(Truncated)));
         }
         let size = (self.left - self.cut_at).min(PIECE_BYTES as u64);
         let mut piece = vec![0; size as usize];
