Check a key again before a waiting request is sent

Cause: a request may wait for tokens or a slot for as long as its deadline allows; its key could be withdrawn meanwhile and the request still ran. Change: the exchange keeps the key's id, and the key and the freshness of the configuration are checked again after a target was picked. Lookups learn how many slots an answer adds.

--- a/crates/daemon/src/announce.rs
+++ b/crates/daemon/src/announce.rs
@@ -54,11 +54,7 @@
     Ok(())
 }
 
-fn accept(
-    daemon: &Daemon,
-    accepted: Accepted,
-    announcement: &Announcement,
-) -> Result<(), Refusal> {
+fn accept(daemon: &Daemon, accepted: Accepted, announcement: &Announcement) -> Result<(), Refusal> {
     match accepted {
         Accepted::New => {
             log::info!(
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -8,10 +8,10 @@
 
 use anyhow::{Context, Result};
 use celerygate_types::wire::TlsSettings;
+use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::io::{AsyncRead, AsyncWrite};
--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -75,7 +75,7 @@
     let mut background = start_workers(settings.workers, &source, run_job);
     let messages = queue.clone();
     let inbound: Inbound = Arc::new(move |envelope| {
-        messages.offer(Job::Message(envelope));
+        messages.offer(Job::Message(Box::new(envelope)));
     });
     background.extend(daemon.peers.receive(peer_listener, inbound));
     background.extend(Tick::iter().map(|tick| jobs::start_timer(tick, queue.clone())));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -259,9 +259,7 @@
     match refused {
         None => Ok(receiver),
         Some(ProposeRefusal::NotLeader { .. }) => Err(not_leader(&control)),
-        Some(refusal) => {
-            Err(Refusal::with_detail(ResultCode::IntentRefused, refusal.to_string()))
-        }
+        Some(refusal) => Err(Refusal::with_detail(ResultCode::IntentRefused, refusal.to_string())),
     }
 }
 
--- a/crates/daemon/src/control/distribute.rs
+++ b/crates/daemon/src/control/distribute.rs
@@ -7,10 +7,11 @@
 };
 use celerygate_control::freshness::{ReplyVerdict, Report, leader_reply, relay_reply};
 use celerygate_control::state;
-use celerygate_types::{Revision, Term, VmId};
 use celerygate_types::wire::{
-    ConfigurationDelta, ConfigurationSnapshot, FreshnessReply, FreshnessRequest, MemberRole, Message,
+    ConfigurationDelta, ConfigurationSnapshot, FreshnessReply, FreshnessRequest, MemberRole,
+    Message,
 };
+use celerygate_types::{Revision, Term, VmId};
 
 use super::{Control, publish};
 use crate::daemon::Daemon;
@@ -74,12 +75,7 @@
     }
 }
 
-fn note_acknowledged(
-    daemon: &Daemon,
-    control: &mut Control,
-    vm: &VmId,
-    revision: Revision,
-) {
+fn note_acknowledged(daemon: &Daemon, control: &mut Control, vm: &VmId, revision: Revision) {
     let now = daemon.clock.now();
     if let Some(leading) = control.vm.as_mut().and_then(|vm| vm.leading.as_mut()) {
         leading.in_force.acknowledged(vm, revision, Report::Direct, now);
@@ -87,12 +83,7 @@
 }
 
 /// Answers a daemon's question whether its configuration is current, and sends what it lacks.
-pub fn answer(
-    daemon: &Daemon,
-    control: &mut Control,
-    from: VmId,
-    request: &FreshnessRequest,
-) {
+pub fn answer(daemon: &Daemon, control: &mut Control, from: VmId, request: &FreshnessRequest) {
     let now = daemon.clock.now();
     let revision = control.configuration.revision;
     let reply = match &control.vm {
@@ -186,13 +177,7 @@
     }
 }
 
-fn adopt(
-    daemon: &Daemon,
-    control: &mut Control,
-    from: &VmId,
-    term: Term,
-    received: Received,
-) {
+fn adopt(daemon: &Daemon, control: &mut Control, from: &VmId, term: Term, received: Received) {
     match received {
         Received::Applied(configuration) => {
             log::info!(
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -7,8 +7,8 @@
 use celerygate_control::freshness::InForce;
 use celerygate_control::intents::{ExecutorAction, LeaderLease, Now, next_action};
 use celerygate_control::replica::Input;
-use celerygate_types::{Term, VmId};
 use celerygate_types::wire::{Command, Configuration};
+use celerygate_types::{Term, VmId};
 
 use super::{Control, Leading, handle, rates};
 use crate::daemon::Daemon;
--- a/crates/daemon/src/control/rates.rs
+++ b/crates/daemon/src/control/rates.rs
@@ -12,10 +12,8 @@
 /// Returns the rate and burst of each organisation.
 pub fn limits(configuration: &Configuration) -> impl Iterator<Item = (OrganisationId, Limit)> {
     configuration.organisations.iter().map(|organisation| {
-        let limit = Limit {
-            rate: organisation.rate_requests_per_s,
-            burst: organisation.burst_requests,
-        };
+        let limit =
+            Limit { rate: organisation.rate_requests_per_s, burst: organisation.burst_requests };
         (organisation.organisation.clone(), limit)
     })
 }
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -12,7 +12,7 @@
 use celerygate_steering::outcome::{
     FailedAttempt, NextAttempt, give_up, is_idempotent, next_attempt,
 };
-use celerygate_types::{OrganisationId, RequestId, ResultCode, ServiceId};
+use celerygate_types::{RequestId, ResultCode, ServiceId};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
@@ -22,6 +22,7 @@
 use crate::lookup;
 use crate::refusal::Refusal;
 use crate::shutdown::Phase;
+use crate::view::Caller;
 
 use self::attempt::{Attempt, AttemptEnd, UpstreamRequest};
 
@@ -38,8 +39,8 @@
     pub id: RequestId,
     /// Service that is asked for.
     pub service: ServiceId,
-    /// Organisation whose key came with the request; none on open routes.
-    pub organisation: Option<OrganisationId>,
+    /// Whose key came with the request; none on open routes.
+    pub caller: Option<Caller>,
     /// When the head arrived.
     pub received_at: Instant,
     /// Time that the request may take.
@@ -175,11 +176,11 @@
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let deadline = headers::parse_deadline(values(request.headers(), headers::DEADLINE_HEADER))?;
-    let organisation = admission::identify(daemon, service, &uri, request.headers())?;
+    let caller = admission::identify(daemon, service, &uri, request.headers())?;
     let exchange = Arc::new(Exchange {
         id: id.clone(),
         service: service.clone(),
-        organisation,
+        caller,
         received_at,
         deadline,
         idempotent: is_idempotent(request.method().as_str()),
@@ -203,6 +204,10 @@
             Ok(picked) => picked,
             Err(refusal) => return Err(attempts.refusal_after(refusal)),
         };
+        // The request may have waited for long, so its key may have been withdrawn meanwhile.
+        if let Err(refusal) = admission::check_again(daemon, &exchange) {
+            return Err(attempts.refusal_after(refusal));
+        }
         let end = attempt::send(daemon, &exchange, &mut upstream, &picked).await;
         let (reached, ended, detail) = match end {
             AttemptEnd::Response(response) => {
--- a/crates/daemon/src/forward/admission.rs
+++ b/crates/daemon/src/forward/admission.rs
@@ -13,6 +13,7 @@
 use super::{Exchange, values};
 use crate::daemon::Daemon;
 use crate::refusal::Refusal;
+use crate::view::Caller;
 
 /// Decides for which organisation a request runs.
 pub fn identify(
@@ -20,7 +21,7 @@
     service: &ServiceId,
     uri: &Uri,
     headers: &HeaderMap,
-) -> Result<Option<OrganisationId>, Refusal> {
+) -> Result<Option<Caller>, Refusal> {
     let view = daemon.tables.view();
     let record = view.service(service).ok_or(ResultCode::UnknownService)?;
     let presented: Vec<&[u8]> = values(headers, AUTHORIZATION.as_str()).collect();
@@ -37,14 +38,28 @@
         Identity::Open => Ok(None),
         Identity::Refused(code) => Err(code.into()),
         // Checked after the key, so that strangers do not learn the daemon's state.
-        Identity::Organisation { organisation, .. } if daemon.is_fresh() => Ok(Some(organisation)),
+        Identity::Organisation { organisation, key } if daemon.is_fresh() => {
+            Ok(Some(Caller { organisation, key }))
+        }
         Identity::Organisation { .. } => Err(ResultCode::ConfigurationStale.into()),
     }
 }
 
+/// Checks the key of a request again just before the request is sent.
+pub fn check_again(daemon: &Daemon, exchange: &Exchange) -> Result<(), Refusal> {
+    let Some(caller) = &exchange.caller else { return Ok(()) };
+    if !daemon.is_fresh() {
+        return Err(ResultCode::ConfigurationStale.into());
+    }
+    if !daemon.tables.view().is_key_valid(caller, daemon.clock.unix_ms()) {
+        return Err(ResultCode::KeyRefused.into());
+    }
+    Ok(())
+}
+
 /// Takes a rate token for a request, waiting for one if the owner may still grant it.
 pub async fn admit(daemon: &Arc<Daemon>, exchange: &Exchange) -> Result<(), Refusal> {
-    let Some(organisation) = &exchange.organisation else { return Ok(()) };
+    let Some(Caller { organisation, .. }) = &exchange.caller else { return Ok(()) };
     let ticket = match first_decision(daemon, exchange, organisation) {
         Decision::Admitted => return Ok(()),
         Decision::Refused(refusal) => return Err(refusal),
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -62,7 +62,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// The slot, released when dropped.
-    pub slot: SlotGuard,
+    _slot: SlotGuard,
 }
 
 enum Picking {
@@ -131,7 +131,7 @@
         "target chosen"
     );
     let slot = SlotGuard::new(daemon, &exchange.service, &pick.target);
-    Picking::Picked(Picked { pick, address, slot })
+    Picking::Picked(Picked { pick, address, _slot: slot })
 }
 
 /// The parts of a caller's request that go to a target.
@@ -153,8 +153,8 @@
         copy_kept(&filter, &parts.headers, &mut forwarded);
         forwarded.remove(HOST);
         insert_text(&mut forwarded, REQUEST_HEADER, exchange.id.as_str());
-        if let Some(organisation) = &exchange.organisation {
-            insert_text(&mut forwarded, ORGANISATION_HEADER, organisation.as_str());
+        if let Some(caller) = &exchange.caller {
+            insert_text(&mut forwarded, ORGANISATION_HEADER, caller.organisation.as_str());
         }
         let body_is_empty = is_empty(&body);
         let body_touched = Arc::new(AtomicBool::new(false));
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -5,7 +5,7 @@
 
 use celerygate_control::distribution::{first_poll_delay, poll_delay};
 use celerygate_types::wire::{Envelope, Heartbeat, Message};
-use celerygate_types::{Incarnation, ServiceId, VmId};
+use celerygate_types::{ServiceId, VmId};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -16,7 +16,7 @@
 /// Something for a worker to do.
 pub enum Job {
     /// An authentic message from a peer.
-    Message(Envelope),
+    Message(Box<Envelope>),
     /// A timer has expired.
     Tick(Tick),
 }
@@ -75,7 +75,7 @@
 pub fn run(daemon: Arc<Daemon>, job: Job) -> JobFuture {
     Box::pin(async move {
         match job {
-            Job::Message(envelope) => receive(&daemon, envelope),
+            Job::Message(envelope) => receive(&daemon, *envelope),
             Job::Tick(tick) => run_tick(&daemon, tick),
         }
     })
@@ -84,19 +84,14 @@
 fn receive(daemon: &Arc<Daemon>, envelope: Envelope) {
     match envelope.message {
         Message::Heartbeat(heartbeat) => {
-            record_heartbeat(daemon, envelope.sender, envelope.sender_incarnation, heartbeat);
+            record_heartbeat(daemon, envelope.sender, heartbeat);
         }
         Message::GrantReply(reply) => control::accept_tokens(daemon, &reply),
         _ => control::receive(daemon, envelope),
     }
 }
 
-fn record_heartbeat(
-    daemon: &Daemon,
-    sender: VmId,
-    incarnation: Incarnation,
-    heartbeat: Heartbeat,
-) {
+fn record_heartbeat(daemon: &Daemon, sender: VmId, heartbeat: Heartbeat) {
     let now = daemon.clock.now();
     let mut changed = false;
     {
@@ -106,7 +101,7 @@
             changed |= matches!(targets.merge(record, now), Accepted::New);
         }
     }
-    daemon.tables.neighbours.lock().record(sender, incarnation, heartbeat, now);
+    daemon.tables.neighbours.lock().record(sender, heartbeat, now);
     if changed {
         daemon.slots_changed.notify_waiters();
     }
--- a/crates/daemon/src/lookup.rs
+++ b/crates/daemon/src/lookup.rs
@@ -1,10 +1,11 @@
 //! Lookups: which entry VMs a caller should use.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use celerygate_steering::lookup::{
-    AnswerLedger, CACHE_TIME, Decision, EntryInput, EntryTable, Lookup, RegionRoom, decide,
+    CACHE_TIME, Capacity, Decision, EntryInput, EntryTable, Lookup, RegionRoom, decide,
 };
 use celerygate_types::wire::{EntryVm, LookupAnswer, VmState};
 use celerygate_types::{RegionId, RequestId, ResultCode, ServiceId, VmId};
@@ -21,25 +22,62 @@
 /// Time between two rebuilds of the entry table and the rooms.
 pub const REBUILD_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Slots that an answer adds at most, and what is assumed while there is no load to learn from.
+const MAX_SLOTS_PER_ANSWER: f32 = 1.0;
+const MIN_SLOTS_PER_ANSWER: f32 = 0.01;
+/// Weight of the latest interval in the average number of answers.
+const LATEST_WEIGHT: f32 = 0.1;
+
 /// Regions, entry VMs and rooms as lookups see them.
+#[derive(Default)]
 pub struct LookupState {
     entries: EntryTable,
-    rooms: Vec<(ServiceId, Vec<RegionRoom>)>,
-    ledger: AnswerLedger,
+    services: HashMap<ServiceId, ServiceState>,
 }
 
-impl LookupState {
-    /// Returns a state without entry VMs.
-    pub fn new(now: Instant) -> Self {
-        Self { entries: EntryTable::default(), rooms: Vec::new(), ledger: AnswerLedger::new(0, now) }
-    }
+/// What lookups for one service need and learn.
+struct ServiceState {
+    capacity: Capacity,
+    /// Answers since the last rebuild.
+    answers: u32,
+    answers_per_rebuild: f32,
+}
 
-    /// Replaces the entry table and the rooms.
-    pub fn replace(&mut self, entries: EntryTable, rooms: Vec<(ServiceId, Vec<RegionRoom>)>) {
+impl LookupState {
+    /// Replaces the entry table and updates the room of each service.
+    fn update(
+        &mut self,
+        entries: EntryTable,
+        rooms: Vec<(ServiceId, Vec<RegionRoom>)>,
+        now: Instant,
+    ) {
+        self.services.retain(|known, _| rooms.iter().any(|(service, _)| service == known));
+        let vms = entries.vms().len().max(1) as f32;
+        for (service, room) in rooms {
+            let state = self.services.entry(service).or_insert_with(|| ServiceState {
+                capacity: Capacity::new(room.len(), now),
+                answers: 0,
+                answers_per_rebuild: 0.0,
+            });
+            state.update(room, vms, now);
+        }
         self.entries = entries;
-        self.rooms = rooms;
     }
+}
 
+impl ServiceState {
+    fn update(&mut self, mut room: Vec<RegionRoom>, vms: f32, now: Instant) {
+        let latest = std::mem::take(&mut self.answers) as f32;
+        self.answers_per_rebuild += LATEST_WEIGHT * (latest - self.answers_per_rebuild);
+        let load: f32 = room.iter().map(|room| room.load_slots).sum();
+        let rebuilds = CACHE_TIME.as_secs_f32() / REBUILD_INTERVAL.as_secs_f32();
+        // Callers ask again when their answer expires, so the load belongs to the answers of one
+        // caching time, over all VMs.
+        let answers = (self.answers_per_rebuild * rebuilds * vms).max(1.0);
+        let per_answer = (load / answers).clamp(MIN_SLOTS_PER_ANSWER, MAX_SLOTS_PER_ANSWER);
+        room.iter_mut().for_each(|room| room.slots_per_answer = per_answer);
+        self.capacity.update(room, now);
+    }
 }
 
 /// Answers a lookup.
@@ -74,13 +112,13 @@
     view.service(service).ok_or(ResultCode::UnknownService)?;
     let now = daemon.clock.now();
     let mut state = daemon.tables.lookups.lock();
-    let LookupState { entries, rooms, ledger } = &mut *state;
-    let room = rooms.iter().find(|(known, _)| known == service).map_or(&[][..], |(_, r)| r);
+    let LookupState { entries, services } = &mut *state;
+    // Known services get their state with the next rebuild after the configuration arrived.
+    let state = services.get_mut(service).ok_or(ResultCode::NoCapacity)?;
+    state.answers += 1;
     let segment = |home: &RegionId, hash: u64| view.region_of_block(service, home, hash);
-    let Lookup::Use(decision) = decide(&view.blocks, entries, room, ledger, client, segment, now)
-    else {
-        return Err(ResultCode::NoCapacity.into());
-    };
+    let decided = decide(&view.blocks, entries, &mut state.capacity, client, segment, now);
+    let Lookup::Use(decision) = decided else { return Err(ResultCode::NoCapacity.into()) };
     log::info!(
         request:% = id, service:% = service, client:% = client,
         region:% = entries.region(decision.region), reason:% = decision.reason,
@@ -148,13 +186,15 @@
     let regions = &view.configuration.regions;
     let entries = EntryTable::new(regions, &inputs);
     let rooms = rooms(daemon, &view, now);
-    daemon.tables.lookups.lock().replace(entries, rooms);
+    daemon.tables.lookups.lock().update(entries, rooms, now);
 }
 
 fn entry_inputs(daemon: &Daemon, view: &View, now: Instant) -> Vec<EntryInput> {
     let neighbours = daemon.tables.neighbours.lock();
     let state_of = |vm: &VmId| {
-        if *vm == daemon.own { Some(daemon.state()) } else {
+        if *vm == daemon.own {
+            Some(daemon.state())
+        } else {
             neighbours.live(vm, now).map(|known| known.heartbeat.state)
         }
     };
@@ -194,8 +234,9 @@
                 let slots: u32 = usable.map(|target| target.slots.get()).sum();
                 let running = load.get(region).copied().unwrap_or_default().get();
                 RegionRoom {
-                    headroom_slots: slots.saturating_sub(running) as f32,
-                    slots_per_answer: 1.0,
+                    capacity_slots: slots as f32,
+                    load_slots: running as f32,
+                    slots_per_answer: 0.0,
                 }
             };
             let regions = view.configuration.regions.iter().map(room).collect();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -27,7 +27,10 @@
     Route::new()
         .at("/v1/intents", with(|daemon, request| Box::pin(create(daemon, request))))
         .at("/v1/intents/:intent", with(|daemon, request| Box::pin(show(daemon, request))))
-        .at("/v1/intents/:intent/confirm", with(|daemon, request| Box::pin(confirm(daemon, request))))
+        .at(
+            "/v1/intents/:intent/confirm",
+            with(|daemon, request| Box::pin(confirm(daemon, request))),
+        )
         .at("/v1/status", with(|daemon, request| Box::pin(show_status(daemon, request))))
         .at("/metrics", with(|daemon, _| Box::pin(scrape(daemon))))
         .map_to_response()
@@ -43,7 +46,7 @@
             Prepared::Propose(command) => command,
         };
         let intent = command.intent.clone();
-        match control::propose(daemon, Command::Propose(command)).await? {
+        match control::propose(daemon, Command::Propose(*command)).await? {
             Applied::Refused(code) => Err(with_revision(daemon, code)),
             _ => answer(daemon, &intent),
         }
@@ -54,7 +57,7 @@
 enum Prepared {
     /// The intent is recorded already.
     Recorded(Box<IntentAnswer>),
-    Propose(ProposeCommand),
+    Propose(Box<ProposeCommand>),
 }
 
 /// Plans a new intent, or finds the record of a resent one.
@@ -82,7 +85,8 @@
         "intent planned"
     );
     let (intent, kind) = (request.intent.clone(), request.kind.clone());
-    Ok(Prepared::Propose(ProposeCommand { intent, kind, based_on, plan, at_unix_ms }))
+    let command = ProposeCommand { intent, kind, based_on, plan, at_unix_ms };
+    Ok(Prepared::Propose(Box::new(command)))
 }
 
 async fn show(daemon: Arc<Daemon>, request: Request) -> poem::Result<Response> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -34,7 +34,12 @@
 }
 
 impl ChannelState {
-    fn new(channel: Channel, secret: &[u8], own: Incarnation, peers: &[(VmId, SocketAddr)]) -> Self {
+    fn new(
+        channel: Channel,
+        secret: &[u8],
+        own: Incarnation,
+        peers: &[(VmId, SocketAddr)],
+    ) -> Self {
         let names = peers.iter().map(|(vm, _)| vm.clone());
         Self {
             codec: Codec::new(channel, secret),
@@ -104,7 +109,11 @@
     }
 
     /// Starts receiving.
-    pub fn receive(self: &Arc<Self>, listener: TcpListener, inbound: Inbound) -> [JoinHandle<()>; 2] {
+    pub fn receive(
+        self: &Arc<Self>,
+        listener: TcpListener,
+        inbound: Inbound,
+    ) -> [JoinHandle<()>; 2] {
         let socket = Arc::clone(&self.socket);
         [
             tokio::spawn(udp::receive(socket, Arc::clone(self), Arc::clone(&inbound))),
--- a/crates/daemon/src/peers/codec.rs
+++ b/crates/daemon/src/peers/codec.rs
@@ -88,8 +88,7 @@
     ///
     /// When the result is longer than the channel allows.
     pub fn seal(&self, envelope: &Envelope) -> Result<Vec<u8>, CodecError> {
-        let mut bytes =
-            postcard::to_allocvec(envelope).map_err(|_| CodecError::Malformed)?;
+        let mut bytes = postcard::to_allocvec(envelope).map_err(|_| CodecError::Malformed)?;
         let mac = blake3::keyed_hash(&self.key, &bytes);
         bytes.extend_from_slice(mac.as_bytes());
         if bytes.len() > self.channel.max_bytes() {
@@ -114,8 +113,7 @@
         if blake3::keyed_hash(&self.key, body) != mac {
             return Err(CodecError::NotAuthentic);
         }
-        let envelope: Envelope =
-            postcard::from_bytes(body).map_err(|_| CodecError::Malformed)?;
+        let envelope: Envelope = postcard::from_bytes(body).map_err(|_| CodecError::Malformed)?;
         match envelope.version {
             MESSAGE_VERSION => Ok(envelope),
             other => Err(CodecError::Version(other)),
--- a/crates/daemon/src/peers/tcp_tests.rs
+++ b/crates/daemon/src/peers/tcp_tests.rs
@@ -5,8 +5,7 @@
 #[tokio::test]
 async fn read_frame_oversized() {
     let error = read_frame(&mut tokio::io::empty(), u32::MAX).await.unwrap_err();
-    expect_test::expect!["frame of 4294967295 bytes exceeds 1048576"]
-        .assert_eq(&error.to_string());
+    expect_test::expect!["frame of 4294967295 bytes exceeds 1048576"].assert_eq(&error.to_string());
 }
 
 #[tokio::test]
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -4,7 +4,8 @@
 
 use celerygate_types::VmId;
 use celerygate_types::wire::{
-    Configuration, LinkUse, OrganisationStatus, RegionHeadroom, StatusAnswer, TargetStatus, VmStatus,
+    Configuration, LinkUse, OrganisationStatus, RegionHeadroom, StatusAnswer, TargetStatus,
+    VmStatus,
 };
 
 use crate::daemon::Daemon;
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -52,7 +52,7 @@
             neighbours: Ranked::new(30, Neighbours::default()),
             targets: Ranked::new(40, TargetTable::new()),
             slots: Ranked::new(50, Slots::default()),
-            lookups: Ranked::new(60, LookupState::new(now)),
+            lookups: Ranked::new(60, LookupState::default()),
             grants: Ranked::new(70, Grants::new()),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
--- a/crates/daemon/src/tables/neighbours.rs
+++ b/crates/daemon/src/tables/neighbours.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use celerygate_types::VmId;
 use celerygate_types::wire::Heartbeat;
-use celerygate_types::{Incarnation, VmId};
 
 /// Time without a heartbeat after which a daemon counts as dead: two heartbeats may be lost.
 pub const DEAD_AFTER: Duration = Duration::from_secs(2);
@@ -12,8 +12,6 @@
 /// A daemon's last heartbeat.
 #[derive(Clone, Debug)]
 pub struct Neighbour {
-    /// Life of the daemon's process.
-    pub incarnation: Incarnation,
     /// Arrival of the heartbeat.
     pub heard_at: Instant,
     /// The heartbeat.
@@ -28,8 +26,8 @@
 
 impl Neighbours {
     /// Records a heartbeat.
-    pub fn record(&mut self, vm: VmId, incarnation: Incarnation, heartbeat: Heartbeat, now: Instant) {
-        self.known.insert(vm, Neighbour { incarnation, heard_at: now, heartbeat });
+    pub fn record(&mut self, vm: VmId, heartbeat: Heartbeat, now: Instant) {
+        self.known.insert(vm, Neighbour { heard_at: now, heartbeat });
     }
 
     /// Returns a daemon's last heartbeat.
--- a/crates/daemon/src/tables/slots.rs
+++ b/crates/daemon/src/tables/slots.rs
@@ -22,9 +22,7 @@
 
     /// Returns the slots of each service in use by this VM.
     pub fn by_service(&self) -> impl Iterator<Item = (&ServiceId, SlotCount)> {
-        self.running
-            .iter()
-            .map(|(service, targets)| (service, SlotCount(targets.values().sum())))
+        self.running.iter().map(|(service, targets)| (service, SlotCount(targets.values().sum())))
     }
 
     /// Counts a slot as used.
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -80,9 +80,10 @@
         }
         match connect(address).await {
             Ok(sender) => self.send_on(address, sender, request).await,
-            Err(reason) => {
-                Err(SendError::NotConnected { request: Box::new(request), reason: reason.to_string() })
-            }
+            Err(reason) => Err(SendError::NotConnected {
+                request: Box::new(request),
+                reason: reason.to_string(),
+            }),
         }
     }
 
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -6,7 +6,16 @@
 use celerygate_steering::lookup::BlockTable;
 use celerygate_steering::shares;
 use celerygate_types::wire::{Configuration, DrainSubject, Member, Organisation, Route, Service};
-use celerygate_types::{OrganisationId, RegionId, ServiceId, SharePpm, TargetId, VmId};
+use celerygate_types::{KeyId, OrganisationId, RegionId, ServiceId, SharePpm, TargetId, VmId};
+
+/// For whom a request runs, and by which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// Owner of the key.
+    pub organisation: OrganisationId,
+    /// The key that came with the request.
+    pub key: KeyId,
+}
 
 /// A configuration revision with its indexes. A change makes a new view; requests in progress keep
 /// theirs.
@@ -84,6 +93,14 @@
         self.organisations.get(organisation).map(|&at| &self.configuration.organisations[at])
     }
 
+    /// Returns whether a key is not withdrawn and not expired.
+    pub fn is_key_valid(&self, caller: &Caller, unix_ms: u64) -> bool {
+        let organisation = self.organisation(&caller.organisation);
+        let mut keys = organisation.into_iter().flat_map(|organisation| &organisation.keys);
+        let record = keys.find(|record| record.key == caller.key);
+        record.is_some_and(|record| record.expires_at_unix_ms.is_none_or(|at| unix_ms < at))
+    }
+
     /// Returns the region that serves a client block; without a route a block stays in its home
     /// region.
     pub fn region_of_block(
