--- a/crates/steering/src/lookup/blocks.rs
+++ b/crates/steering/src/lookup/blocks.rs
@@ -12,6 +12,8 @@
 /// Prefix lengths by which addresses outside the table are grouped into blocks.
 const GROUP_BITS_V4: u32 = 24;
 const GROUP_BITS_V6: u32 = 48;
+/// Leading bits of an address by which the search for its range is narrowed down.
+const INDEX_BITS: u32 = 16;
 /// Marks addresses outside the table.
 const NO_BLOCK: u32 = u32::MAX;
 
@@ -27,15 +29,22 @@
 /// Configured networks, flattened to disjoint ranges of addresses.
 #[derive(Clone, Debug, Default)]
 pub struct BlockTable {
-    starts_v4: Vec<u32>,
-    owners_v4: Vec<u32>,
-    starts_v6: Vec<u128>,
-    owners_v6: Vec<u32>,
+    v4: Ranges<u32>,
+    v6: Ranges<u128>,
     hashes: Vec<u64>,
     homes: Vec<u16>,
     regions: Vec<RegionId>,
 }
 
+/// Disjoint ranges of addresses in ascending order; each ends where the next one starts.
+#[derive(Clone, Debug, Default)]
+struct Ranges<A> {
+    starts: Vec<A>,
+    owners: Vec<u32>,
+    /// For each value of the leading bits, the first range that starts there or later.
+    index: Vec<u32>,
+}
+
 struct Network {
     start: u128,
     end: u128,
@@ -66,13 +75,15 @@
                 }),
             }
         }
-        for (start, owner) in flatten(v4, u128::from(u32::MAX)) {
+        table.v4 = Ranges::new(
             // The ranges were made from 32-bit addresses.
-            table.starts_v4.push(start as u32);
-            table.owners_v4.push(owner);
-        }
-        (table.starts_v6, table.owners_v6) = flatten(v6, u128::MAX).into_iter().unzip();
-        table.shrink();
+            flatten(v4, u128::from(u32::MAX)).map(|(start, owner)| (start as u32, owner)),
+            |start| (start >> (32 - INDEX_BITS)) as usize,
+        );
+        table.v6 =
+            Ranges::new(flatten(v6, u128::MAX), |start| (start >> (128 - INDEX_BITS)) as usize);
+        table.hashes.shrink_to_fit();
+        table.homes.shrink_to_fit();
         Ok(table)
     }
 
@@ -85,15 +96,6 @@
         u16::try_from(index).unwrap_or(u16::MAX)
     }
 
-    fn shrink(&mut self) {
-        self.starts_v4.shrink_to_fit();
-        self.owners_v4.shrink_to_fit();
-        self.starts_v6.shrink_to_fit();
-        self.owners_v6.shrink_to_fit();
-        self.hashes.shrink_to_fit();
-        self.homes.shrink_to_fit();
-    }
-
     /// Returns the number of configured networks.
     pub fn len(&self) -> usize {
         self.hashes.len()
@@ -106,10 +108,8 @@
 
     /// Returns the bytes that the table holds on the heap.
     pub fn heap_bytes(&self) -> usize {
-        self.starts_v4.capacity() * size_of::<u32>()
-            + self.owners_v4.capacity() * size_of::<u32>()
-            + self.starts_v6.capacity() * size_of::<u128>()
-            + self.owners_v6.capacity() * size_of::<u32>()
+        self.v4.heap_bytes()
+            + self.v6.heap_bytes()
             + self.hashes.capacity() * size_of::<u64>()
             + self.homes.capacity() * size_of::<u16>()
             + self.regions.capacity() * size_of::<RegionId>()
@@ -120,33 +120,69 @@
     /// Addresses outside the table are grouped by /24 or /48, so that the callers of one network
     /// get the same answer.
     pub fn find(&self, client: IpAddr) -> Block {
-        let owner = match client.to_canonical() {
-            IpAddr::V4(address) => owner_of(&self.starts_v4, &self.owners_v4, address.into()),
-            IpAddr::V6(address) => owner_of(&self.starts_v6, &self.owners_v6, address.into()),
+        let client = client.to_canonical();
+        let owner = match client {
+            IpAddr::V4(address) => {
+                let address = u32::from(address);
+                self.v4.owner(address, (address >> (32 - INDEX_BITS)) as usize)
+            }
+            IpAddr::V6(address) => {
+                let address = u128::from(address);
+                self.v6.owner(address, (address >> (128 - INDEX_BITS)) as usize)
+            }
         };
         let Some(at) = owner else {
-            return Block { hash: group_hash(client.to_canonical()), home: None };
+            return Block { hash: group_hash(client), home: None };
         };
         let home = self.regions.get(usize::from(self.homes[at])).cloned();
         Block { hash: self.hashes[at], home }
     }
 }
 
-fn owner_of<A: Ord>(starts: &[A], owners: &[u32], address: A) -> Option<usize> {
-    let after = starts.partition_point(|start| *start <= address);
-    let owner = *owners.get(after.checked_sub(1)?)?;
-    (owner != NO_BLOCK).then_some(owner as usize)
+impl<A: Copy + Ord> Ranges<A> {
+    fn new(ranges: impl IntoIterator<Item = (A, u32)>, leading: impl Fn(A) -> usize) -> Self {
+        let (mut starts, mut owners): (Vec<A>, Vec<u32>) = ranges.into_iter().unzip();
+        starts.shrink_to_fit();
+        owners.shrink_to_fit();
+        let mut index = Vec::new();
+        if !starts.is_empty() {
+            index = vec![0_u32; (1 << INDEX_BITS) + 1];
+            for start in &starts {
+                index[leading(*start) + 1] += 1;
+            }
+            let mut sum = 0;
+            for count in &mut index {
+                sum += *count;
+                *count = sum;
+            }
+        }
+        Self { starts, owners, index }
+    }
+
+    fn owner(&self, address: A, leading: usize) -> Option<usize> {
+        let from = *self.index.get(leading)? as usize;
+        let to = *self.index.get(leading + 1)? as usize;
+        let after = from + self.starts.get(from..to)?.partition_point(|start| *start <= address);
+        let owner = *self.owners.get(after.checked_sub(1)?)?;
+        (owner != NO_BLOCK).then_some(owner as usize)
+    }
+
+    fn heap_bytes(&self) -> usize {
+        self.starts.capacity() * size_of::<A>()
+            + (self.owners.capacity() + self.index.capacity()) * size_of::<u32>()
+    }
 }
 
 fn group_hash(client: IpAddr) -> u64 {
-    match client {
-        IpAddr::V4(address) => mix(4, u64::from(u32::from(address) >> (32 - GROUP_BITS_V4))),
-        IpAddr::V6(address) => mix(6, (u128::from(address) >> (128 - GROUP_BITS_V6)) as u64),
-    }
+    let (kind, group) = match client {
+        IpAddr::V4(address) => (4, u64::from(u32::from(address) >> (32 - GROUP_BITS_V4))),
+        IpAddr::V6(address) => (6, (u128::from(address) >> (128 - GROUP_BITS_V6)) as u64),
+    };
+    mix(mix(kind, group), group)
 }
 
 /// Turns nested networks into disjoint ranges, each given by its start and ending at the next one.
-fn flatten(mut networks: Vec<Network>, last_address: u128) -> Vec<(u128, u32)> {
+fn flatten(mut networks: Vec<Network>, last_address: u128) -> impl Iterator<Item = (u128, u32)> {
     // Outer networks come before the networks inside them; the sort keeps the order of equal ones.
     networks.sort_by_key(|network| (network.start, std::cmp::Reverse(network.end)));
     let mut ranges: Vec<(u128, u32)> = Vec::new();
@@ -167,7 +203,7 @@
             begin(&mut ranges, inner.end + 1, open.last().map_or(NO_BLOCK, |outer| outer.owner));
         }
     }
-    ranges
+    ranges.into_iter()
 }
 
 fn begin(ranges: &mut Vec<(u128, u32)>, start: u128, owner: u32) {
--- a/crates/steering/src/lookup/entries.rs
+++ b/crates/steering/src/lookup/entries.rs
@@ -6,13 +6,17 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use super::rendezvous::{id_hash, mix, score};
+use super::rendezvous::{id_hash, least_hash, mix, score, score_of};
 use super::{RegionIndex, RegionRoom};
 
 /// Steps to which the weight of a VM is rounded, so that small changes of a measurement do not
 /// reorder answers.
 const WEIGHT_STEPS: f32 = 8.0;
 
+/// Number of candidates whose logarithm is computed on average. With 8, more than 98% of the blocks
+/// find 3 VMs among them; the others have all candidates computed.
+const EXPECTED_ABOVE: f32 = 8.0;
+
 /// An entry VM as the daemon knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntryInput {
@@ -42,6 +46,8 @@
 #[derive(Clone, Debug)]
 struct RegionEntries {
     region: RegionId,
+    /// Score that [`EXPECTED_ABOVE`] candidates reach on average.
+    common_score: f32,
     hash: u64,
     /// Position of the region's first VM in `EntryTable::vms`.
     first: u16,
@@ -51,6 +57,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     hash: u64,
+    /// Smallest combined hash that may reach the common score of the region.
+    least_hash: u64,
     weight: f32,
 }
 
@@ -73,6 +81,7 @@
             for input in serving() {
                 candidates.push(Candidate {
                     hash: id_hash(input.vm.as_str()),
+                    least_hash: 0,
                     weight: rounded_weight(input.headroom, largest),
                 });
                 table.vms.push(EntryVmInfo {
@@ -81,8 +90,18 @@
                     region: RegionIndex(u16::try_from(at).unwrap_or(u16::MAX)),
                 });
             }
-            let hash = id_hash(region.as_str());
-            table.regions.push(RegionEntries { region: region.clone(), hash, first, candidates });
+            let total: f32 = candidates.iter().map(|candidate| candidate.weight).sum();
+            let common_score = total / EXPECTED_ABOVE;
+            for candidate in &mut candidates {
+                candidate.least_hash = least_hash(candidate.weight, common_score);
+            }
+            table.regions.push(RegionEntries {
+                region: region.clone(),
+                common_score,
+                hash: id_hash(region.as_str()),
+                first,
+                candidates,
+            });
         }
         table
     }
@@ -162,20 +181,25 @@
         [u16; N]: smallvec::Array<Item = u16>,
     {
         let Some(entries) = self.regions.get(usize::from(region.0)) else { return };
-        let mut best: SmallVec<[(f32, u16); 4]> = SmallVec::new();
-        for (at, candidate) in (entries.first..).zip(&entries.candidates) {
-            let score = score(block_hash, candidate.hash, candidate.weight);
-            let is_full = best.len() >= most;
-            if is_full && best.last().is_none_or(|(worst, _)| score <= *worst) {
-                continue;
-            }
-            if is_full {
-                best.pop();
+        let mut best = Best { most, ranked: SmallVec::new() };
+        let hashed = || {
+            (entries.first..)
+                .zip(&entries.candidates)
+                .map(|(at, candidate)| (at, candidate, mix(block_hash, candidate.hash)))
+        };
+        for (at, candidate, mixed) in hashed() {
+            if mixed >= candidate.least_hash {
+                best.offer(score_of(mixed, candidate.weight), at);
             }
-            let place = best.iter().position(|(known, _)| score > *known).unwrap_or(best.len());
-            best.insert(place, (score, at));
         }
-        chosen.extend(best.into_iter().map(|(_, at)| at));
+        // A candidate below its least hash scores less than the common score.
+        if best.ranked.len() < most || best.worst() < entries.common_score {
+            best.ranked.clear();
+            hashed().for_each(|(at, candidate, mixed)| {
+                best.offer(score_of(mixed, candidate.weight), at);
+            });
+        }
+        chosen.extend(best.ranked.into_iter().map(|(_, at)| at));
     }
 
     /// Appends VMs of the other regions: one region is preferred by headroom, and the last VM comes
@@ -194,13 +218,16 @@
         let weight = |other: RegionIndex| {
             room.get(usize::from(other.0)).map_or(0.0, RegionRoom::headroom_slots).max(0.001)
         };
-        let without = |skipped: &[RegionIndex]| {
-            let weight = |other| if skipped.contains(&other) { 0.0 } else { weight(other) };
-            self.best_region(block_hash, weight)
-        };
-        let Some(second) = without(&[region]) else { return };
+        let mut best = Best { most: 2, ranked: SmallVec::new() };
+        for (at, other) in (0_u16..).zip(&self.regions) {
+            if at != region.0 && !other.candidates.is_empty() {
+                best.offer(score(block_hash, other.hash, weight(RegionIndex(at))), at);
+            }
+        }
+        let mut ranked = best.ranked.into_iter().map(|(_, at)| RegionIndex(at));
+        let Some(second) = ranked.next() else { return };
+        let third = ranked.next();
         let before = chosen.len();
-        let third = without(&[region, second]);
         let from_second = if third.is_some() { most.saturating_sub(1) } else { most };
         self.pick(second, block_hash, from_second, chosen);
         if let Some(third) = third {
@@ -214,6 +241,29 @@
     }
 }
 
+/// The candidates with the highest scores, best first.
+struct Best {
+    most: usize,
+    ranked: SmallVec<[(f32, u16); 4]>,
+}
+
+impl Best {
+    fn worst(&self) -> f32 {
+        self.ranked.last().map_or(0.0, |(score, _)| *score)
+    }
+
+    fn offer(&mut self, score: f32, at: u16) {
+        if self.ranked.len() >= self.most {
+            if score <= self.worst() {
+                return;
+            }
+            self.ranked.pop();
+        }
+        let place = self.ranked.iter().position(|(known, _)| score > *known);
+        self.ranked.insert(place.unwrap_or(self.ranked.len()), (score, at));
+    }
+}
+
 /// Rounds a headroom up to steps relative to the largest; a VM without headroom stays possible.
 fn rounded_weight(headroom: f32, largest: f32) -> f32 {
     if largest <= 0.0 {
--- a/crates/steering/src/lookup/ledger.rs
+++ b/crates/steering/src/lookup/ledger.rs
@@ -9,15 +9,18 @@
 /// Time until the load of a caller appears in the measurements.
 pub const MEASUREMENT_LAG: Duration = Duration::from_secs(1);
 
+/// Buckets of one second that together last for the cache time.
+const CACHED: u64 = 5;
 /// Buckets of one second that together last for the cache time and the measurement lag.
 const RECENT: u64 = 6;
 const BUCKETS: usize = 12;
 
 /// Slots that this daemon's recent answers add to regions which the route does not name.
 ///
-/// A caller that was sent to a substitute region asks again every 5 s, when its load is already
-/// measured. Only the growth from one period of 6 s to the next is therefore held against the
-/// headroom.
+/// A new caller is held against the headroom for 6 s: it may begin to use its answer while that is
+/// cached, and it takes a second to appear in the measurements. A caller that asks again after the
+/// cache time is part of the measured load, so as many slots as were answered in the period
+/// before are answered again without regard to the headroom.
 #[derive(Clone, Debug)]
 pub struct AnswerLedger {
     start: Instant,
@@ -41,22 +44,26 @@
         self.charged[at][index(self.newest)] += slots.max(0.0);
     }
 
-    /// Returns the slots that recent answers add and measurements do not show yet.
-    pub fn outstanding(&self, region: RegionIndex, now: Instant) -> f32 {
+    /// Returns the slots that answers added between two ages in seconds, the younger included.
+    fn sum(&self, region: RegionIndex, younger: u64, older: u64, now: Instant) -> f32 {
         let Some(charged) = self.charged.get(usize::from(region.0)) else { return 0.0 };
         let newest = self.sequence(now);
-        let oldest_kept = self.newest.saturating_sub(BUCKETS as u64 - 1);
-        let sum = |from: u64, to: u64| -> f32 {
-            let kept = from.max(oldest_kept)..=to.min(self.newest);
-            kept.map(|sequence| charged[index(sequence)]).sum()
-        };
-        let recent_from = newest.saturating_sub(RECENT - 1);
-        let recent = sum(recent_from, newest);
-        if recent_from == 0 {
-            return recent;
-        }
-        let before = sum(recent_from.saturating_sub(RECENT), recent_from - 1);
-        (recent - before).max(0.0)
+        let is_kept =
+            |sequence: &u64| *sequence <= self.newest && self.newest - *sequence < BUCKETS as u64;
+        let sequences = (younger..older).filter_map(|age| newest.checked_sub(age));
+        sequences.filter(is_kept).map(|sequence| charged[index(sequence)]).sum()
+    }
+
+    /// Returns the slots that recent answers add and measurements may not show yet.
+    pub fn outstanding(&self, region: RegionIndex, now: Instant) -> f32 {
+        let growth = self.sum(region, 0, RECENT, now) - self.sum(region, RECENT, 2 * RECENT, now);
+        growth.max(0.0)
+    }
+
+    /// Returns the slots of callers whose answers have expired and who have not asked again.
+    pub fn expected_again(&self, region: RegionIndex, now: Instant) -> f32 {
+        let expired = self.sum(region, CACHED, 2 * CACHED, now);
+        (expired - self.sum(region, 0, CACHED, now)).max(0.0)
     }
 
     /// Returns the slots that this daemon may still fill in a region by its answers.
@@ -71,8 +78,10 @@
         now: Instant,
     ) -> f32 {
         let Some(room) = room.get(usize::from(region.0)) else { return 0.0 };
-        let part = room.headroom_slots() / entries.vms().len().max(1) as f32;
-        part - self.outstanding(region, now) - room.slots_per_answer.max(0.0)
+        let part = room.headroom_slots().max(0.0) / entries.vms().len().max(1) as f32;
+        let left = (part - self.outstanding(region, now)).max(self.expected_again(region, now));
+        // Half an answer covers the rounding of the sums.
+        if left * 2.0 >= room.slots_per_answer { left } else { 0.0 }
     }
 
     fn sequence(&self, now: Instant) -> u64 {
--- a/crates/steering/src/lookup/overflow.rs
+++ b/crates/steering/src/lookup/overflow.rs
@@ -9,8 +9,10 @@
 use super::rendezvous::mix;
 use super::{CACHE_TIME, MEASUREMENT_LAG, RegionIndex, RegionRoom};
 
-/// Smallest share by which a region without headroom passes on more.
-const SMALLEST_STEP: f32 = 0.1;
+/// Use at which a region that passes blocks on is held, so that it has room for variations.
+const HELD_USE: f32 = 0.95;
+/// Use below which blocks return; between this and full use the share stays as it is.
+const RETURN_USE: f32 = 0.9;
 /// Largest share that returns to a region in one step.
 const LARGEST_RETURN: f32 = 0.1;
 /// Time between two steps of a region.
@@ -61,13 +63,15 @@
 }
 
 fn next_share(share: f32, room: &RegionRoom) -> f32 {
-    let headroom = room.headroom_slots();
-    // The measured load comes from the blocks that are not passed on.
-    let relative = (1.0 - share) * headroom / room.load_slots.max(1.0);
-    if headroom <= 0.0 {
-        (share + (-relative).max(SMALLEST_STEP)).min(1.0)
+    let (capacity, load) = (room.capacity_slots, room.load_slots);
+    // The measured load comes from the blocks that are not passed on. Positive if it is too high.
+    let change = (1.0 - share) * (load - capacity * HELD_USE) / load.max(f32::MIN_POSITIVE);
+    if load > 0.0 && load >= capacity {
+        (share + change).min(1.0)
+    } else if load < capacity * RETURN_USE {
+        // Half the way, because blocks differ in load.
+        (share + (change / 2.0).max(-LARGEST_RETURN)).max(0.0)
     } else {
-        // Half of the room stays free, so that the region does not overflow again at once.
-        (share - (relative / 2.0).clamp(0.01, LARGEST_RETURN)).max(0.0)
+        share
     }
 }
