--- a/crates/steering/src/links.rs
+++ b/crates/steering/src/links.rs
@@ -2,13 +2,17 @@
 //!
 //! Of the cap of a link direction, 5% stay with control traffic and 10% are standing budgets that
 //! every VM of the sending region has without asking. A divider leases the remaining 85% to these
-//! VMs for 2 s, in proportion to their use in the last second. Without a divider a VM falls back to
-//! its standing budget, and the sum of all budgets never exceeds the cap.
+//! VMs for 2 s. VMs that use all of their budget get equal parts, the others what they used in the
+//! last second and a quarter more; what remains is divided in proportion to use. Without a divider
+//! a VM falls back to its standing budget, and the sum of all budgets never exceeds the cap.
+//!
+//! Division in proportion to use alone takes minutes to even out: the use of a VM that could send
+//! more is no larger than its small budget.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use celerygate_types::{ByteRate, SharePpm, VmId};
+use celerygate_types::{ByteRate, Incarnation, SharePpm, VmId};
 use smallvec::SmallVec;
 
 mod pacer;
@@ -44,6 +48,8 @@
 pub struct LinkAsk {
     /// The asking VM.
     pub vm: VmId,
+    /// Life of the asking daemon; numbers start anew with each.
+    pub incarnation: Incarnation,
     /// Number of this message, increasing with each.
     pub sequence: u64,
     /// Number of the ask whose lease the VM applies, 0 for none.
@@ -52,6 +58,8 @@
     pub held: ByteRate,
     /// Bytes that the VM sent in the last second.
     pub used: ByteRate,
+    /// Whether the VM used at least nine tenths of its budget.
+    pub is_limited: bool,
 }
 
 /// Answer of the divider.
@@ -77,7 +85,9 @@
 
 #[derive(Clone, Debug)]
 struct HolderState {
+    incarnation: Incarnation,
     used: ByteRate,
+    is_limited: bool,
     heard_at: Instant,
     /// Leases of which any may be in force at the holder.
     leases: SmallVec<[Counted; 4]>,
@@ -138,11 +148,23 @@
     pub fn answer(&mut self, ask: &LinkAsk, now: Instant) -> LinkLease {
         self.forget(now);
         let holder = self.holders.entry(ask.vm.clone()).or_insert_with(|| HolderState {
+            incarnation: ask.incarnation,
             used: ByteRate::ZERO,
+            is_limited: false,
             heard_at: now,
             leases: SmallVec::new(),
         });
+        if ask.incarnation < holder.incarnation {
+            // A late message of a process that has ended.
+            let (epoch, sequence) = (self.epoch, ask.sequence);
+            return LinkLease { epoch, sequence, rate: ByteRate::ZERO };
+        }
+        if ask.incarnation > holder.incarnation {
+            holder.incarnation = ask.incarnation;
+            holder.leases.clear();
+        }
         holder.used = ask.used;
+        holder.is_limited = ask.is_limited;
         holder.heard_at = now;
         // The holder has replaced the leases before the one that it applies.
         holder.leases.retain(|lease| lease.sequence >= ask.applied_sequence);
@@ -153,7 +175,7 @@
             .filter(|(vm, _)| **vm != ask.vm)
             .map(|(_, holder)| holder.largest())
             .sum();
-        let mut rate = self.share_of(ask.used, pool).min(pool.saturating_sub(others));
+        let mut rate = self.share_of(&ask.vm, pool).min(pool.saturating_sub(others));
         if now < self.takeover_until {
             rate = rate.min(ask.held.get());
         }
@@ -164,12 +186,30 @@
         LinkLease { epoch: self.epoch, sequence: ask.sequence, rate }
     }
 
-    fn share_of(&self, used: ByteRate, pool: u64) -> u64 {
-        let total: u128 = self.holders.values().map(|holder| u128::from(holder.used.get())).sum();
-        let by_use = (u128::from(pool) * u128::from(used.get())).checked_div(total);
-        let evenly = u128::from(pool) / self.holders.len().max(1) as u128;
-        let share = by_use.unwrap_or(evenly);
-        u64::try_from(share).unwrap_or(pool)
+    fn share_of(&self, vm: &VmId, pool: u64) -> u64 {
+        let mut demands: Vec<(u64, &VmId)> = self
+            .holders
+            .iter()
+            .map(|(vm, holder)| match holder.is_limited {
+                true => (pool, vm),
+                false => (holder.used.get().saturating_mul(5) / 4, vm),
+            })
+            .collect();
+        demands.sort_unstable();
+        let (mut left, mut share) = (pool, 0);
+        for (at, (demand, holder)) in demands.iter().enumerate() {
+            let part = (*demand).min(left / (demands.len() - at) as u64);
+            left -= part;
+            if *holder == vm {
+                share = part;
+            }
+        }
+        let used = |holder: &HolderState| u128::from(holder.used.get());
+        let total: u128 = self.holders.values().map(used).sum();
+        let own = self.holders.get(vm).map_or(0, used);
+        let by_use = (u128::from(left) * own).checked_div(total);
+        let evenly = u128::from(left) / self.holders.len().max(1) as u128;
+        share + u64::try_from(by_use.unwrap_or(evenly)).unwrap_or(0)
     }
 
     fn forget(&mut self, now: Instant) {
@@ -184,6 +224,7 @@
 #[derive(Clone, Debug)]
 pub struct LinkHolder {
     vm: VmId,
+    incarnation: Incarnation,
     standing: ByteRate,
     epoch: u64,
     next_sequence: u64,
@@ -196,9 +237,10 @@
 
 impl LinkHolder {
     /// Returns a holder that has its standing budget only.
-    pub fn new(vm: VmId, standing: ByteRate, now: Instant) -> Self {
+    pub fn new(vm: VmId, incarnation: Incarnation, standing: ByteRate, now: Instant) -> Self {
         Self {
             vm,
+            incarnation,
             standing,
             epoch: 0,
             next_sequence: 1,
@@ -222,10 +264,12 @@
         self.asked.push((sequence, now));
         LinkAsk {
             vm: self.vm.clone(),
+            incarnation: self.incarnation,
             sequence,
             applied_sequence: self.applied_sequence,
             held: self.leased(now),
             used,
+            is_limited: used.get().saturating_mul(10) >= self.budget(now).get().saturating_mul(9),
         }
     }
 
--- a/crates/steering/src/links_tests.rs
+++ b/crates/steering/src/links_tests.rs
@@ -1,1 +1,272 @@
-//! Tests of links.
+//! Tests of link budgets: a sum above the cap delays all traffic between two regions.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::*;
+use celerygate_types::ByteCount;
+
+const CAP: ByteRate = ByteRate(37_500_000);
+const VMS: usize = 3;
+
+fn fixed(seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    ProptestConfig { cases: 300, rng_seed, failure_persistence: None, ..Default::default() }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn holder(vm: usize, life: u64, now: Instant) -> LinkHolder {
+    let vm = format!("vm{vm}").parse().unwrap();
+    LinkHolder::new(vm, Incarnation(life), standing_budget(CAP, VMS), now)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A VM asks with this use; the ask and the answer arrive after these delays, or never.
+    Ask {
+        vm: usize,
+        used: u64,
+        ask_ms: Option<u64>,
+        answer_ms: Option<u64>,
+    },
+    /// The divider dies; its successor starts after this time.
+    Change {
+        gap_ms: u64,
+    },
+    /// A VM dies and starts again without memory.
+    Restart(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let delay = || prop_oneof![5 => (0..40_u64).prop_map(Some), 2 => (0..2_500_u64).prop_map(Some), 1 => Just(None)];
+    prop_oneof![
+        8 => (0..VMS, prop_oneof![Just(0), 0..40_000_000_u64], delay(), delay())
+            .prop_map(|(vm, used, ask_ms, answer_ms)| Step::Ask { vm, used, ask_ms, answer_ms }),
+        1 => (0..3_000_u64).prop_map(|gap_ms| Step::Change { gap_ms }),
+        1 => (0..VMS).prop_map(Step::Restart),
+        8 => (0..700_u64).prop_map(Step::Wait),
+    ]
+}
+
+enum OnTheWay {
+    Ask(LinkAsk, Option<u64>),
+    Answer(usize, u64, LinkLease),
+}
+
+proptest! {
+    #![proptest_config(fixed(71))]
+
+    /// Guards against leases whose sum exceeds the leased share, with messages that are late or
+    /// lost, VMs that restart, and dividers that change.
+    #[test]
+    fn answer_sum_within_cap(steps in prop::collection::vec(step(), 1..120)) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut divider = LinkDivider::new(1, CAP, start - COUNTED);
+        let mut epoch = 1;
+        let mut holders: Vec<(u64, LinkHolder)> = (0..VMS).map(|vm| (0, holder(vm, 0, now))).collect();
+        let mut under_way: Vec<(Instant, OnTheWay)> = Vec::new();
+        for step in steps {
+            let mut until = now;
+            match step {
+                Step::Ask { vm, used, ask_ms, answer_ms } => {
+                    let ask = holders[vm].1.ask(ByteRate(used), now);
+                    if let Some(ask_ms) = ask_ms {
+                        under_way.push((now + ms(ask_ms), OnTheWay::Ask(ask, answer_ms)));
+                    }
+                }
+                Step::Change { gap_ms } => {
+                    epoch += 1;
+                    divider = LinkDivider::new(epoch, CAP, now + ms(gap_ms));
+                    // Asks that the old divider did not answer are lost.
+                    under_way.retain(|(_, message)| matches!(message, OnTheWay::Answer(..)));
+                    until = now + ms(gap_ms);
+                }
+                Step::Restart(vm) => {
+                    let life = holders[vm].0 + 1;
+                    holders[vm] = (life, holder(vm, life, now));
+                }
+                Step::Wait(wait_ms) => until = now + ms(wait_ms),
+            }
+            loop {
+                under_way.sort_by_key(|(at, _)| *at);
+                let sum: ByteRate = holders.iter().map(|(_, holder)| holder.leased(now)).sum();
+                prop_assert!(sum.get() <= LEASED_SHARE.of(CAP.get()), "{sum} leased");
+                let budgets: ByteRate = holders.iter().map(|(_, holder)| holder.budget(now)).sum();
+                prop_assert!(budgets <= CAP, "{budgets}");
+                if under_way.first().is_none_or(|(at, _)| *at > until) {
+                    break;
+                }
+                let (at, message) = under_way.remove(0);
+                now = now.max(at);
+                match message {
+                    OnTheWay::Ask(ask, answer_ms) => {
+                        let vm = holders.iter().position(|(_, holder)| holder.vm == ask.vm).unwrap();
+                        let lease = divider.answer(&ask, now);
+                        if let Some(answer_ms) = answer_ms {
+                            let answer = OnTheWay::Answer(vm, holders[vm].0, lease);
+                            under_way.push((now + ms(answer_ms), answer));
+                        }
+                    }
+                    OnTheWay::Answer(vm, life, lease) if holders[vm].0 == life => {
+                        holders[vm].1.accept(&lease, now);
+                    }
+                    OnTheWay::Answer(..) => {}
+                }
+            }
+            now = now.max(until);
+        }
+    }
+
+    /// Guards against a pacer that releases more than its rate, lets a download go before a small
+    /// response, or loses bytes.
+    #[test]
+    fn next_within_rate(
+        rate in 1_000..50_000_000_u64,
+        steps in prop::collection::vec((0..8_u64, any::<bool>(), 1..200_000_u64, 0..60_u64), 1..60),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut pacer = Pacer::new(ByteRate(rate), start);
+        let burst = ByteRate(rate).over(ms(10)).get().max(QUANTUM);
+        let mut waiting = std::collections::HashMap::<u64, u64>::new();
+        let mut sent: Vec<(Instant, u64)> = Vec::new();
+        for (stream, is_small, bytes, wait_ms) in steps {
+            let class = if is_small { TrafficClass::Small } else { TrafficClass::Download };
+            // Even streams are small responses and odd ones downloads.
+            let stream = stream * 2 + u64::from(!is_small);
+            pacer.submit(stream, class, bytes);
+            *waiting.entry(stream).or_default() += bytes;
+            let until = now + ms(wait_ms);
+            loop {
+                match pacer.next(now) {
+                    Pace::Send { stream, bytes } => {
+                        let left = waiting.get_mut(&stream).unwrap();
+                        prop_assert!(bytes <= QUANTUM && bytes <= *left);
+                        *left -= bytes;
+                        let small_waits = waiting.iter().any(|(stream, left)| stream % 2 == 0 && *left > 0);
+                        prop_assert!(stream % 2 == 0 || !small_waits);
+                        sent.push((now, bytes));
+                    }
+                    Pace::WaitUntil(at) if at > until => break,
+                    Pace::WaitUntil(at) => { prop_assert!(at > now); now = at }
+                    Pace::NoBudget => prop_assert!(false, "the rate is not zero"),
+                    Pace::Idle => { prop_assert!(waiting.values().all(|left| *left == 0)); break }
+                }
+            }
+            now = now.max(until);
+        }
+        for (at, (from, _)) in sent.iter().enumerate() {
+            let mut sum = 0;
+            for (to, bytes) in &sent[at..] {
+                sum += bytes;
+                let allowed = ByteRate(rate).over(*to - *from).get() + 1 + burst;
+                prop_assert!(sum <= allowed, "{sum} bytes, {allowed} allowed");
+            }
+        }
+    }
+}
+
+/// Runs VMs that use all they may, up to their demand, and returns their budgets at the end.
+fn settled(demands: [u64; VMS], seconds: u64) -> Vec<u64> {
+    let start = Instant::now();
+    let mut divider = LinkDivider::new(1, CAP, start - COUNTED);
+    let mut holders: Vec<LinkHolder> = (0..VMS).map(|vm| holder(vm, 0, start)).collect();
+    for second in 0..seconds {
+        let now = start + Duration::from_secs(second);
+        for (holder, demand) in holders.iter_mut().zip(demands) {
+            let used = ByteRate(demand.min(holder.budget(now).get()));
+            let ask = holder.ask(used, now);
+            let lease = divider.answer(&ask, now);
+            holder.accept(&lease, now);
+        }
+    }
+    let end = start + Duration::from_secs(seconds - 1);
+    holders.iter().map(|holder| holder.budget(end).get()).collect()
+}
+
+/// Guards against a division that leaves the link idle or that starves a VM which begins to use it.
+#[test]
+fn answer_follows_use() {
+    let alone = settled([u64::MAX, 0, 0], 10);
+    assert!(alone[0] >= CAP.get() * 87 / 100, "{alone:?}");
+    assert!(alone[1] >= CAP.get() * 2 / 100, "{alone:?}");
+    let partly = settled([u64::MAX, 8_000_000, 0], 10);
+    assert!(partly[0] >= CAP.get() * 60 / 100 && partly[1] >= 8_000_000, "{partly:?}");
+    let equal = settled([u64::MAX, u64::MAX, 0], 10);
+    assert!(equal[0].abs_diff(equal[1]) < CAP.get() / 50, "{equal:?}");
+}
+
+/// Guards against the budget of a dead VM that stays unused, and against giving it away early.
+#[test]
+fn answer_vm_dead() {
+    let start = Instant::now();
+    let mut divider = LinkDivider::new(1, CAP, start - COUNTED);
+    let (mut first, mut second) = (holder(0, 0, start), holder(1, 0, start));
+    let mut ask = |holder: &mut LinkHolder, used, now| {
+        let ask = holder.ask(ByteRate(used), now);
+        let lease = divider.answer(&ask, now);
+        holder.accept(&lease, now);
+        holder.leased(now).get()
+    };
+    let pool = LEASED_SHARE.of(CAP.get());
+    assert_eq!(ask(&mut first, 1_000, start), pool);
+    assert_eq!(ask(&mut second, 1_000, start + ms(10)), 0);
+    assert_eq!(ask(&mut second, 1_000, start + ms(2_100)), 0);
+    assert_eq!(ask(&mut second, 1_000, start + COUNTED), pool);
+    assert_eq!(first.leased(start + LEASE), ByteRate::ZERO);
+}
+
+/// Guards against a new divider that hands out what VMs still hold from the previous one.
+#[test]
+fn answer_takeover() {
+    let start = Instant::now();
+    let mut divider = LinkDivider::new(2, CAP, start);
+    let ask = |vm: usize, held| LinkAsk {
+        vm: format!("vm{vm}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        sequence: 9,
+        applied_sequence: 8,
+        held: ByteRate(held),
+        used: ByteRate(1_000),
+        is_limited: true,
+    };
+    assert_eq!(divider.answer(&ask(0, 70), start + ms(100)).rate, ByteRate(70));
+    assert_eq!(divider.answer(&ask(1, 0), start + ms(200)).rate, ByteRate::ZERO);
+    let later = divider.answer(&ask(1, 0), start + COUNTED);
+    assert!(later.rate.get() > LEASED_SHARE.of(CAP.get()) / 3);
+    assert_eq!(later.epoch, 2);
+}
+
+/// Guards against a download that keeps another from sending.
+#[test]
+fn next_downloads_take_turns() {
+    let start = Instant::now();
+    let mut pacer = Pacer::new(ByteRate(1_000_000_000), start);
+    for stream in 0..3 {
+        pacer.submit(stream, TrafficClass::Download, 10 * QUANTUM);
+    }
+    pacer.cancel(1);
+    let order: Vec<u64> = (0..6)
+        .map(|_| match pacer.next(start + ms(10)) {
+            Pace::Send { stream, .. } => stream,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(order, [0, 2, 0, 2, 0, 2]);
+    pacer.set_rate(ByteRate::ZERO, start + ms(10));
+    assert_eq!((0..9).map(|_| pacer.next(start + ms(10))).last(), Some(Pace::NoBudget));
+}
+
+#[test]
+fn class_of_lengths() {
+    let class = |length: Option<u64>, sent| class_of(length.map(ByteCount), ByteCount(sent));
+    assert_eq!(class(Some(65_535), 65_000), TrafficClass::Small);
+    assert_eq!(class(Some(65_536), 0), TrafficClass::Download);
+    assert_eq!(class(None, 65_535), TrafficClass::Small);
+    assert_eq!(class(None, 65_536), TrafficClass::Download);
+}
