Accept any success status from the targets' API

Cause: the daemon answers a departure with 204, which the stand-in target reported as an error; a done intent whose last step is not counted as applied would be followed for ever.

--- a/crates/cli/src/commands/confirm.rs
+++ b/crates/cli/src/commands/confirm.rs
@@ -74,10 +74,12 @@
 
 fn next(answer: &IntentAnswer) -> Follow {
     let record = &answer.record;
+    // A move is in force after each of its steps.
+    let last_step_applied = record.next_step as usize >= record.plan.steps.len();
     match record.state {
         IntentState::Cancelled | IntentState::Refused => Follow::End,
-        // Without the last condition a move would end after its first step.
-        _ if answer.in_force && record.next_step as usize >= record.plan.steps.len() => Follow::End,
+        IntentState::Done if answer.in_force => Follow::End,
+        _ if answer.in_force && last_step_applied => Follow::End,
         _ => Follow::Wait,
     }
 }
--- a/crates/cli/src/commands/confirm_tests.rs
+++ b/crates/cli/src/commands/confirm_tests.rs
@@ -15,6 +15,7 @@
         ("paused", 1, true, Follow::Wait),
         ("done", 2, false, Follow::Wait),
         ("done", 2, true, Follow::End),
+        ("done", 0, true, Follow::End),
         ("cancelled", 1, false, Follow::End),
         ("refused", 0, false, Follow::End),
     ] {
--- a/crates/daemon/examples/stand_in_target/announcer.rs
+++ b/crates/daemon/examples/stand_in_target/announcer.rs
@@ -7,9 +7,9 @@
 use celerygate_types::Incarnation;
 use celerygate_types::wire::{Announcement, AnnouncementAnswer, Departure};
 use http_body_util::{BodyExt as _, Full};
+use hyper::Request;
 use hyper::body::Bytes;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
-use hyper::{Request, StatusCode};
 use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
@@ -110,7 +110,7 @@
         let response = sender.send_request(request).await.map_err(failed)?;
         let status = response.status();
         let answer = response.into_body().collect().await.map_err(failed)?.to_bytes();
-        if status == StatusCode::OK {
+        if status.is_success() {
             return Ok(answer);
         }
         Err(format!("{daemon}: {status}: {}", String::from_utf8_lossy(&answer)))
