Add slots: permits per target, leased to VMs

Cause: limits kept by each VM on its own cannot bound the requests that all VMs together run at a target.

Change: SlotOwner and SlotHolder with the request rule of grants; max-min fair goals per target with turns for the slots that do not divide evenly; unsolicited messages recall permits or announce free ones and never add any. Tests of single exchanges for grants and slots.

--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -51,3 +51,9 @@
 #[cfg(test)]
 #[path = "grants/fuzz_tests.rs"]
 mod fuzz_tests;
+#[cfg(test)]
+#[path = "grants/network_tests.rs"]
+pub(crate) mod network_tests;
+#[cfg(test)]
+#[path = "grants/protocol_tests.rs"]
+mod protocol_tests;
--- a/crates/steering/src/grants/fuzz_tests.rs
+++ b/crates/steering/src/grants/fuzz_tests.rs
@@ -4,12 +4,9 @@
 use celerygate_types::{Incarnation, OrganisationId, RequestCount, RequestRate, Term, VmId};
 use rand::RngExt;
 
+use super::network_tests::Network;
 use super::{Admission, GrantAnswer, GrantHolder, GrantOwner, Limit, TokenNeed};
 
-#[path = "network_tests.rs"]
-mod network;
-use network::Network;
-
 const VMS: usize = 7;
 const STEP_US: u64 = 1_000;
 
--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -342,7 +342,3 @@
         true
     }
 }
-
-#[cfg(test)]
-#[path = "holder_tests.rs"]
-mod tests;
--- a/crates/steering/src/grants/network_tests.rs
+++ b/crates/steering/src/grants/network_tests.rs
@@ -13,7 +13,7 @@
     loss_percent: u32,
     duplicate_percent: u32,
     late_percent: u32,
-    delay_us: u64,
+    pub delay_us: u64,
     /// Time until which a node neither sends nor receives.
     pub cut_until_us: Vec<u64>,
     in_flight: Vec<(u64, usize, M)>,
--- a/crates/steering/src/grants/owner.rs
+++ b/crates/steering/src/grants/owner.rs
@@ -360,7 +360,3 @@
         GrantAnswer::Reply(GrantReply { sequence: request.sequence, term: self.term, awards })
     }
 }
-
-#[cfg(test)]
-#[path = "owner_tests.rs"]
-mod tests;
--- /dev/null
+++ b/crates/steering/src/slots/holder.rs
@@ -0,0 +1,253 @@
+//! The holder of leased slot permits: one on every VM for each region.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use celerygate_types::SlotCount;
+use celerygate_types::wire::{SlotAsk, SlotReply, SlotRequest};
+
+use super::{
+    HOLDER_LEASE, IDLE_TIME, RENEW_INTERVAL, REQUEST_INTERVAL, RESEND_AFTER, RETRY_INTERVAL,
+    SlotTarget, UNSOLICITED,
+};
+
+/// The permits of one target on this VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotUse {
+    /// Permits held, including those in use.
+    pub held: SlotCount,
+    /// Permits in use.
+    pub running: SlotCount,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Permits {
+    running: u32,
+    /// When each permit that is not in use was last used, the earliest first.
+    idle_since: Vec<Instant>,
+    /// Number of permits above which the owner wants them back.
+    limit: Option<u32>,
+    lease_until: Option<Instant>,
+    /// Permits held, and wanted in addition, according to the last request.
+    reported_held: u32,
+    asked_want: u32,
+}
+
+impl Permits {
+    fn held(&self) -> u32 {
+        self.running + self.idle_since.len() as u32
+    }
+
+    /// Drops permits whose lease or idle time has ended, and returns whether there were any.
+    fn expire(&mut self, now: Instant) -> bool {
+        let before = self.idle_since.len();
+        if self.lease_until.is_none_or(|until| now >= until) {
+            self.idle_since.clear();
+        }
+        self.idle_since.retain(|since| now.saturating_duration_since(*since) < IDLE_TIME);
+        self.idle_since.len() < before
+    }
+
+    fn give_back_above(&mut self, limit: u32) {
+        let surplus = self.held().saturating_sub(limit).min(self.idle_since.len() as u32);
+        self.idle_since.drain(..surplus as usize);
+        self.limit = Some(limit);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    sequence: u64,
+    sent_at: Instant,
+}
+
+/// Holds the slot permits that a region's owner has leased to this VM.
+#[derive(Clone, Debug)]
+pub struct SlotHolder {
+    epoch: u64,
+    sequence: u64,
+    pending: Option<Pending>,
+    sent_at: Option<Instant>,
+    /// Whether to send a request without waiting for the next renewal.
+    report_due: bool,
+    targets: BTreeMap<SlotTarget, Permits>,
+}
+
+impl SlotHolder {
+    /// Returns a holder without permits.
+    pub fn new(epoch: u64) -> Self {
+        Self {
+            epoch,
+            sequence: 0,
+            pending: None,
+            sent_at: None,
+            report_due: true,
+            targets: BTreeMap::new(),
+        }
+    }
+
+    /// Changes to the owner of a later epoch. Permits of the earlier one stay usable until their
+    /// lease ends; its reply that is still under way is discarded.
+    pub fn set_epoch(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.pending = None;
+            self.report_due = true;
+        }
+    }
+
+    /// Returns the permits of a target.
+    pub fn slot_use(&self, target: &SlotTarget) -> SlotUse {
+        self.targets.get(target).map_or(SlotUse::default(), |permits| SlotUse {
+            held: SlotCount(permits.held()),
+            running: SlotCount(permits.running),
+        })
+    }
+
+    /// Returns the targets with a permit that is not in use.
+    pub fn free(&self, now: Instant) -> impl Iterator<Item = &SlotTarget> {
+        let usable = move |permits: &Permits| {
+            permits.lease_until.is_some_and(|until| now < until) && !permits.idle_since.is_empty()
+        };
+        self.targets.iter().filter(move |(_, permits)| usable(permits)).map(|(target, _)| target)
+    }
+
+    /// Takes a permit for a request that starts now; returns false when none is free.
+    pub fn take(&mut self, target: &SlotTarget, now: Instant) -> bool {
+        let Some(permits) = self.targets.get_mut(target) else {
+            return false;
+        };
+        if permits.lease_until.is_none_or(|until| now >= until) {
+            return false;
+        }
+        // The permit used last, so that surplus permits become idle and are given back.
+        let taken = permits.idle_since.pop().is_some();
+        permits.running += u32::from(taken);
+        taken
+    }
+
+    /// Gives back the permit of a request that has ended.
+    pub fn release(&mut self, target: &SlotTarget, now: Instant) {
+        let Some(permits) = self.targets.get_mut(target) else {
+            return;
+        };
+        let wanted_back = permits.limit.is_some_and(|limit| permits.held() > limit);
+        permits.running = permits.running.saturating_sub(1);
+        if !wanted_back && permits.lease_until.is_some_and(|until| now < until) {
+            permits.idle_since.push(now);
+        } else {
+            self.report_due = true;
+        }
+    }
+
+    /// Returns the request to send to the owner now, if one is due. `wanted` lists the targets for
+    /// which requests wait, with the number of permits that would let them start.
+    pub fn poll<'a>(
+        &mut self,
+        wanted: impl IntoIterator<Item = (&'a SlotTarget, u32)>,
+        now: Instant,
+    ) -> Option<SlotRequest> {
+        let wanted: BTreeMap<&SlotTarget, u32> = wanted.into_iter().collect();
+        for (target, _) in wanted.iter().filter(|(_, want)| **want > 0) {
+            if !self.targets.contains_key(*target) {
+                self.targets.insert((*target).clone(), Permits::default());
+            }
+        }
+        let (mut asks, mut new_want, mut any_want) = (Vec::new(), false, false);
+        for (target, permits) in &mut self.targets {
+            self.report_due |= permits.expire(now);
+            let want = wanted.get(target).copied().unwrap_or(0);
+            let want = want.saturating_sub(permits.idle_since.len() as u32);
+            new_want |= want > permits.asked_want;
+            any_want |= want > 0;
+            if permits.held() > 0 || want > 0 {
+                asks.push(SlotAsk {
+                    service: target.0.clone(),
+                    target: target.1.clone(),
+                    held_slots: SlotCount(permits.held()),
+                    running_slots: SlotCount(permits.running),
+                    wanted_slots: SlotCount(want),
+                });
+            }
+        }
+        // The owner may count permits whose award was lost.
+        self.report_due |= self
+            .pending
+            .is_some_and(|pending| now.saturating_duration_since(pending.sent_at) >= RESEND_AFTER);
+        let interval = if self.report_due || new_want {
+            REQUEST_INTERVAL
+        } else if any_want {
+            RETRY_INTERVAL
+        } else if !asks.is_empty() {
+            RENEW_INTERVAL
+        } else {
+            return None;
+        };
+        let earliest = match (self.pending, self.sent_at) {
+            (Some(pending), _) => Some(pending.sent_at + RESEND_AFTER),
+            (None, sent_at) => sent_at.map(|at| at + interval),
+        };
+        if earliest.is_some_and(|at| now < at) {
+            return None;
+        }
+        self.report_due = false;
+        self.sequence += 1;
+        self.pending = Some(Pending { sequence: self.sequence, sent_at: now });
+        self.sent_at = Some(now);
+        self.targets.retain(|_, permits| {
+            permits.reported_held = 0;
+            permits.asked_want = 0;
+            permits.held() > 0
+        });
+        for ask in &asks {
+            let key = (ask.service.clone(), ask.target.clone());
+            let permits = self.targets.entry(key).or_default();
+            permits.reported_held = ask.held_slots.get();
+            permits.asked_want = ask.wanted_slots.get();
+        }
+        Some(SlotRequest { epoch: self.epoch, sequence: self.sequence, asks })
+    }
+
+    /// Applies a message of the owner and returns whether it was accepted. Only the reply to the
+    /// request in flight adds permits: the owner may have given those of any other to another VM.
+    pub fn accept(&mut self, reply: &SlotReply, now: Instant) -> bool {
+        if reply.epoch != self.epoch {
+            return false;
+        }
+        if reply.sequence == UNSOLICITED {
+            self.report_due = true;
+            for award in &reply.awards {
+                let key = (award.service.clone(), award.target.clone());
+                if let Some(permits) = self.targets.get_mut(&key)
+                    && award.held_slots.get() < permits.held()
+                {
+                    permits.give_back_above(award.held_slots.get());
+                }
+            }
+            return true;
+        }
+        let Some(pending) = self.pending.filter(|pending| pending.sequence == reply.sequence)
+        else {
+            return false;
+        };
+        self.pending = None;
+        for award in &reply.awards {
+            let key = (award.service.clone(), award.target.clone());
+            let Some(permits) = self.targets.get_mut(&key) else {
+                continue;
+            };
+            permits.lease_until = Some(pending.sent_at + HOLDER_LEASE);
+            let held = award.held_slots.get();
+            if held < permits.reported_held {
+                permits.give_back_above(held);
+                self.report_due = true;
+                continue;
+            }
+            permits.limit = None;
+            let added = held - permits.reported_held;
+            permits.idle_since.extend((0..added).map(|_| now));
+            permits.asked_want = permits.asked_want.saturating_sub(added);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/steering/src/slots/protocol_tests.rs
@@ -0,0 +1,139 @@
+//! Single exchanges between the owner and the holders of slot permits.
+
+use std::time::{Duration, Instant};
+
+use celerygate_types::wire::SlotReply;
+use celerygate_types::{Incarnation, SlotCount, VmId};
+
+use super::{HOLDER_LEASE, IDLE_TIME, OWNER_LEASE, SlotAnswer, SlotHolder, SlotOwner, SlotTarget};
+
+const MS: Duration = Duration::from_millis(1);
+
+struct Case {
+    now: Instant,
+    target: SlotTarget,
+    vms: Vec<VmId>,
+    owner: SlotOwner,
+    holders: Vec<SlotHolder>,
+}
+
+impl Case {
+    /// Two VMs that have reported, and a target with the given slots.
+    fn new(slots: u32) -> Self {
+        let now = Instant::now();
+        let target = ("search".parse().unwrap(), "target-1".parse().unwrap());
+        let vms: Vec<VmId> = vec!["vm-0".parse().unwrap(), "vm-1".parse().unwrap()];
+        let mut owner = SlotOwner::new(1, &vms, now + Duration::from_secs(60), now);
+        owner.set_slots(&target, SlotCount(slots));
+        let holders = vec![SlotHolder::new(1); 2];
+        let mut case = Self { now, target, vms, owner, holders };
+        for vm in 0..2 {
+            // Permits are withheld until both have reported.
+            case.ask(vm, 0);
+        }
+        case.now += 60 * MS;
+        case
+    }
+
+    fn exchange(&mut self, vm: usize, want: u32) -> Vec<(VmId, SlotReply)> {
+        let request = self.holders[vm].poll([(&self.target, want)], self.now).unwrap();
+        match self.owner.receive(&self.vms[vm], Incarnation(1), &request, self.now) {
+            SlotAnswer::Send(messages) => messages,
+            SlotAnswer::Ignore(reason) => panic!("{reason}"),
+        }
+    }
+
+    /// Asks and delivers the reply; returns the other messages.
+    fn ask(&mut self, vm: usize, want: u32) -> Vec<(VmId, SlotReply)> {
+        let mut messages = self.exchange(vm, want);
+        let (_, reply) = messages.remove(0);
+        assert!(self.holders[vm].accept(&reply, self.now));
+        messages
+    }
+
+    fn take_all(&mut self, vm: usize) -> u32 {
+        let taken = (0..100).take_while(|_| self.holders[vm].take(&self.target, self.now));
+        taken.count() as u32
+    }
+}
+
+/// Guards against permits that need more than one round trip.
+#[test]
+fn ask_one_round_trip() {
+    let mut case = Case::new(4);
+    case.ask(0, 3);
+    assert_eq!(case.take_all(0), 3);
+}
+
+/// Guards against idle permits that are kept while others wait, and against requests that are cut:
+/// the permit in use only returns when its request has ended.
+#[test]
+fn ask_recalls_idle_and_not_running() {
+    let mut case = Case::new(3);
+    case.ask(0, 3);
+    assert!(case.holders[0].take(&case.target, case.now));
+    case.now += 300 * MS;
+    case.ask(0, 0);
+    let recalls = case.ask(1, 3);
+    assert_eq!(recalls[0].0, case.vms[0]);
+    assert!(case.holders[0].accept(&recalls[0].1, case.now));
+    case.now += 2 * MS;
+    let messages = case.ask(0, 0);
+    assert_eq!(case.holders[0].slot_use(&case.target).held, SlotCount(1));
+    let told = messages.iter().find(|(vm, _)| *vm == case.vms[1]);
+    case.holders[1].accept(&told.unwrap().1, case.now);
+    case.now += 2 * MS;
+    case.ask(1, 3);
+    assert_eq!(case.take_all(1), 2);
+}
+
+/// Guards against permits that a VM keeps without use, and against new requests after the lease.
+#[test]
+fn poll_idle_and_lease_end() {
+    let mut case = Case::new(2);
+    case.ask(0, 2);
+    let granted_at = case.now;
+    while case.now < granted_at + IDLE_TIME - 100 * MS {
+        case.now += 300 * MS;
+        case.ask(0, 0);
+        assert_eq!(case.holders[0].slot_use(&case.target).held, SlotCount(2));
+    }
+    case.now = granted_at + IDLE_TIME;
+    case.ask(0, 0);
+    assert_eq!(case.owner.counted(&case.target), SlotCount(0));
+    case.now += 60 * MS;
+    case.ask(0, 2);
+    case.now += HOLDER_LEASE;
+    assert_eq!(case.take_all(0), 0);
+}
+
+/// Guards against a reply that adds permits although its request was replaced, and against an
+/// unsolicited message that adds any.
+#[test]
+fn accept_late_reply_and_unsolicited() {
+    let mut case = Case::new(2);
+    let late = case.exchange(0, 2).remove(0).1;
+    case.now += 100 * MS;
+    let current = case.exchange(0, 0).remove(0).1;
+    assert!(!case.holders[0].accept(&late, case.now));
+    let unsolicited = SlotReply { sequence: 0, ..late };
+    case.holders[0].accept(&unsolicited, case.now);
+    assert!(case.holders[0].accept(&current, case.now));
+    assert_eq!(case.take_all(0), 0);
+}
+
+/// Guards against permits that a new owner gives out while a VM that has not reported may use them,
+/// and against permits that are withheld for longer than that VM's lease.
+#[test]
+fn new_owner_withholds() {
+    let mut case = Case::new(2);
+    let start = case.now;
+    case.owner = SlotOwner::new(2, &case.vms, start + Duration::from_secs(60), start);
+    case.owner.set_slots(&case.target, SlotCount(2));
+    case.holders[0].set_epoch(2);
+    case.ask(0, 1);
+    assert_eq!(case.take_all(0), 0);
+    case.now = start + OWNER_LEASE;
+    case.ask(0, 1);
+    assert_eq!(case.take_all(0), 1);
+}
