Test log, storage, membership and replica one by one

Cause: the fuzz test shows that something broke, not which rule; and a damaged length in the last frame passed as an interrupted write.

Frames carry a checksum of the header, so that a damaged length is told from a torn frame.

--- a/crates/control/src/log/frame.rs
+++ b/crates/control/src/log/frame.rs
@@ -1,4 +1,4 @@
-//! Frames: a magic number, a length, a checksum and a payload.
+//! Frames: a magic number, a length, checksums of the payload and of the header, and a payload.
 //!
 //! One frame is appended and synced at a time, so that only the last frame of the last segment can
 //! be torn.
@@ -9,7 +9,7 @@
 
 /// "cglf"; marks the start of a frame, so that a valid frame after an invalid one can be found.
 const MAGIC: [u8; 4] = *b"cglf";
-const HEADER_BYTES: usize = 12;
+const HEADER_BYTES: usize = 16;
 /// Unit in which disks write; a sector that never reached the disk reads as zeros.
 const SECTOR_BYTES: usize = 512;
 /// Above the largest configuration at target size (110,000 client blocks of about 50 bytes).
@@ -26,13 +26,6 @@
     pub torn: bool,
 }
 
-fn checksum(payload: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&(payload.len() as u64).to_le_bytes());
-    hasher.update(payload);
-    hasher.finalize()
-}
-
 /// Encodes a value as one frame.
 pub fn encode<T: Serialize>(value: &T) -> anyhow::Result<Vec<u8>> {
     let payload = postcard::to_stdvec(value).context("encode a frame")?;
@@ -42,7 +35,8 @@
     let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
     frame.extend_from_slice(&MAGIC);
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&checksum(&payload).to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(&frame).to_le_bytes());
     frame.extend_from_slice(&payload);
     Ok(frame)
 }
@@ -51,22 +45,23 @@
     Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
 }
 
+/// Returns the length of the payload when a valid header is at the start of the bytes.
+fn payload_length(bytes: &[u8]) -> Option<usize> {
+    let is_valid = bytes.starts_with(&MAGIC) && word(bytes, 12)? == crc32fast::hash(&bytes[..12]);
+    is_valid.then_some(word(bytes, 4)? as usize)
+}
+
 /// Returns the payload of a valid frame at the start of the bytes.
 fn payload(bytes: &[u8]) -> Option<&[u8]> {
-    if bytes.get(..4)? != MAGIC {
-        return None;
-    }
-    let length = usize::try_from(word(bytes, 4)?).ok()?;
-    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length)?)?;
-    (checksum(payload) == word(bytes, 8)?).then_some(payload)
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES + payload_length(bytes)?)?;
+    (crc32fast::hash(payload) == word(bytes, 8)?).then_some(payload)
 }
 
 /// Returns whether the bytes from `start`, which are no valid frame, can be the rest of an
 /// interrupted append.
 fn is_torn(bytes: &[u8], start: usize) -> bool {
     let rest = &bytes[start..];
-    let is_followed_by_frame = (1..rest.len())
-        .any(|offset| rest[offset..].starts_with(&MAGIC) && payload(&rest[offset..]).is_some());
+    let is_followed_by_frame = (1..rest.len()).any(|offset| payload(&rest[offset..]).is_some());
     if is_followed_by_frame {
         return false;
     }
@@ -75,11 +70,9 @@
         let to = ((sector + 1) * SECTOR_BYTES).min(bytes.len());
         bytes[from..to].iter().all(|byte| *byte == 0)
     });
-    let is_short = match word(rest, 4) {
-        Some(length) if rest.starts_with(&MAGIC) => {
-            rest.len() < HEADER_BYTES + length as usize && length as usize <= PAYLOAD_BYTES_MAX
-        }
-        _ => rest.len() < HEADER_BYTES && rest.iter().zip(MAGIC).all(|(a, b)| *a == b),
+    let is_short = match payload_length(rest) {
+        Some(length) => rest.len() < HEADER_BYTES + length,
+        None => rest.len() < HEADER_BYTES && rest.iter().zip(MAGIC).all(|(a, b)| *a == b),
     };
     is_short || has_lost_sector
 }
--- a/crates/control/src/log_tests.rs
+++ b/crates/control/src/log_tests.rs
@@ -1,1 +1,178 @@
+use celerygate_types::wire::{Command, Configuration};
 
+use super::frame::{Frames, decode, encode};
+use super::*;
+use crate::storage::memory::{MemoryDisk, Tear};
+
+const SMALL_SEGMENT: u64 = 120;
+
+fn vm() -> VmId {
+    "vm-1".parse().unwrap()
+}
+
+fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry { command: Command::Noop(Term(term)), index: LogIndex(index), term: Term(term) }
+}
+
+fn entries(range: std::ops::RangeInclusive<u64>, term: u64) -> Vec<LogEntry> {
+    range.map(|index| entry(index, term)).collect()
+}
+
+fn open(disk: &MemoryDisk) -> Result<Contents> {
+    Log::open_with(disk.storage(), &vm(), 17, SMALL_SEGMENT)
+}
+
+fn stored(disk: &MemoryDisk) -> Vec<(u64, u64)> {
+    let tail = open(disk).unwrap().tail;
+    tail.between(tail.base(), tail.last_index()).map(|e| (e.index.0, e.term.0)).collect()
+}
+
+fn snapshot(index: u64, term: u64) -> SnapshotRecord {
+    let text = r#"{"revision":0,"organisations":[],"services":[],"regions":[],"members":[],
+        "links":[],"client_blocks":[],"routes":[],"drains":[],"intents":[]}"#;
+    let configuration: Configuration = serde_json::from_str(text).unwrap();
+    SnapshotRecord { configuration, last_index: LogIndex(index), last_term: Term(term) }
+}
+
+fn last_segment(disk: &MemoryDisk) -> String {
+    disk.names().into_iter().rfind(|name| name.starts_with(SEGMENT_PREFIX)).unwrap()
+}
+
+/// Guards against entries that are lost or out of order across segments and a restart.
+#[test]
+fn append_several_segments() {
+    let disk = MemoryDisk::new();
+    let mut log = open(&disk).unwrap().log;
+    (1..=40).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+    assert!(disk.names().len() > 5, "{:?}", disk.names());
+    assert_eq!(stored(&disk), (1..=40).map(|index| (index, 1)).collect::<Vec<_>>());
+}
+
+/// Guards against conflicting entries that return after a restart, also when compaction has
+/// removed the segment that held the first of them.
+#[test]
+fn append_replaces_conflicting() {
+    let disk = MemoryDisk::new();
+    let mut log = open(&disk).unwrap().log;
+    (1..=12).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+    log.append(&entries(4..=5, 2)).unwrap();
+    assert_eq!(stored(&disk), [(1, 1), (2, 1), (3, 1), (4, 2), (5, 2)]);
+    (6..=30).for_each(|index| log.append(&[entry(index, 2)]).unwrap());
+    log.store_snapshot(&snapshot(14, 2)).unwrap();
+    assert_eq!(stored(&disk), (15..=30).map(|index| (index, 2)).collect::<Vec<_>>());
+}
+
+/// Guards against an interrupted write that makes the log unreadable or passes as an entry.
+#[test]
+fn open_torn_tail() {
+    let tears = (0..60).map(Tear::Prefix).chain([Tear::Lose, Tear::ZeroSector(0)]);
+    for tear in tears {
+        let disk = MemoryDisk::new();
+        let mut log = open(&disk).unwrap().log;
+        log.append(&entries(1..=3, 1)).unwrap();
+        disk.stop_at_write(1, false);
+        log.append(&entries(4..=9, 1)).unwrap_err();
+        disk.crash(tear);
+        assert_eq!(stored(&disk), [(1, 1), (2, 1), (3, 1)], "{tear:?}");
+        open(&disk).unwrap().log.append(&[entry(4, 2)]).unwrap();
+        assert_eq!(stored(&disk), [(1, 1), (2, 1), (3, 1), (4, 2)], "{tear:?}");
+    }
+}
+
+/// Guards against acknowledged entries that are dropped because damage looks like a torn tail.
+#[test]
+fn open_damaged() {
+    let write = |disk: &MemoryDisk| {
+        let mut log = open(disk).unwrap().log;
+        (1..=3).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+    };
+    let disk = MemoryDisk::new();
+    write(&disk);
+    let name = last_segment(&disk);
+    let length = (disk.storage().read)(&name).unwrap().unwrap().len();
+    for position in 0..length {
+        let disk = MemoryDisk::new();
+        write(&disk);
+        disk.damage(&name, |bytes| bytes[position] ^= 0x55);
+        assert!(open(&disk).is_err(), "damage at byte {position} of {length} was not noticed");
+    }
+    disk.damage(&name, |bytes| bytes.truncate(length / 2));
+    let mut log = open(&disk).unwrap().log;
+    (2..=30).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+    let middle = disk.names().into_iter().find(|name| name.ends_with('3')).unwrap();
+    (disk.storage().remove)(&middle).unwrap();
+    assert!(open(&disk).is_err(), "a missing segment was not noticed");
+}
+
+/// Guards against a second attempt after a failed sync, which would report success for data that
+/// the page cache has dropped.
+#[test]
+fn append_failed_sync() {
+    let disk = MemoryDisk::new();
+    let mut log = open(&disk).unwrap().log;
+    log.append(&[entry(1, 1)]).unwrap();
+    disk.fail_next_sync();
+    log.append(&[entry(2, 1)]).unwrap_err();
+    let writes = disk.writes();
+    log.append(&[entry(2, 1)]).unwrap_err();
+    log.store_vote(&VoteRecord { term: Term(1), voted_for: None }).unwrap_err();
+    assert_eq!(disk.writes(), writes, "the disk was used after a failed sync");
+}
+
+/// Guards against a snapshot that is combined with entries of another history when a crash
+/// interrupts its installation.
+#[test]
+fn install_snapshot_interrupted() {
+    for writes in 0..6 {
+        for takes_effect in [false, true] {
+            let disk = MemoryDisk::new();
+            let mut log = open(&disk).unwrap().log;
+            (1..=20).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+            disk.stop_at_write(writes, takes_effect);
+            let _ = log.install_snapshot(&snapshot(15, 3));
+            disk.crash(Tear::Lose);
+            let Contents { mut log, snapshot, tail, .. } = open(&disk).unwrap();
+            let expected = if snapshot.is_some() { 15 } else { 20 };
+            assert_eq!(tail.last_index().0, expected, "{writes} {takes_effect}");
+            log.append(&[entry(expected + 1, 4)]).unwrap();
+            assert_eq!(stored(&disk).last(), Some(&(expected + 1, 4)));
+        }
+    }
+}
+
+/// Guards against a vote that is cast twice in a term after a restart, and against a folder of
+/// another VM or with missing parts that is taken for an intact one.
+#[test]
+fn open_identity_and_vote() {
+    let disk = MemoryDisk::new();
+    let vote = VoteRecord { term: Term(7), voted_for: Some(vm()) };
+    let mut contents = open(&disk).unwrap();
+    contents.log.store_vote(&vote).unwrap();
+    contents.log.append(&[entry(1, 7)]).unwrap();
+    disk.crash(Tear::Lose);
+    let again = Log::open(disk.storage(), &vm(), 99).unwrap();
+    assert_eq!((again.vote, again.log.store_id()), (vote, 17));
+    let other = Log::open(disk.storage(), &"vm-2".parse().unwrap(), 99);
+    assert!(other.is_err(), "the folder of another VM was accepted");
+    for name in [IDENTITY_FILE, VOTE_FILE] {
+        let bytes = (disk.storage().read)(name).unwrap().unwrap();
+        (disk.storage().remove)(name).unwrap();
+        assert!(open(&disk).is_err(), "a missing {name} was not noticed");
+        (disk.storage().replace)(name, &bytes).unwrap();
+    }
+}
+
+/// Guards against a frame that is read although it is incomplete.
+#[test]
+fn decode_any_prefix() {
+    let first = encode(&"first").unwrap();
+    let both = [first.clone(), encode(&"second").unwrap()].concat();
+    for length in first.len() + 1..both.len() {
+        let frames: Frames<String> = decode(&both[..length], true).unwrap();
+        assert_eq!(
+            (frames.payloads.len(), frames.valid_bytes, frames.torn),
+            (1, first.len(), true)
+        );
+        assert!(decode::<String>(&both[..length], false).is_err());
+    }
+}
--- a/crates/control/src/membership_tests.rs
+++ b/crates/control/src/membership_tests.rs
@@ -1,1 +1,84 @@
+use super::*;
 
+fn vm(number: u64) -> VmId {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn member(number: u64, role: MemberRole) -> Member {
+    Member {
+        callers_address: "127.0.0.1:1".into(),
+        operators_address: "127.0.0.1:2".into(),
+        peer_address: "127.0.0.1:3".into(),
+        data_centre: "dc".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        role,
+        store_id: Some(number),
+        vm: vm(number),
+    }
+}
+
+fn three_and_learner() -> Vec<Member> {
+    let role = |number| if number == 4 { MemberRole::Learner } else { MemberRole::Voter };
+    (1..=4).map(|number| member(number, role(number))).collect()
+}
+
+fn progress(number: u64) -> MemberProgress {
+    MemberProgress { seen_store: Some(number), reachable: true, caught_up: true }
+}
+
+/// Knowledge of VM 1 about the others, all of which are well except for the given one.
+fn known_with(odd: u64, odd_progress: MemberProgress) -> impl Fn(&VmId) -> Option<MemberProgress> {
+    move |id| match (1..=4).find(|number| vm(*number) == *id) {
+        Some(1) => None,
+        Some(number) if number == odd => Some(odd_progress),
+        Some(number) => Some(progress(number)),
+        None => Some(MemberProgress::default()),
+    }
+}
+
+/// Guards against counting a learner that lacks entries, is gone, or has another disk.
+#[test]
+fn check_change_promote() {
+    let members = three_and_learner();
+    let check = |odd| check_change(&members, &MembershipChange::Promote(vm(4)), known_with(4, odd));
+    let refused = Err(MembershipRefusal::NotCaughtUp(vm(4)));
+    assert_eq!(check(progress(4)), Ok(()));
+    assert_eq!(check(MemberProgress { caught_up: false, ..progress(4) }), refused);
+    assert_eq!(check(MemberProgress { reachable: false, ..progress(4) }), refused);
+    assert_eq!(check(MemberProgress { seen_store: Some(9), ..progress(4) }), refused);
+    assert_eq!(check(MemberProgress::default()), refused);
+}
+
+/// Guards against a change after which nothing can be committed any more.
+#[test]
+fn check_change_keeps_quorum() {
+    let members = three_and_learner();
+    let lost = known_with(2, MemberProgress::default());
+    let remove = |number| MembershipChange::Remove(vm(number));
+    assert_eq!(check_change(&members, &remove(3), &lost), Err(MembershipRefusal::TooFewVoters));
+    assert_eq!(check_change(&members, &remove(2), &lost), Ok(()));
+    let unknown = Err(MembershipRefusal::UnknownMember(vm(9)));
+    assert_eq!(check_change(&members, &remove(9), &lost), unknown);
+    let added = MembershipChange::AddLearner(member(5, MemberRole::Voter));
+    let refused = Err(MembershipRefusal::AddedWithOtherRole(vm(5)));
+    assert_eq!(check_change(&members, &added, &lost), refused);
+}
+
+/// Guards against a replaced disk that keeps its vote, and against a promotion of it by mistake.
+#[test]
+fn next_change_replaced_disk() {
+    let mut members = three_and_learner();
+    members.truncate(3);
+    let replaced = known_with(3, MemberProgress { caught_up: false, ..progress(33) });
+    let change = next_change(&members, &replaced).unwrap();
+    let learner = Member { store_id: Some(33), ..member(3, MemberRole::Learner) };
+    assert_eq!(change, MembershipChange::AddLearner(learner));
+    assert!(counts_as_voter(&members, &vm(3), 3) && !counts_as_voter(&members, &vm(3), 33));
+    assert!(!may_vote(&members, &vm(3), 33));
+    apply_change(&mut members, &change);
+    assert!(!counts_as_voter(&members, &vm(3), 33) && !may_vote(&members, &vm(3), 3));
+    assert_eq!(next_change(&members, &replaced), None);
+    let caught_up = known_with(3, progress(33));
+    assert_eq!(next_change(&members, &caught_up), Some(MembershipChange::Promote(vm(3))));
+    assert_eq!(quorum(&members), 2);
+}
--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -1,1 +1,252 @@
+use celerygate_types::ManualClock;
+use celerygate_types::wire::{
+    AppendReply, AppendRequest, InstallSnapshot, MemberRole, VoteReply, VoteRequest,
+};
 
+use super::*;
+
+fn vm(number: u64) -> VmId {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn bootstrap() -> LogEntry {
+    let member = |number| Member {
+        callers_address: "127.0.0.1:1".into(),
+        operators_address: "127.0.0.1:2".into(),
+        peer_address: "127.0.0.1:3".into(),
+        data_centre: "dc".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        role: MemberRole::Voter,
+        store_id: Some(number),
+        vm: vm(number),
+    };
+    let configuration = Configuration {
+        client_blocks: vec![],
+        drains: vec![],
+        intents: vec![],
+        links: vec![],
+        members: (1..=3).map(member).collect(),
+        organisations: vec![],
+        regions: vec![],
+        revision: Default::default(),
+        routes: vec![],
+        services: vec![],
+    };
+    LogEntry { command: Command::Bootstrap(configuration), index: LogIndex(1), term: Term(1) }
+}
+
+fn noop(index: u64, term: u64) -> LogEntry {
+    LogEntry { command: Command::Noop(Term(term)), index: LogIndex(index), term: Term(term) }
+}
+
+/// VM 1 of three voters with one entry in its log.
+struct Fixture {
+    replica: Replica,
+    clock: ManualClock,
+}
+
+impl Fixture {
+    fn new(store_id: u64) -> Self {
+        let clock = ManualClock::new();
+        let mut tail = Tail::default();
+        tail.push(bootstrap());
+        let start = Start {
+            vm: vm(1),
+            store_id,
+            vote: VoteRecord { term: Term(1), voted_for: None },
+            members: vec![],
+            tail,
+            random: 0,
+            entry_bytes: |_| 1,
+        };
+        Self { replica: Replica::new(start, clock.clock().now()), clock }
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Action> {
+        step(&mut self.replica, input, self.clock.clock().now())
+    }
+
+    fn receive(&mut self, from: u64, message: impl Into<Message>) -> Vec<Action> {
+        self.input(Input::Message { from: vm(from), message: message.into() })
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.clock.advance(Duration::from_millis(ms));
+    }
+
+    fn vote_request(&mut self, term: u64) -> Vec<Action> {
+        let (last_index, last_term) = (LogIndex(1), Term(1));
+        self.receive(2, VoteRequest { last_index, last_term, pre_vote: false, term: Term(term) })
+    }
+
+    fn append(&mut self, term: u64, previous: (u64, u64), entries: Vec<LogEntry>) -> Vec<Action> {
+        let request = AppendRequest {
+            commit_index: LogIndex(1),
+            entries,
+            previous_index: LogIndex(previous.0),
+            previous_term: Term(previous.1),
+            round: 1,
+            term: Term(term),
+        };
+        self.receive(2, request)
+    }
+
+    /// Makes VM 1 the leader of term 2 with all writes synced.
+    fn elect(&mut self) {
+        self.wait(1_000);
+        self.input(Input::Tick { random: 0 });
+        for pre_vote in [true, false] {
+            let term = Term(2);
+            self.receive(2, VoteReply { granted: true, pre_vote, store_id: 2, term });
+        }
+        assert!(self.replica.is_leader());
+        self.input(Input::Stored(1));
+    }
+
+    fn reply(&mut self, store_id: u64, round: u64, match_index: u64) -> Vec<Action> {
+        let match_index = LogIndex(match_index);
+        let term = Term(2);
+        self.receive(2, AppendReply { match_index, round, store_id, success: true, term })
+    }
+}
+
+fn granted(actions: &[Action]) -> bool {
+    actions.iter().any(|action| match action {
+        Action::Send { message, .. } => matches!(&**message, Message::VoteReply(r) if r.granted),
+        _ => false,
+    })
+}
+
+fn append_replies(actions: &[Action]) -> Vec<(bool, u64)> {
+    let reply = |action: &Action| match action {
+        Action::Send { message, .. } => match &**message {
+            Message::AppendReply(reply) => Some((reply.success, reply.match_index.0)),
+            _ => None,
+        },
+        _ => None,
+    };
+    actions.iter().filter_map(reply).collect()
+}
+
+/// Guards against a vote that ends a lease: right after the start, or soon after hearing a leader.
+#[test]
+fn vote_request_bound_to_leader() {
+    let mut fixture = Fixture::new(1);
+    fixture.wait(999);
+    assert!(!granted(&fixture.vote_request(2)));
+    assert_eq!(fixture.replica.term(), Term(1), "a refused candidate raised the term");
+    fixture.append(1, (1, 1), vec![]);
+    fixture.wait(999);
+    assert!(!granted(&fixture.vote_request(2)));
+    fixture.wait(1);
+    let actions = fixture.vote_request(2);
+    assert!(granted(&actions) && matches!(actions[0], Action::PersistVote(_)), "{actions:?}");
+}
+
+/// Guards against a vote of an exchanged disk.
+#[test]
+fn vote_request_other_store() {
+    let mut fixture = Fixture::new(99);
+    fixture.wait(5_000);
+    assert!(!granted(&fixture.vote_request(2)));
+    assert_eq!(fixture.input(Input::Tick { random: 0 }), [], "stood for election");
+}
+
+/// Guards against an acknowledgement of entries that a crash can still lose.
+#[test]
+fn append_request_acknowledged_after_sync() {
+    let mut fixture = Fixture::new(1);
+    let actions = fixture.append(1, (1, 1), vec![noop(2, 1), noop(3, 1)]);
+    assert_eq!(append_replies(&actions), []);
+    let heartbeat = fixture.append(1, (3, 1), vec![]);
+    assert_eq!(append_replies(&heartbeat), [(true, 1)]);
+    assert_eq!(append_replies(&fixture.input(Input::Stored(1))), [(true, 3)]);
+}
+
+/// Guards against a report for a write that another leader's entries have replaced.
+#[test]
+fn stored_replaced_write() {
+    let mut fixture = Fixture::new(1);
+    fixture.append(1, (1, 1), vec![noop(2, 1)]);
+    fixture.append(2, (1, 1), vec![noop(2, 2)]);
+    assert_eq!(append_replies(&fixture.input(Input::Stored(1))), []);
+    assert_eq!(append_replies(&fixture.input(Input::Stored(2))), [(true, 2)]);
+}
+
+/// Guards against an old leader that is obeyed, and against one that replaces committed entries.
+#[test]
+fn append_request_refused() {
+    let mut fixture = Fixture::new(1);
+    fixture.append(3, (1, 1), vec![noop(2, 3)]);
+    fixture.input(Input::Stored(1));
+    assert_eq!(append_replies(&fixture.append(2, (1, 1), vec![noop(2, 2)])), [(false, 0)]);
+    assert_eq!(fixture.replica.term_at(LogIndex(2)), Some(Term(3)));
+    assert_eq!(append_replies(&fixture.append(4, (0, 0), vec![noop(1, 4)])), []);
+    assert_eq!(fixture.replica.term_at(LogIndex(1)), Some(Term(1)));
+}
+
+/// Guards against a delayed snapshot that discards entries which were acknowledged already.
+#[test]
+fn install_snapshot_keeps_acknowledged() {
+    let mut fixture = Fixture::new(1);
+    fixture.append(1, (1, 1), vec![noop(2, 1), noop(3, 1)]);
+    fixture.input(Input::Stored(1));
+    let Command::Bootstrap(configuration) = bootstrap().command else { unreachable!() };
+    let (last_index, last_term, term) = (LogIndex(2), Term(1), Term(1));
+    fixture.receive(2, InstallSnapshot { configuration, last_index, last_term, round: 1, term });
+    assert_eq!(fixture.replica.last_index(), LogIndex(3));
+    assert_eq!(fixture.replica.commit_index(), LogIndex(2));
+}
+
+/// Guards against a lease that starts at the reply instead of at the send time, that counts an
+/// unrecorded store, or that begins before the leader knows what is committed.
+#[test]
+fn has_lease_from_send_time() {
+    let mut fixture = Fixture::new(1);
+    fixture.elect();
+    let sent_at = fixture.clock.clock().now();
+    fixture.wait(100);
+    fixture.reply(99, 1, 2);
+    assert_eq!((fixture.replica.commit_index(), fixture.replica.lease_end()), (LogIndex(0), None));
+    fixture.reply(2, 1, 1);
+    assert_eq!(fixture.replica.lease_end(), None);
+    fixture.reply(2, 1, 2);
+    assert_eq!(fixture.replica.lease_end(), Some(sent_at + LEASE));
+    fixture.wait(699);
+    assert!(fixture.replica.has_lease(fixture.clock.clock().now()));
+    fixture.wait(1);
+    assert!(!fixture.replica.has_lease(fixture.clock.clock().now()));
+}
+
+/// Guards against a cut-off leader that keeps sending and so prevents an election for ever.
+#[test]
+fn tick_without_quorum() {
+    let mut fixture = Fixture::new(1);
+    fixture.elect();
+    fixture.wait(1_999);
+    assert!(!fixture.input(Input::Tick { random: 0 }).contains(&Action::StepDown(Term(2))));
+    fixture.wait(1);
+    assert!(fixture.input(Input::Tick { random: 0 }).contains(&Action::StepDown(Term(2))));
+}
+
+/// Guards against memory that grows with the log, and against forgetting what a member that missed
+/// hundreds of changes still needs.
+#[test]
+fn compact_retains_recent() {
+    let mut fixture = Fixture::new(1);
+    fixture.append(1, (1, 1), (2..=3_000).map(|index| noop(index, 1)).collect());
+    fixture.input(Input::Stored(1));
+    let heartbeat = AppendRequest {
+        commit_index: LogIndex(2_900),
+        entries: vec![],
+        previous_index: LogIndex(3_000),
+        previous_term: Term(1),
+        round: 2,
+        term: Term(1),
+    };
+    fixture.receive(2, heartbeat);
+    fixture.replica.compact(LogIndex(2_900));
+    assert_eq!(fixture.replica.term_at(LogIndex(1_899)), None);
+    assert_eq!(fixture.replica.term_at(LogIndex(1_900)), Some(Term(1)));
+    assert_eq!(fixture.replica.last_index(), LogIndex(3_000));
+}
