Test plans and the executor in a simulated deployment

Cause: nothing showed that allowed steps keep links and regions within their limits, or that a new leader continues where the last one stopped. Change: a simulated deployment computes load from demand and routes, with cold caches, late measurements, surges on links, lost and repeated proposals and replaced leaders; cases for plans of keys, rates, drains and conflicts.

--- a/crates/control/src/intents/executor.rs
+++ b/crates/control/src/intents/executor.rs
@@ -155,3 +155,7 @@
         _ => state::is_stepped(&record.kind) && state::is_stepped(kind),
     })
 }
+
+#[cfg(test)]
+#[path = "executor_tests.rs"]
+mod tests;
--- a/crates/steering/src/moves_tests.rs
+++ b/crates/steering/src/moves_tests.rs
@@ -164,7 +164,8 @@
     expect_test::expect![[r#"
         Punchlist: 10 steps, 100 s; link 0.68 (at once 1.05), region 0.70 (at once 0.90)
         Hurma Kapı: 10 steps, 100 s; link 0.19 (at once 0.26), region 0.80 (at once 1.03)
-    "#]].assert_eq(&lines);
+    "#]]
+    .assert_eq(&lines);
 }
 
 /// Guards against plans that ignore a limit, and against refusals without their cause.
