Share the slots of targets between VMs by leased permits

Cause: each VM only counted its own requests, so seven VMs together could run several times a target's slots; waiting requests were served in no order. Change: the leader names a slot owner for each region through the log, VMs ask it for permits, and requests wait for token and permit in one weighted fair queue. A request that has failed once takes a free permit of another target or gives up.

--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -31,6 +31,7 @@
         revision: Default::default(),
         routes: vec![],
         services: vec![],
+        slot_owners: vec![],
     };
     LogEntry { command: Command::Bootstrap(configuration), index: LogIndex(1), term: Term(1) }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,7 @@
 use celerygate_types::Revision;
 use celerygate_types::wire::{
     Command, Configuration, ConfirmCommand, DrainSubject, HoldCommand, IntentKind, IntentRecord,
-    IntentState, PlanStep, ProposeCommand, Refusal, StepCommand,
+    IntentState, PlanStep, ProposeCommand, Refusal, SlotOwnerCommand, SlotOwnership, StepCommand,
 };
 use celerygate_types::{IntentId, wire::Change};
 use smol_str::format_smolstr;
@@ -50,6 +50,8 @@
     HoldChanged,
     /// A member was added, changed or removed.
     MembersChanged,
+    /// A region's slot permits have another owner.
+    SlotOwnerChanged,
     /// Nothing changed, for this reason.
     Refused(ResultCode),
 }
@@ -67,6 +69,7 @@
         revision: Revision::ZERO,
         routes: Vec::new(),
         services: Vec::new(),
+        slot_owners: Vec::new(),
     }
 }
 
@@ -83,6 +86,7 @@
         Command::Step(command) => step(configuration, command),
         Command::Hold(command) => hold(configuration, command),
         Command::Membership(change) => members::change_members(configuration, change),
+        Command::SlotOwner(command) => name_slot_owner(configuration, command),
     };
     applied.unwrap_or_else(Applied::Refused)
 }
@@ -311,6 +315,28 @@
     Ok(Applied::HoldChanged)
 }
 
+fn name_slot_owner(
+    configuration: &mut Configuration,
+    command: &SlotOwnerCommand,
+) -> Result<Applied, ResultCode> {
+    let SlotOwnerCommand { region, vm } = command;
+    let is_member = configuration.members.iter().any(|member| member.vm == *vm);
+    if !is_member || !configuration.regions.contains(region) {
+        return Err(ResultCode::SubjectUnknown);
+    }
+    let found = configuration.slot_owners.iter().position(|owner| owner.region == *region);
+    if found.is_some_and(|index| configuration.slot_owners[index].vm == *vm) {
+        return Ok(Applied::Unchanged);
+    }
+    let epoch = raise_revision(configuration).get();
+    let ownership = SlotOwnership { region: region.clone(), vm: vm.clone(), epoch };
+    match found {
+        Some(index) => configuration.slot_owners[index] = ownership,
+        None => configuration.slot_owners.push(ownership),
+    }
+    Ok(Applied::SlotOwnerChanged)
+}
+
 #[cfg(test)]
 #[path = "state_tests.rs"]
 mod tests;
--- a/crates/control/src/state_tests.rs
+++ b/crates/control/src/state_tests.rs
@@ -401,3 +401,26 @@
         }
     }
 }
+
+/// Guards against an owner keeping its epoch after it lost and regained a region: permits of its
+/// first ownership would be valid again.
+#[test]
+fn apply_slot_owner_epochs() {
+    let mut configuration = booted();
+    let members: Vec<VmId> = configuration.members.iter().map(|m| m.vm.clone()).collect();
+    let name = |vm: &VmId| {
+        Command::SlotOwner(SlotOwnerCommand { region: region("north"), vm: vm.clone() })
+    };
+    configuration.regions = vec![region("north")];
+    assert_eq!(apply(&mut configuration, &name(&members[0])), Applied::SlotOwnerChanged);
+    let first = configuration.slot_owners[0].epoch;
+    assert_eq!(apply(&mut configuration, &name(&members[0])), Applied::Unchanged);
+    assert_eq!(apply(&mut configuration, &name(&members[1])), Applied::SlotOwnerChanged);
+    assert_eq!(apply(&mut configuration, &name(&members[0])), Applied::SlotOwnerChanged);
+    assert!(configuration.slot_owners[0].epoch > first + 1);
+    let stranger: VmId = "stranger".parse().unwrap();
+    assert_eq!(
+        apply(&mut configuration, &name(&stranger)),
+        Applied::Refused(ResultCode::SubjectUnknown)
+    );
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -98,6 +98,7 @@
         revision: Revision(0),
         routes: vec![],
         services: vec![],
+        slot_owners: vec![],
     }
 }
 
--- a/crates/daemon/src/announce.rs
+++ b/crates/daemon/src/announce.rs
@@ -10,6 +10,7 @@
 
 use crate::api;
 use crate::daemon::Daemon;
+use crate::permits;
 use crate::refusal::Refusal;
 
 /// Returns the endpoints of the targets' API.
@@ -54,7 +55,11 @@
     Ok(())
 }
 
-fn accept(daemon: &Daemon, accepted: Accepted, announcement: &Announcement) -> Result<(), Refusal> {
+fn accept(
+    daemon: &Arc<Daemon>,
+    accepted: Accepted,
+    announcement: &Announcement,
+) -> Result<(), Refusal> {
     match accepted {
         Accepted::New => {
             log::info!(
@@ -63,7 +68,7 @@
                 incarnation:% = announcement.incarnation;
                 "target announced"
             );
-            daemon.slots_changed.notify_waiters();
+            permits::tick(daemon);
             Ok(())
         }
         Accepted::Renewed | Accepted::Unchanged => Ok(()),
--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -14,7 +14,6 @@
 use clap::{ArgMatches, Command};
 use strum::IntoEnumIterator;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 
 use super::{check, settings_argument, settings_path};
 use crate::control::{Control, first_configuration};
@@ -153,8 +152,6 @@
         metrics,
         upstream: Arc::new(Pool::default()),
         shutdown: Shutdown::default(),
-        grants_changed: Notify::new(),
-        slots_changed: Notify::new(),
         request_numbers: AtomicU64::new(1),
         loaded,
     };
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -49,6 +49,8 @@
     in_force: InForce,
     /// When the lease of this term was first held.
     lease_since: Option<Instant>,
+    /// When a slot owner was last proposed.
+    slot_owner_at: Option<Instant>,
     /// Rate buckets; none until the lease is gained.
     owner: Option<GrantOwner>,
 }
--- a/crates/daemon/src/control/distribute.rs
+++ b/crates/daemon/src/control/distribute.rs
@@ -140,7 +140,7 @@
             }
             daemon.note_freshness(&control.freshness);
             let term = reply.term;
-            daemon.tables.grants.lock().holder.set_term(term);
+            daemon.tables.grants.lock().set_term(term);
         }
         ReplyVerdict::UnknownNonce => {}
         ReplyVerdict::OlderTerm | ReplyVerdict::OlderRevision => {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,18 +1,23 @@
 //! The duties of the leader.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use celerygate_control::distribution::reports_directly;
 use celerygate_control::freshness::InForce;
 use celerygate_control::intents::{ExecutorAction, LeaderLease, Now, next_action};
 use celerygate_control::replica::Input;
-use celerygate_types::wire::{Command, Configuration};
+use celerygate_steering::lookup::rendezvous::{id_hash, mix};
+use celerygate_types::wire::{Command, Configuration, SlotOwnerCommand, VmState};
 use celerygate_types::{Term, VmId};
 
 use super::{Control, Leading, handle, rates};
 use crate::daemon::Daemon;
 use crate::measure;
+use crate::tables::DEAD_AFTER;
+
+/// Shortest time between two proposals of a slot owner.
+const SLOT_OWNER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Starts a term as leader.
 pub fn begin(daemon: &Daemon, control: &mut Control, term: Term, now: Instant) {
@@ -20,9 +25,10 @@
     let mut in_force = InForce::default();
     in_force.set_members(reporting(&control.configuration), now);
     in_force.committed(control.configuration.revision, now);
-    daemon.tables.grants.lock().holder.set_term(term);
+    daemon.tables.grants.lock().set_term(term);
     if let Some(vm) = &mut control.vm {
-        vm.leading = Some(Leading { term, in_force, owner: None, lease_since: None });
+        vm.leading =
+            Some(Leading { term, in_force, owner: None, lease_since: None, slot_owner_at: None });
     }
 }
 
@@ -43,11 +49,57 @@
         handle(daemon, control, Input::Propose(Command::Membership(change)));
         return;
     }
+    if let Some(command) = next_slot_owner(daemon, control, now) {
+        log::info!(region:% = command.region, vm:% = command.vm; "slot owner proposed");
+        handle(daemon, control, Input::Propose(Command::SlotOwner(command)));
+        return;
+    }
     if let Some(command) = next_command(daemon, control, now) {
         handle(daemon, control, Input::Propose(command));
     }
 }
 
+/// Returns the next region whose slot permits need another owner: a live VM of the region, or any
+/// live VM when the region has none.
+fn next_slot_owner(
+    daemon: &Daemon,
+    control: &mut Control,
+    now: Instant,
+) -> Option<SlotOwnerCommand> {
+    let configuration = &control.configuration;
+    let leading = control.vm.as_mut()?.leading.as_mut()?;
+    // A daemon is known as live one heartbeat after this term began at the earliest.
+    let settled = now.saturating_duration_since(leading.lease_since?) >= DEAD_AFTER;
+    let own_state = daemon.state();
+    let neighbours = daemon.tables.neighbours.lock();
+    let is_live = |vm: &VmId| {
+        let state = if *vm == daemon.own {
+            Some(own_state)
+        } else {
+            neighbours.live(vm, now).map(|known| known.heartbeat.state)
+        };
+        state.is_some_and(|state| state != VmState::Leaving)
+    };
+    let command = configuration.regions.iter().find_map(|region| {
+        let owner = configuration.slot_owners.iter().find(|owner| owner.region == *region);
+        if owner.is_some_and(|owner| !settled || is_live(&owner.vm)) {
+            return None;
+        }
+        let weight = |vm: &VmId| mix(id_hash(region.as_str()), id_hash(vm.as_str()));
+        let live = configuration.members.iter().filter(|member| is_live(&member.vm));
+        let best = live.max_by_key(|member| (member.region == *region, weight(&member.vm)))?;
+        let moved = owner.is_none_or(|owner| owner.vm != best.vm);
+        moved.then(|| SlotOwnerCommand { region: region.clone(), vm: best.vm.clone() })
+    })?;
+    // A proposal that is not applied yet is not repeated with every tick.
+    let repeated = leading.slot_owner_at.is_some_and(|at| now < at + SLOT_OWNER_INTERVAL);
+    if repeated {
+        return None;
+    }
+    leading.slot_owner_at = Some(now);
+    Some(command)
+}
+
 /// Returns the members and whether each reports to the leader itself.
 fn reporting(configuration: &Configuration) -> impl Iterator<Item = (VmId, bool)> {
     configuration
--- a/crates/daemon/src/control/rates.rs
+++ b/crates/daemon/src/control/rates.rs
@@ -8,6 +8,7 @@
 
 use super::Control;
 use crate::daemon::Daemon;
+use crate::permits;
 
 /// Returns the rate and burst of each organisation.
 pub fn limits(configuration: &Configuration) -> impl Iterator<Item = (OrganisationId, Limit)> {
@@ -41,7 +42,11 @@
 pub fn poll_owner(daemon: &Arc<Daemon>) {
     let now = daemon.clock.now();
     let mut control = daemon.tables.control.lock();
-    let request = daemon.tables.grants.lock().poll(now);
+    let request = {
+        let permits = daemon.tables.permits.lock();
+        let waiting = |id: &OrganisationId| permits.queue.waiting_for_tokens(id);
+        daemon.tables.grants.lock().poll(waiting, now)
+    };
     let Some(request) = request else { return };
     if control.is_leading(now) {
         let own = daemon.own.clone();
@@ -55,7 +60,7 @@
 
 /// Answers a request for tokens as the owner of the buckets.
 pub fn answer(
-    daemon: &Daemon,
+    daemon: &Arc<Daemon>,
     control: &mut Control,
     from: &VmId,
     incarnation: Incarnation,
@@ -76,9 +81,9 @@
 }
 
 /// Takes tokens from the owner's reply and wakes the requests that wait for them.
-pub fn accept(daemon: &Daemon, reply: &GrantReply) {
-    let accepted = daemon.tables.grants.lock().holder.accept(reply, daemon.clock.now());
+pub fn accept(daemon: &Arc<Daemon>, reply: &GrantReply) {
+    let accepted = daemon.tables.grants.lock().accept(reply, daemon.clock.now());
     if accepted {
-        daemon.grants_changed.notify_waiters();
+        permits::dispatch(daemon);
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,15 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use celerygate_control::freshness::Freshness;
 use celerygate_steering::targets::{Observation, Observed, Pick, Place};
 use celerygate_types::wire::{Heartbeat, Message, ServiceLoad, TargetRecord, VmState};
-use celerygate_types::{
-    Clock, Incarnation, RegionId, RequestCount, RequestId, ServiceId, SlotCount, VmId,
-};
-use tokio::sync::Notify;
+use celerygate_types::{Clock, Incarnation, RegionId, RequestId, ServiceId, SlotCount, VmId};
 
 use crate::peers::Peers;
 use crate::settings::Loaded;
@@ -45,10 +42,6 @@
     pub upstream: Arc<Pool>,
     /// Phase of a planned stop.
     pub shutdown: Shutdown,
-    /// Signalled when rate tokens arrived.
-    pub grants_changed: Notify,
-    /// Signalled when a slot was released or a target announced.
-    pub slots_changed: Notify,
     /// Start of the process on the monotonic clock.
     pub started_at: Instant,
     /// End of freshness in milliseconds since the start. Read for each keyed request, so it is kept
@@ -74,6 +67,11 @@
         now_ms < u128::from(self.fresh_until_ms.load(Ordering::Acquire))
     }
 
+    /// Returns the end of freshness.
+    pub fn fresh_until(&self) -> Instant {
+        self.started_at + Duration::from_millis(self.fresh_until_ms.load(Ordering::Acquire))
+    }
+
     /// Makes the end of freshness known to the request path.
     pub fn note_freshness(&self, freshness: &Freshness) {
         let until = freshness.fresh_until().unwrap_or(self.started_at);
@@ -116,9 +114,10 @@
                 }
             }
         }
-        let slots = self.tables.slots.lock();
-        for (_, running) in slots.by_service().filter(|(known, _)| *known == service) {
-            add(&self.place.region, running);
+        let targets = self.tables.targets.lock();
+        let permits = self.tables.permits.lock();
+        if let Some(running) = permits.running(&targets).get(service) {
+            add(&self.place.region, *running);
         }
         load
     }
@@ -170,13 +169,15 @@
 
     /// Returns the load of this VM by service.
     pub fn loads(&self) -> Vec<ServiceLoad> {
-        let slots = self.tables.slots.lock();
-        slots
-            .by_service()
+        let targets = self.tables.targets.lock();
+        let permits = self.tables.permits.lock();
+        permits
+            .running(&targets)
+            .into_iter()
             .map(|(service, running_slots)| ServiceLoad {
                 service: service.clone(),
                 running_slots,
-                waiting_requests: RequestCount::ZERO,
+                waiting_requests: permits.waiting(service),
                 sent_bytes_per_s: Default::default(),
             })
             .collect()
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -1,7 +1,7 @@
 //! Requests of callers: from the request head to the relayed response.
 
-mod admission;
 mod attempt;
+mod identity;
 mod relay;
 
 use std::net::SocketAddr;
@@ -176,7 +176,7 @@
     received_at: Instant,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let deadline = headers::parse_deadline(values(request.headers(), headers::DEADLINE_HEADER))?;
-    let caller = admission::identify(daemon, service, &uri, request.headers())?;
+    let caller = identity::identify(daemon, service, &uri, request.headers())?;
     let exchange = Arc::new(Exchange {
         id: id.clone(),
         service: service.clone(),
@@ -185,7 +185,6 @@
         deadline,
         idempotent: is_idempotent(request.method().as_str()),
     });
-    admission::admit(daemon, &exchange).await?;
     let upstream = UpstreamRequest::new(request, uri, &exchange);
     send(daemon, exchange, upstream).await
 }
@@ -200,15 +199,15 @@
     let mut attempts = Attempt::default();
     daemon.tables.retries.lock().count_request(daemon.clock.now());
     loop {
-        let picked = match attempt::pick(daemon, &exchange, &attempts).await {
+        let mut picked = match attempt::pick(daemon, &exchange, &attempts).await {
             Ok(picked) => picked,
             Err(refusal) => return Err(attempts.refusal_after(refusal)),
         };
         // The request may have waited for long, so its key may have been withdrawn meanwhile.
-        if let Err(refusal) = admission::check_again(daemon, &exchange) {
+        if let Err(refusal) = identity::check_again(daemon, &exchange) {
             return Err(attempts.refusal_after(refusal));
         }
-        let end = attempt::send(daemon, &exchange, &mut upstream, &picked).await;
+        let end = attempt::send(daemon, &exchange, &mut upstream, &mut picked).await;
         let (reached, ended, detail) = match end {
             AttemptEnd::Response(response) => {
                 return Ok(relay::relay(daemon, exchange, picked, response));
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -5,22 +5,24 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use celerygate_steering::headers::{self, HeaderFilter};
 use celerygate_steering::outcome::{Ended, NextAttempt, Reached};
-use celerygate_steering::targets::{Choice, Observation, Pick, Target, TargetUse, choose};
-use celerygate_types::{ResultCode, TargetId};
+use celerygate_steering::targets::{Observation, Pick};
+use celerygate_types::{OrganisationId, ResultCode, ServiceId, TargetId};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use smallvec::SmallVec;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::timeout_at;
 
 use super::{Exchange, REQUEST_HEADER, copy_kept, is_empty, pairs};
 use crate::daemon::Daemon;
+use crate::permits::{self, Admittee};
 use crate::refusal::Refusal;
-use crate::tables::SlotGuard;
+use crate::tables::Grant;
 use crate::upstream::{RelayedBody, RequestBody, SendError};
 
 /// Request header that tells a target whose request it runs.
@@ -33,7 +35,8 @@
     pub count: u32,
     /// Whether one of them sent a byte of the request.
     pub sent: bool,
-    tried: SmallVec<[TargetId; 2]>,
+    /// Targets of earlier attempts.
+    pub tried: SmallVec<[TargetId; 2]>,
     last: Option<ResultCode>,
 }
 
@@ -55,83 +58,79 @@
     }
 }
 
-/// A chosen target with a slot of it.
+/// A chosen target with a permit for one of its slots.
 pub struct Picked {
     /// The choice.
     pub pick: Pick,
     /// Its address.
     pub address: SocketAddr,
-    /// The slot, released when dropped.
-    _slot: SlotGuard,
+    permit: Permit,
 }
 
-enum Picking {
-    Picked(Picked),
-    Wait,
-    Refused(ResultCode),
+impl Picked {
+    /// Notes that the request was handed to a connection, so that its slot time counts.
+    pub fn mark_sent(&mut self) {
+        self.permit.sent_at = Some(self.permit.daemon.clock.now());
+    }
+}
+
+/// A permit in use; dropping it gives it back.
+struct Permit {
+    daemon: Arc<Daemon>,
+    service: ServiceId,
+    pick: Pick,
+    work: Duration,
+    organisation: Option<OrganisationId>,
+    sent_at: Option<Instant>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.daemon.clock.now();
+        let actual = self.sent_at.map(|sent_at| now.saturating_duration_since(sent_at));
+        if let Some(organisation) = &self.organisation {
+            let actual = actual.unwrap_or_default();
+            self.daemon.tables.permits.lock().queue.finish(organisation, self.work, actual);
+        }
+        permits::release(&self.daemon, &self.service, &self.pick, actual);
+    }
 }
 
-/// Chooses a target with room, waiting for a slot until the deadline.
+/// Waits for a token and a permit for the first attempt, and looks for a free permit of another
+/// target for a further one: a request that has failed once does not wait again.
 pub async fn pick(
     daemon: &Arc<Daemon>,
     exchange: &Exchange,
     attempts: &Attempt,
 ) -> Result<Picked, Refusal> {
-    let ends_at = exchange.ends_at();
-    loop {
-        let released = daemon.slots_changed.notified();
-        match pick_now(daemon, exchange, attempts) {
-            Picking::Picked(picked) => return Ok(picked),
-            Picking::Refused(code) => return Err(code.into()),
-            Picking::Wait => {}
-        }
-        if daemon.clock.now() >= ends_at {
-            return Err(ResultCode::DeadlinePassedWaiting.into());
-        }
-        tokio::select! {
-            () = released => {}
-            () = sleep_until(ends_at.into()) => {}
-        }
-    }
-}
-
-fn pick_now(daemon: &Arc<Daemon>, exchange: &Exchange, attempts: &Attempt) -> Picking {
-    let view = daemon.tables.view();
-    let now = daemon.clock.now();
-    let targets = daemon.tables.targets.lock();
-    let mut slots = daemon.tables.slots.lock();
-    let usage = |target: &Target| {
-        let refused = attempts.tried.contains(&target.target)
-            || view.is_target_drained(&exchange.service, &target.target)
-            || (view.is_region_drained(&target.region) && target.region != daemon.place.region);
-        (!refused).then(|| {
-            let running = slots.running(&exchange.service, &target.target);
-            TargetUse {
-                running,
-                free: target.slots.saturating_sub(running),
-                connections: running.get(),
-            }
-        })
-    };
-    let known = targets.of_service(&exchange.service);
-    let choice = choose(known, &daemon.place, usage, rand::random(), now);
-    let pick = match choice {
-        Choice::Use(pick) => pick,
-        Choice::Wait => return Picking::Wait,
-        Choice::NoTarget => return Picking::Refused(ResultCode::NoCapacity),
+    let organisation = exchange.caller.as_ref().map(|caller| &caller.organisation);
+    let grant = if attempts.count == 0 {
+        let admittee = Admittee {
+            service: &exchange.service,
+            organisation,
+            arrived: exchange.received_at,
+            deadline: exchange.ends_at(),
+        };
+        permits::admit(daemon, &admittee).await?
+    } else {
+        permits::take_other(daemon, &exchange.service, &attempts.tried)?
     };
-    let Ok(address) = pick.address.parse() else {
-        return Picking::Refused(ResultCode::TargetUnreachable);
+    let Grant { pick, work } = grant;
+    let permit = Permit {
+        daemon: Arc::clone(daemon),
+        service: exchange.service.clone(),
+        pick: pick.clone(),
+        work,
+        organisation: organisation.cloned(),
+        sent_at: None,
     };
-    slots.take(&exchange.service, &pick.target);
-    drop((targets, slots));
+    let address = pick.address.parse().map_err(|_| ResultCode::TargetUnreachable)?;
     log::info!(
         request:% = exchange.id, service:% = exchange.service, target:% = pick.target,
-        distance:? = pick.distance, attempt = attempts.count;
+        region:% = pick.region, distance:? = pick.distance, attempt = attempts.count;
         "target chosen"
     );
-    let slot = SlotGuard::new(daemon, &exchange.service, &pick.target);
-    Picking::Picked(Picked { pick, address, _slot: slot })
+    Ok(Picked { pick, address, permit })
 }
 
 /// The parts of a caller's request that go to a target.
@@ -223,7 +222,7 @@
     daemon: &Arc<Daemon>,
     exchange: &Exchange,
     upstream: &mut UpstreamRequest,
-    picked: &Picked,
+    picked: &mut Picked,
 ) -> AttemptEnd {
     let now = daemon.clock.now();
     let Some(remaining) = headers::remaining_ms(exchange.received_at, exchange.deadline, now)
@@ -231,6 +230,7 @@
         return AttemptEnd::failed(Reached::NotConnected, Ended::DeadlinePassed, "no time left");
     };
     let request = upstream.build(picked.address, remaining);
+    picked.mark_sent();
     let sent = daemon.upstream.send(picked.address, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
         Ok(Ok(response)) => return AttemptEnd::Response(response),
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -11,7 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::workers::{JobFuture, JobQueue, Offered};
-use crate::{control, lookup};
+use crate::{control, lookup, permits};
 
 /// Something for a worker to do.
 pub enum Job {
@@ -34,6 +34,8 @@
     Heartbeat,
     /// Entry table and rooms of lookups.
     Lookup,
+    /// Slot permits and waiting requests.
+    Permits,
     /// Expired announcements and ejections.
     Targets,
 }
@@ -46,6 +48,7 @@
             Self::Grants => Duration::from_millis(25),
             Self::Heartbeat => Duration::from_secs(1),
             Self::Lookup => lookup::REBUILD_INTERVAL,
+            Self::Permits => Duration::from_millis(20),
             Self::Targets => Duration::from_millis(500),
         }
     }
@@ -86,12 +89,16 @@
         Message::Heartbeat(heartbeat) => {
             record_heartbeat(daemon, envelope.sender, heartbeat);
         }
+        Message::SlotRequest(request) => {
+            permits::answer(daemon, &envelope.sender, envelope.sender_incarnation, &request);
+        }
+        Message::SlotReply(reply) => permits::accept(daemon, &reply),
         Message::GrantReply(reply) => control::accept_tokens(daemon, &reply),
         _ => control::receive(daemon, envelope),
     }
 }
 
-fn record_heartbeat(daemon: &Daemon, sender: VmId, heartbeat: Heartbeat) {
+fn record_heartbeat(daemon: &Arc<Daemon>, sender: VmId, heartbeat: Heartbeat) {
     let now = daemon.clock.now();
     let mut changed = false;
     {
@@ -103,7 +110,7 @@
     }
     daemon.tables.neighbours.lock().record(sender, heartbeat, now);
     if changed {
-        daemon.slots_changed.notify_waiters();
+        permits::dispatch(daemon);
     }
 }
 
@@ -114,6 +121,7 @@
         Tick::Grants => control::poll_owner(daemon),
         Tick::Heartbeat => daemon.send_heartbeats(),
         Tick::Lookup => lookup::rebuild(daemon),
+        Tick::Permits => permits::tick(daemon),
         Tick::Targets => review_targets(daemon),
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,6 +15,7 @@
 mod operators;
 mod parse_errors;
 mod peers;
+mod permits;
 mod refusal;
 mod settings;
 mod shutdown;
--- /dev/null
+++ b/crates/daemon/src/permits.rs
@@ -0,0 +1,405 @@
+//! Slot permits: asking for them, handing them to waiting requests, and leasing them out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_steering::grants::{Admission, TokenNeed};
+use celerygate_steering::queue::{Arrival, QueueDecision, Ticket};
+use celerygate_steering::slots::{SlotAnswer, SlotTarget};
+use celerygate_steering::targets::{
+    Choice, Pick, Target, TargetTable, TargetUse, choose, distance,
+};
+use celerygate_types::wire::{Message, SlotReply, SlotRequest};
+use celerygate_types::{
+    Incarnation, OrganisationId, RegionId, ResultCode, ServiceId, SlotCount, TargetId, VmId,
+};
+use tokio::sync::oneshot;
+
+use crate::daemon::Daemon;
+use crate::refusal::Refusal;
+use crate::tables::{Grant, Permits, Waiter};
+use crate::view::View;
+
+/// Queue in which requests on open routes wait together.
+const OPEN_ROUTES: &str = "_open";
+
+/// A request that needs a token, unless its route is open, and a slot.
+pub struct Admittee<'a> {
+    /// Service that is asked for.
+    pub service: &'a ServiceId,
+    /// Organisation that pays for it; none on open routes.
+    pub organisation: Option<&'a OrganisationId>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller gives up.
+    pub deadline: Instant,
+}
+
+/// Waits until a request has a token and a permit.
+///
+/// # Errors
+///
+/// When the request is refused, because it is over the rate, the queue is full or the wait does not
+/// fit its deadline.
+pub async fn admit(daemon: &Arc<Daemon>, admittee: &Admittee<'_>) -> Result<Grant, Refusal> {
+    let (ticket, start) = match arrive(daemon, admittee)? {
+        Arrived::Started(grant) => return Ok(grant),
+        Arrived::Waiting(ticket, start) => (ticket, start),
+    };
+    // Registered as waiting until it is started or refused; dropped when the caller goes.
+    let mut place =
+        Place { daemon: Arc::clone(daemon), service: admittee.service.clone(), ticket, start };
+    ask_owners(daemon);
+    dispatch(daemon);
+    let result = (&mut place.start).await;
+    result.unwrap_or_else(|_| Err(ResultCode::Internal.into()))
+}
+
+enum Arrived {
+    Started(Grant),
+    Waiting(Ticket, oneshot::Receiver<Result<Grant, Refusal>>),
+}
+
+/// The place of a waiting request in the queue.
+struct Place {
+    daemon: Arc<Daemon>,
+    service: ServiceId,
+    ticket: Ticket,
+    start: oneshot::Receiver<Result<Grant, Refusal>>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.daemon.tables.permits.lock().cancel(self.ticket);
+        // A permit that was handed over after the caller left goes back.
+        if let Ok(Ok(grant)) = self.start.try_recv() {
+            release(&self.daemon, &self.service, &grant.pick, None);
+        }
+    }
+}
+
+fn arrive(daemon: &Arc<Daemon>, admittee: &Admittee<'_>) -> Result<Arrived, Refusal> {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let open: OrganisationId =
+        OPEN_ROUTES.parse().map_err(|_| Refusal::from(ResultCode::Internal))?;
+    let queue_of = admittee.organisation.unwrap_or(&open);
+    let targets = daemon.tables.targets.lock();
+    let mut permits = daemon.tables.permits.lock();
+    let has_token = match admittee.organisation {
+        None => true,
+        Some(organisation) => take_token(daemon, &permits, organisation, admittee, now)?,
+    };
+    let known = targets.of_service(admittee.service);
+    let pick = match pick(daemon, &view, &permits, admittee.service, known, &[], now) {
+        Choice::Use(pick) => Some(pick),
+        Choice::Wait => None,
+        Choice::NoTarget => return Err(ResultCode::NoCapacity.into()),
+    };
+    let work = permits.expected_work(admittee.service);
+    let arrival = Arrival {
+        organisation: queue_of,
+        weight: view.organisation(queue_of).map_or(1, |organisation| organisation.weight),
+        service: admittee.service,
+        work,
+        deadline: admittee.deadline,
+        has_token,
+    };
+    let capacity = permits.capacity(admittee.service, known, pick.is_some());
+    match (permits.queue.arrive(&arrival, &capacity, now), pick) {
+        (QueueDecision::Start, Some(pick)) => {
+            take(&mut permits, admittee.service, &pick, now);
+            Ok(Arrived::Started(Grant { pick, work }))
+        }
+        (QueueDecision::Start, None) => Err(ResultCode::Internal.into()),
+        (QueueDecision::Wait { ticket, displaced }, _) => {
+            if let Some(displaced) = displaced.and_then(|ticket| permits.take_waiter(ticket)) {
+                let _ = displaced.start.send(Err(ResultCode::QueueFull.into()));
+            }
+            let (sender, receiver) = oneshot::channel();
+            let service = admittee.service.clone();
+            permits.wait(ticket, Waiter { service, start: sender });
+            Ok(Arrived::Waiting(ticket, receiver))
+        }
+        (QueueDecision::Refuse(code), _) => Err(code.into()),
+    }
+}
+
+/// Takes a token for a request that has just arrived; false when it has to wait for one.
+fn take_token(
+    daemon: &Daemon,
+    permits: &Permits,
+    organisation: &OrganisationId,
+    admittee: &Admittee<'_>,
+    now: Instant,
+) -> Result<bool, Refusal> {
+    let ahead = permits.queue.waiting_for_tokens(organisation);
+    let need = TokenNeed { arrived: admittee.arrived, deadline: admittee.deadline, ahead };
+    let mut grants = daemon.tables.grants.lock();
+    match grants.admit(organisation, &need, now) {
+        Admission::Admit => Ok(true),
+        Admission::WaitForTokens { .. } => Ok(false),
+        Admission::Refuse { retry_after } => Err(over_rate(retry_after)),
+    }
+}
+
+fn over_rate(retry_after: Duration) -> Refusal {
+    Refusal { retry_after: Some(retry_after), ..Refusal::from(ResultCode::RateExceeded) }
+}
+
+/// Chooses a target with a free permit, passing over those tried before.
+pub fn pick(
+    daemon: &Daemon,
+    view: &View,
+    permits: &Permits,
+    service: &ServiceId,
+    targets: &[Target],
+    tried: &[TargetId],
+    now: Instant,
+) -> Choice {
+    let usage = |target: &Target| {
+        let allowed = !tried.contains(&target.target) && is_allowed(daemon, view, service, target);
+        allowed.then(|| {
+            let slots = permits.slot_use(service, target);
+            let free = if permits.has_free(service, target, now) {
+                slots.held.saturating_sub(slots.running)
+            } else {
+                SlotCount::ZERO
+            };
+            TargetUse { running: slots.running, free, connections: slots.running.get() }
+        })
+    };
+    choose(targets, &daemon.place, usage, rand::random(), now)
+}
+
+/// Returns whether a target may get new work from this VM as far as the configuration says.
+fn is_allowed(daemon: &Daemon, view: &View, service: &ServiceId, target: &Target) -> bool {
+    let region_drained = view.is_region_drained(&target.region);
+    !view.is_target_drained(service, &target.target)
+        && (!region_drained || target.region == daemon.place.region)
+}
+
+/// Takes a free permit of a target that was not tried before.
+///
+/// # Errors
+///
+/// When no other target has a free permit on this VM.
+pub fn take_other(
+    daemon: &Daemon,
+    service: &ServiceId,
+    tried: &[TargetId],
+) -> Result<Grant, Refusal> {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let targets = daemon.tables.targets.lock();
+    let mut permits = daemon.tables.permits.lock();
+    let known = targets.of_service(service);
+    match pick(daemon, &view, &permits, service, known, tried, now) {
+        Choice::Use(pick) => {
+            take(&mut permits, service, &pick, now);
+            Ok(Grant { pick, work: permits.expected_work(service) })
+        }
+        Choice::Wait | Choice::NoTarget => Err(ResultCode::NoCapacity.into()),
+    }
+}
+
+/// Takes a permit for a picked target.
+pub fn take(permits: &mut Permits, service: &ServiceId, pick: &Pick, now: Instant) -> bool {
+    permits.take(&pick.region, &(service.clone(), pick.target.clone()), now)
+}
+
+/// Gives a permit back and starts waiting requests.
+///
+/// `actual` is the slot time that the request took, none when it was not sent.
+pub fn release(daemon: &Arc<Daemon>, service: &ServiceId, pick: &Pick, actual: Option<Duration>) {
+    let now = daemon.clock.now();
+    let key = (service.clone(), pick.target.clone());
+    daemon.tables.permits.lock().release(&pick.region, &key, actual, now);
+    dispatch(daemon);
+}
+
+/// Starts waiting requests for which there are tokens and permits, and refuses those whose
+/// deadline has passed.
+pub fn dispatch(daemon: &Arc<Daemon>) {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let targets = daemon.tables.targets.lock();
+    let mut permits = daemon.tables.permits.lock();
+    for ticket in permits.queue.expire(now) {
+        if let Some(waiter) = permits.take_waiter(ticket) {
+            let _ = waiter.start.send(Err(ResultCode::DeadlinePassedWaiting.into()));
+        }
+    }
+    recheck_tokens(daemon, &view, &mut permits, now);
+    while start_next(daemon, &view, &targets, &mut permits, now) {}
+}
+
+fn recheck_tokens(daemon: &Daemon, view: &View, permits: &mut Permits, now: Instant) {
+    if permits.queue.is_empty() {
+        return;
+    }
+    let mut refused = Vec::new();
+    {
+        let mut grants = daemon.tables.grants.lock();
+        for organisation in &view.configuration.organisations {
+            let id = &organisation.organisation;
+            let recheck = |need: &TokenNeed| grants.recheck(id, need, now);
+            refused.extend(permits.queue.recheck_tokens(id, recheck));
+        }
+    }
+    for (ticket, retry_after) in refused {
+        if let Some(waiter) = permits.take_waiter(ticket) {
+            let _ = waiter.start.send(Err(over_rate(retry_after)));
+        }
+    }
+}
+
+/// Starts the next waiting request; false when none can start.
+fn start_next(
+    daemon: &Daemon,
+    view: &View,
+    targets: &TargetTable,
+    permits: &mut Permits,
+    now: Instant,
+) -> bool {
+    let mut picks: HashMap<ServiceId, Pick> = HashMap::new();
+    let mut queue = std::mem::take(&mut permits.queue);
+    let started = queue.next(|service| {
+        let known = targets.of_service(service);
+        match pick(daemon, view, permits, service, known, &[], now) {
+            Choice::Use(pick) => picks.insert(service.clone(), pick).is_none(),
+            Choice::Wait | Choice::NoTarget => false,
+        }
+    });
+    permits.queue = queue;
+    let Some(started) = started else { return false };
+    let Some(waiter) = permits.take_waiter(started.ticket) else { return true };
+    let Some(pick) = picks.remove(&waiter.service) else { return true };
+    take(permits, &waiter.service, &pick, now);
+    let key = (waiter.service.clone(), pick.target.clone());
+    let region = pick.region.clone();
+    if waiter.start.send(Ok(Grant { pick, work: started.work })).is_err() {
+        permits.release(&region, &key, None, now);
+    }
+    true
+}
+
+/// Sends the requests for permits that are due.
+pub fn ask_owners(daemon: &Arc<Daemon>) {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let requests = {
+        let targets = daemon.tables.targets.lock();
+        let mut permits = daemon.tables.permits.lock();
+        let wanted = wanted(daemon, &view, &targets, &permits, now);
+        permits.poll(&wanted, now)
+    };
+    for (region, request) in requests {
+        let owners = &view.configuration.slot_owners;
+        match owners.iter().find(|owner| owner.region == region).map(|owner| &owner.vm) {
+            Some(owner) if *owner == daemon.own => {
+                answer(daemon, &daemon.own, daemon.incarnation, &request);
+            }
+            Some(owner) => {
+                daemon.peers.send(owner, Message::SlotRequest(request));
+            }
+            None => {}
+        }
+    }
+}
+
+/// Returns which targets the waiting requests want permits for: the nearest first, each up to its
+/// slots, and one more target's worth than there are requests, since others may hold some.
+fn wanted(
+    daemon: &Daemon,
+    view: &View,
+    targets: &TargetTable,
+    permits: &Permits,
+    now: Instant,
+) -> HashMap<RegionId, Vec<(SlotTarget, u32)>> {
+    let mut wanted: HashMap<RegionId, Vec<(SlotTarget, u32)>> = HashMap::new();
+    for service in &view.configuration.services {
+        let service = &service.service;
+        let mut open = u32::try_from(permits.waiting(service).get()).unwrap_or(u32::MAX);
+        if open == 0 {
+            continue;
+        }
+        let mut usable: Vec<&Target> = targets
+            .of_service(service)
+            .iter()
+            .filter(|target| target.is_usable(now) && is_allowed(daemon, view, service, target))
+            .collect();
+        usable.sort_by_key(|target| {
+            let held = permits.slot_use(service, target).held;
+            (distance(&daemon.place, target), held >= target.slots, rand::random::<u32>())
+        });
+        for target in usable {
+            if open == 0 {
+                break;
+            }
+            let held = permits.slot_use(service, target).held;
+            let count = target.slots.saturating_sub(held).get().min(open);
+            if count > 0 {
+                open -= count;
+                let key = (service.clone(), target.target.clone());
+                wanted.entry(target.region.clone()).or_default().push((key, count));
+            }
+        }
+    }
+    wanted
+}
+
+/// Answers a request for permits as the owner of a region.
+pub fn answer(daemon: &Arc<Daemon>, from: &VmId, incarnation: Incarnation, request: &SlotRequest) {
+    let now = daemon.clock.now();
+    let answered = {
+        let mut permits = daemon.tables.permits.lock();
+        let owner = permits.owner(request.epoch);
+        owner.map(|owner| owner.receive(from, incarnation, request, now))
+    };
+    match answered {
+        Some(SlotAnswer::Send(messages)) => send_replies(daemon, messages),
+        Some(SlotAnswer::Ignore(reason)) => {
+            log::debug!(peer:% = from, reason:% = reason; "request for permits ignored");
+        }
+        None => log::debug!(peer:% = from, epoch = request.epoch; "not the owner of these permits"),
+    }
+}
+
+fn send_replies(daemon: &Arc<Daemon>, messages: Vec<(VmId, SlotReply)>) {
+    for (to, reply) in messages {
+        if to == daemon.own {
+            accept(daemon, &reply);
+        } else {
+            daemon.peers.send(&to, Message::SlotReply(reply));
+        }
+    }
+}
+
+/// Takes a message of an owner.
+pub fn accept(daemon: &Arc<Daemon>, reply: &SlotReply) {
+    let accepted = daemon.tables.permits.lock().accept(reply, daemon.clock.now());
+    if accepted {
+        dispatch(daemon);
+    }
+}
+
+/// Keeps owners and holders in step with configuration and targets, and sends what is due.
+pub fn tick(daemon: &Arc<Daemon>) {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let fresh_until = daemon.fresh_until();
+    let messages = {
+        let targets = daemon.tables.targets.lock();
+        let mut permits = daemon.tables.permits.lock();
+        let configuration = &view.configuration;
+        let vms = configuration.members.iter().map(|member| &member.vm);
+        permits.set_owners(&daemon.own, &configuration.slot_owners, vms, fresh_until, now);
+        permits.set_targets(&targets, now);
+        permits.tick_owners(now)
+    };
+    send_replies(daemon, messages);
+    ask_owners(daemon);
+    dispatch(daemon);
+}
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -94,7 +94,7 @@
 
 fn targets(daemon: &Daemon, view: &View, now: Instant) -> Vec<TargetStatus> {
     let targets = daemon.tables.targets.lock();
-    let slots = daemon.tables.slots.lock();
+    let permits = daemon.tables.permits.lock();
     let status = |(service, target): (&celerygate_types::ServiceId, &_)| {
         let target: &celerygate_steering::targets::Target = target;
         let drained = view.is_target_drained(service, &target.target);
@@ -114,7 +114,7 @@
             target: target.target.clone(),
             region: target.region.clone(),
             slots: target.slots,
-            running_slots: slots.running(service, &target.target),
+            running_slots: permits.slot_use(service, target).running,
             usable: note.is_empty(),
             note: note.into(),
         }
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -1,23 +1,23 @@
 //! The tables that all workers and connections share, with their lock order.
 //!
 //! A thread may take a lock only while it holds locks of lower rank. The ranks are, in order:
-//! control 10, view 20, neighbours 30, targets 40, slots 50, lookups 60, grants 70, retries 80.
+//! control 10, view 20, neighbours 30, targets 40, permits 50, lookups 60, grants 70, retries 80.
 //! No lock is held across an await.
 
-mod grants;
 mod neighbours;
-mod slots;
+mod permits;
 
 use std::sync::Arc;
 use std::time::Instant;
 
+use celerygate_steering::grants::GrantHolder;
 use celerygate_steering::outcome::RetryBudget;
 use celerygate_steering::targets::TargetTable;
+use celerygate_types::Term;
 use celerygate_types::wire::Configuration;
 
-pub use grants::Grants;
 pub use neighbours::{DEAD_AFTER, Neighbours};
-pub use slots::{SlotGuard, Slots};
+pub use permits::{Grant, Permits, Waiter};
 
 use crate::control::Control;
 use crate::locks::Ranked;
@@ -33,12 +33,12 @@
     pub neighbours: Ranked<Neighbours>,
     /// Announced targets.
     pub targets: Ranked<TargetTable>,
-    /// Slots in use.
-    pub slots: Ranked<Slots>,
+    /// Slot permits and waiting requests.
+    pub permits: Ranked<Permits>,
     /// Regions and entry VMs as lookups see them.
     pub lookups: Ranked<LookupState>,
     /// Rate tokens of this VM.
-    pub grants: Ranked<Grants>,
+    pub grants: Ranked<GrantHolder>,
     /// Limits the share of requests that are sent again.
     pub retries: Ranked<RetryBudget>,
 }
@@ -51,9 +51,9 @@
             view: Ranked::new(20, Arc::new(View::new(configuration))),
             neighbours: Ranked::new(30, Neighbours::default()),
             targets: Ranked::new(40, TargetTable::new()),
-            slots: Ranked::new(50, Slots::default()),
+            permits: Ranked::new(50, Permits::default()),
             lookups: Ranked::new(60, LookupState::default()),
-            grants: Ranked::new(70, Grants::new()),
+            grants: Ranked::new(70, GrantHolder::new(Term::ZERO)),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
     }
--- a/crates/steering/src/moves_tests.rs
+++ b/crates/steering/src/moves_tests.rs
@@ -37,6 +37,7 @@
         revision: celerygate_types::Revision(1),
         routes: Vec::new(),
         services: Vec::new(),
+        slot_owners: Vec::new(),
     };
     let mut measurements = Measurements::default();
     for (name, ..) in services {
--- a/crates/steering/src/targets.rs
+++ b/crates/steering/src/targets.rs
@@ -18,7 +18,7 @@
 mod choice;
 mod health;
 
-pub use choice::{Choice, Distance, Pick, Place, TargetUse, choose, weight};
+pub use choice::{Choice, Distance, Pick, Place, TargetUse, choose, distance, weight};
 pub use health::{Health, Observation, Observed};
 
 /// Time for which an announcement is valid after its last renewal.
--- a/crates/steering/src/targets/choice.rs
+++ b/crates/steering/src/targets/choice.rs
@@ -49,6 +49,8 @@
 pub struct Pick {
     /// Id of the target.
     pub target: TargetId,
+    /// Region of the target.
+    pub region: RegionId,
     /// Socket address.
     pub address: SmolStr,
     /// Incarnation, for the observation afterwards.
@@ -123,6 +125,7 @@
     match best {
         Some((rank, target)) => Choice::Use(Pick {
             target: target.target.clone(),
+            region: target.region.clone(),
             address: target.address.clone(),
             incarnation: target.incarnation,
             distance: rank.distance,
