--- a/crates/steering/src/slots.rs
+++ b/crates/steering/src/slots.rs
@@ -3,8 +3,10 @@
 //! A holder has at most one request in flight and accepts no other reply, so a request states all
 //! permits that its holder can use, apart from those in the reply to this same request. The owner
 //! replaces its count by what a request states; a lost, late, duplicated or reordered message
-//! cannot free a permit twice. A message with sequence 0 is not a reply: it asks the holder to give
-//! permits back, or to ask again because permits are free, and never adds any.
+//! cannot free a permit twice. A message with sequence 0 is a notice: it asks the holder to give
+//! permits back, or to ask again because permits are free, and never adds any. An award without a
+//! request would save the round trip after a notice, but it is void once the holder has sent its
+//! next request: with 20 ms round trips and 100 requests per second most were lost that way.
 //!
 //! The permits that VMs hold never exceed the slots, and a request only starts under a permit that
 //! is held. More requests than slots run at a target only in these transients, each of which lasts
@@ -24,7 +26,7 @@
 use celerygate_types::{ServiceId, TargetId};
 
 pub use holder::{SlotHolder, SlotUse};
-pub use owner::{SlotAnswer, SlotIgnored, SlotOwner};
+pub use owner::{SlotAnswer, SlotIgnored, SlotMessage, SlotOwner};
 
 /// A target of a service.
 pub type SlotTarget = (ServiceId, TargetId);
@@ -43,8 +45,7 @@
 /// Interval between requests that only renew the lease: three within one lease.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time after which an unmet want is asked for again, in case the owner's message that permits are
-/// free was lost.
+/// Time after which an unmet want is asked for again, in case the owner's notice was lost.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Shortest time between two requests of a holder.
@@ -53,8 +54,8 @@
 /// Time after which a holder without a reply asks again.
 pub const RESEND_AFTER: Duration = Duration::from_millis(100);
 
-/// Message sequence of a message that answers no request.
-pub(crate) const UNSOLICITED: u64 = 0;
+/// Sequence of a notice; requests start at 1.
+const NOTICE: u64 = 0;
 
 #[cfg(test)]
 #[path = "slots/fuzz_tests.rs"]
--- a/crates/steering/src/slots/holder.rs
+++ b/crates/steering/src/slots/holder.rs
@@ -7,8 +7,8 @@
 use celerygate_types::wire::{SlotAsk, SlotReply, SlotRequest};
 
 use super::{
-    HOLDER_LEASE, IDLE_TIME, RENEW_INTERVAL, REQUEST_INTERVAL, RESEND_AFTER, RETRY_INTERVAL,
-    SlotTarget, UNSOLICITED,
+    HOLDER_LEASE, IDLE_TIME, NOTICE, RENEW_INTERVAL, REQUEST_INTERVAL, RESEND_AFTER,
+    RETRY_INTERVAL, SlotTarget,
 };
 
 /// The permits of one target on this VM.
@@ -56,7 +56,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Pending {
+struct Sent {
     sequence: u64,
     sent_at: Instant,
 }
@@ -66,7 +66,7 @@
 pub struct SlotHolder {
     epoch: u64,
     sequence: u64,
-    pending: Option<Pending>,
+    in_flight: Option<Sent>,
     sent_at: Option<Instant>,
     /// Whether to send a request without waiting for the next renewal.
     report_due: bool,
@@ -79,7 +79,7 @@
         Self {
             epoch,
             sequence: 0,
-            pending: None,
+            in_flight: None,
             sent_at: None,
             report_due: true,
             targets: BTreeMap::new(),
@@ -91,7 +91,7 @@
     pub fn set_epoch(&mut self, epoch: u64) {
         if epoch > self.epoch {
             self.epoch = epoch;
-            self.pending = None;
+            self.in_flight = None;
             self.report_due = true;
         }
     }
@@ -171,9 +171,9 @@
             }
         }
         // The owner may count permits whose award was lost.
-        self.report_due |= self
-            .pending
-            .is_some_and(|pending| now.saturating_duration_since(pending.sent_at) >= RESEND_AFTER);
+        let since_sent = self.sent_at.map(|at| now.saturating_duration_since(at));
+        self.report_due |=
+            self.in_flight.is_some() && since_sent.is_some_and(|since| since >= RESEND_AFTER);
         let interval = if self.report_due || new_want {
             REQUEST_INTERVAL
         } else if any_want {
@@ -183,16 +183,13 @@
         } else {
             return None;
         };
-        let earliest = match (self.pending, self.sent_at) {
-            (Some(pending), _) => Some(pending.sent_at + RESEND_AFTER),
-            (None, sent_at) => sent_at.map(|at| at + interval),
-        };
-        if earliest.is_some_and(|at| now < at) {
+        let interval = if self.in_flight.is_some() { RESEND_AFTER } else { interval };
+        if since_sent.is_some_and(|since| since < interval) {
             return None;
         }
         self.report_due = false;
         self.sequence += 1;
-        self.pending = Some(Pending { sequence: self.sequence, sent_at: now });
+        self.in_flight = Some(Sent { sequence: self.sequence, sent_at: now });
         self.sent_at = Some(now);
         self.targets.retain(|_, permits| {
             permits.reported_held = 0;
@@ -214,7 +211,7 @@
         if reply.epoch != self.epoch {
             return false;
         }
-        if reply.sequence == UNSOLICITED {
+        if reply.sequence == NOTICE {
             self.report_due = true;
             for award in &reply.awards {
                 let key = (award.service.clone(), award.target.clone());
@@ -226,17 +223,16 @@
             }
             return true;
         }
-        let Some(pending) = self.pending.filter(|pending| pending.sequence == reply.sequence)
-        else {
+        let Some(answered) = self.in_flight.filter(|sent| sent.sequence == reply.sequence) else {
             return false;
         };
-        self.pending = None;
+        self.in_flight = None;
         for award in &reply.awards {
             let key = (award.service.clone(), award.target.clone());
             let Some(permits) = self.targets.get_mut(&key) else {
                 continue;
             };
-            permits.lease_until = Some(pending.sent_at + HOLDER_LEASE);
+            permits.lease_until = Some(answered.sent_at + HOLDER_LEASE);
             let held = award.held_slots.get();
             if held < permits.reported_held {
                 permits.give_back_above(held);
--- a/crates/steering/src/slots/owner.rs
+++ b/crates/steering/src/slots/owner.rs
@@ -7,7 +7,7 @@
 use celerygate_types::{Incarnation, SlotCount, VmId};
 
 use super::goals::{Demand, goals};
-use super::{OWNER_LEASE, RETRY_INTERVAL, SlotTarget, UNSOLICITED};
+use super::{NOTICE, OWNER_LEASE, RETRY_INTERVAL, SlotTarget};
 
 /// Time for which an unmet want counts: three retries, so that one lost request does not cost a VM
 /// its turn.
@@ -17,14 +17,26 @@
 /// for about two round trips.
 const TURN: Duration = Duration::from_millis(200);
 
-/// Shortest time between two unsolicited messages to a VM about the same target.
-const PUSH_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest time between two notices to a VM about the same target.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A message to a holder.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlotMessage {
+    /// The VM of the holder.
+    pub vm: VmId,
+    /// The life of the holder that the message is for. A later life counts its requests anew and
+    /// must not receive it.
+    pub incarnation: Incarnation,
+    /// The message.
+    pub reply: SlotReply,
+}
 
 /// What to do about a slot request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SlotAnswer {
-    /// Send these messages; the first is the reply.
-    Send(Vec<(VmId, SlotReply)>),
+    /// Send these messages; the first is the reply to the request.
+    Send(Vec<SlotMessage>),
     /// Send nothing.
     Ignore(SlotIgnored),
 }
@@ -49,7 +61,17 @@
     running: u32,
     want: u32,
     asked_at: Instant,
-    pushed_at: Option<Instant>,
+    noticed_at: Option<Instant>,
+}
+
+impl Lease {
+    /// Counts added permits, as in use until the next report: otherwise another VM's request would
+    /// recall them before the holder has received them.
+    fn add(&mut self, added: u32) {
+        self.counted += added;
+        self.running += added.min(self.want);
+        self.want = self.want.saturating_sub(added);
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -57,6 +79,8 @@
     /// None until the target's announcement is known; its permits are then neither added to nor
     /// taken back.
     slots: Option<u32>,
+    /// Added to the turn, so that the targets' turns do not all go to the same VMs.
+    phase: u64,
     leases: BTreeMap<VmId, Lease>,
 }
 
@@ -77,7 +101,7 @@
             Demand { counted: lease.counted, running: lease.running, want }
         };
         let demands: Vec<Demand> = self.leases.values().map(demand).collect();
-        Some(goals(self.slots?, &demands, turn))
+        Some(goals(self.slots?, &demands, turn.wrapping_add(self.phase)))
     }
 
     /// Records a report and returns the number of permits that the VM has from now on.
@@ -88,7 +112,7 @@
             running: ask.running_slots.get().min(held),
             want: ask.wanted_slots.get(),
             asked_at: now,
-            pushed_at: None,
+            noticed_at: None,
         };
         self.expire(now);
         self.leases.insert(vm.clone(), lease);
@@ -103,28 +127,26 @@
             _ => held,
         };
         if let Some(lease) = self.leases.get_mut(vm) {
-            lease.counted = held.max(award);
-            lease.want = lease.want.saturating_sub(award.saturating_sub(held));
+            lease.add(award.saturating_sub(held));
         }
         award
     }
 
-    /// Returns what other VMs should be told: to give permits back, or that permits are free.
-    fn pushes(&mut self, turn: u64, now: Instant) -> Vec<(VmId, u32)> {
+    /// Returns the VMs to tell that they should hold fewer permits, or may ask for more.
+    fn notices(&mut self, turn: u64, now: Instant) -> Vec<(VmId, u32)> {
         let Some(goals) = self.goals(turn, now) else {
             return Vec::new();
         };
         let free = self.slots.unwrap_or(0).saturating_sub(self.counted());
-        let mut pushes = Vec::new();
+        let mut notices = Vec::new();
         for ((vm, lease), goal) in self.leases.iter_mut().zip(goals) {
-            let due =
-                lease.pushed_at.is_none_or(|at| now.saturating_duration_since(at) >= PUSH_INTERVAL);
+            let due = lease.noticed_at.is_none_or(|at| now >= at + NOTICE_INTERVAL);
             if due && (goal < lease.counted || (goal > lease.counted && free > 0)) {
-                lease.pushed_at = Some(now);
-                pushes.push((vm.clone(), goal));
+                lease.noticed_at = Some(now);
+                notices.push((vm.clone(), goal));
             }
         }
-        pushes
+        notices
     }
 }
 
@@ -177,7 +199,7 @@
 
     /// Records the slots that a target announces; zero when it has left.
     pub fn set_slots(&mut self, target: &SlotTarget, slots: SlotCount) {
-        self.targets.entry(target.clone()).or_default().slots = Some(slots.get());
+        self.target(target).slots = Some(slots.get());
     }
 
     /// Returns the permits of a target that count as held.
@@ -217,7 +239,7 @@
         let mut asked = BTreeSet::new();
         for ask in &request.asks {
             let key = (ask.service.clone(), ask.target.clone());
-            let target = self.targets.entry(key.clone()).or_default();
+            let target = self.target(&key);
             let held = target.answer(vm, ask, withheld, turn, now);
             awards.push(award(&key, held));
             asked.insert(key);
@@ -228,13 +250,13 @@
             }
         }
         let reply = SlotReply { epoch: self.epoch, sequence: request.sequence, awards };
-        let mut messages = vec![(vm.clone(), reply)];
-        messages.extend(self.pushes(now));
+        let mut messages = vec![SlotMessage { vm: vm.clone(), incarnation, reply }];
+        messages.extend(self.notices(now));
         SlotAnswer::Send(messages)
     }
 
     /// Stops counting expired leases and returns the messages to send. To be called every 20 ms.
-    pub fn tick(&mut self, now: Instant) -> Vec<(VmId, SlotReply)> {
+    pub fn tick(&mut self, now: Instant) -> Vec<SlotMessage> {
         if now >= self.lease_until {
             return Vec::new();
         }
@@ -244,7 +266,12 @@
         self.targets.retain(|_, target| {
             target.slots.is_some_and(|slots| slots > 0) || !target.leases.is_empty()
         });
-        self.pushes(now)
+        self.notices(now)
+    }
+
+    fn target(&mut self, key: &SlotTarget) -> &mut Target {
+        let phase = self.targets.len() as u64;
+        self.targets.entry(key.clone()).or_insert_with(|| Target { phase, ..Target::default() })
     }
 
     fn withholds(&self, now: Instant) -> bool {
@@ -256,19 +283,23 @@
         u64::try_from(elapsed.as_millis() / TURN.as_millis()).unwrap_or(0)
     }
 
-    fn pushes(&mut self, now: Instant) -> Vec<(VmId, SlotReply)> {
+    fn notices(&mut self, now: Instant) -> Vec<SlotMessage> {
         let turn = self.turn(now);
         if self.withholds(now) {
             return Vec::new();
         }
         let mut awards: BTreeMap<VmId, Vec<SlotAward>> = BTreeMap::new();
         for (key, target) in &mut self.targets {
-            for (vm, goal) in target.pushes(turn, now) {
+            for (vm, goal) in target.notices(turn, now) {
                 awards.entry(vm).or_default().push(award(key, goal));
             }
         }
-        let message = |awards| SlotReply { epoch: self.epoch, sequence: UNSOLICITED, awards };
-        awards.into_iter().map(|(vm, awards)| (vm, message(awards))).collect()
+        let message = |(vm, awards)| {
+            let incarnation = self.heard.get(&vm)?.incarnation;
+            let reply = SlotReply { epoch: self.epoch, sequence: NOTICE, awards };
+            Some(SlotMessage { vm, incarnation, reply })
+        };
+        awards.into_iter().filter_map(message).collect()
     }
 }
 
