Cover rounding, all directions and refused commands in tests

Cause: broken code survived: rounding of moved shares, the choice of a relay and refused commands in deltas. The bound of the plan tests (0.9) was looser than the limit of a plan and failed on regions of 11 slots, where 85% rounded up to whole slots is 0.91. Change: moves between all regions in the property test; the bound is now the plan's limit rounded up to whole slots; the selected relay is fixed.

--- a/crates/control/src/distribution/recent.rs
+++ b/crates/control/src/distribution/recent.rs
@@ -61,9 +61,9 @@
 
     /// Keeps a command after it was applied to the configuration.
     ///
-    /// Refused commands are left out: a daemon that is sent one again could find that it is accepted
-    /// by then. Proposals do not raise the revision but later confirms need them; they are sent to
-    /// everyone at or below their revision, and applying one twice changes nothing.
+    /// Refused commands are left out because they change nothing. Proposals do not raise the
+    /// revision but later confirms need them; they are sent to everyone at or below their revision,
+    /// and applying one twice changes nothing.
     pub fn push(&mut self, configuration: &Configuration, command: &Command, applied: &Applied) {
         let (revision, digest) = self.newest();
         let raised = configuration.revision > revision;
--- a/crates/control/src/distribution_tests.rs
+++ b/crates/control/src/distribution_tests.rs
@@ -127,6 +127,8 @@
         })
         .collect();
     assert_eq!(relays.len(), 20);
+    // Daemons of different builds must select the same relay.
+    expect_test::expect!["vm-050"].assert_eq(relays.iter().next().unwrap());
     assert_eq!(select_parent(&large, &vm(1), None, |_| true), None);
 }
 
@@ -211,18 +213,17 @@
     assert_eq!(receive_snapshot(&child, Term(2), newer), Received::Older);
 }
 
-/// Guards against a refused command that is sent again and then accepted, so that a daemon differs
-/// and needs a snapshot.
+/// Guards against deltas that are filled with refused commands.
 #[test]
 fn update_for_refused_command() {
     let mut sender = Sender::new();
     let child = sender.configuration.clone();
-    let [propose, confirm] = rate_commands(1, Revision(1));
+    sender.change(1);
+    let [_, confirm] = rate_commands(2, Revision(1));
     sender.apply(&confirm);
-    sender.apply(&propose);
-    sender.change(2);
+    sender.change(3);
     let Update::Delta(delta) = sender.update(&child, digest(&child)) else { panic!("no delta") };
-    assert!(delta.commands.len() == 3 && !delta.commands.contains(&confirm));
+    assert_eq!((delta.commands.len(), delta.commands.contains(&confirm)), (4, false));
 }
 
 /// Guards against a delta that no frame can hold, which would keep a daemon behind for ever.
--- a/crates/steering/src/moves_tests.rs
+++ b/crates/steering/src/moves_tests.rs
@@ -123,6 +123,18 @@
     (links.fold(0.0, f64::max), regions.fold(0.0, f64::max))
 }
 
+/// Returns whether no step fills a link or a region above the limits of a plan; a region's load is
+/// rounded up to whole slots.
+fn is_within_limits(steps: &[PlanStep]) -> bool {
+    let mut links = steps.iter().flat_map(|step| &step.links);
+    let mut regions = steps.iter().flat_map(|step| &step.regions);
+    links.all(|l| l.use_bytes_per_s.get() <= PLAN_LIMITS.link.of(l.cap_bytes_per_s.get()))
+        && regions.all(|r| {
+            let limit = PLAN_LIMITS.region.of(u64::from(r.capacity_slots.get()) * 1_000);
+            u64::from(r.load_slots.get()) <= limit.div_ceil(1_000)
+        })
+}
+
 /// Returns the same plan carried out in one step.
 fn at_once(
     configuration: &Configuration,
@@ -153,7 +165,7 @@
         let plan = plan_region_drain(&configuration, &measurements, &region("c")).unwrap();
         let (links, regions) = peaks(&plan.steps);
         let (links_once, regions_once) = peaks(&at_once(&configuration, &measurements, &plan));
-        assert!(links <= 0.9 && regions <= 0.9);
+        assert!(is_within_limits(&plan.steps));
         lines += &format!(
             "{name}: {} steps, {} s; link {links:.2} (at once {links_once:.2}), \
              region {regions:.2} (at once {regions_once:.2})\n",
@@ -270,7 +282,7 @@
         loads in prop::collection::vec((0..20_u32, 1..30_u32, 0..20_000_000_u64), 2),
         cap in 1_000_000..80_000_000_u64,
         used in 0..90_u64,
-        moves in prop::collection::vec((1..=1_000_000_u32, any::<bool>()), 1..4),
+        moves in prop::collection::vec((1..=1_000_000_u32, 0..3_usize, 1..3_usize), 1..6),
     ) {
         let names = ["planroom", "holddesk"];
         let services: Vec<ServiceFigures<'_>> = names
@@ -279,11 +291,10 @@
             .map(|(name, (running, capacity, bytes))| (*name, *running, *capacity, *bytes))
             .collect();
         let (mut configuration, measurements) = deployment(&services, cap, cap * used / 100);
-        for (share, back) in moves {
+        for (share, from, distance) in moves {
+            let to = (from + distance) % REGIONS.len();
             let mut intent = move_intent("planroom", share);
-            if back {
-                std::mem::swap(&mut intent.from, &mut intent.to);
-            }
+            (intent.from, intent.to) = (region(REGIONS[from]), region(REGIONS[to]));
             let served = |of: &Configuration| {
                 REGIONS.map(|home| {
                     let route = shares::route_of(of, &intent.service, &region(home));
@@ -292,9 +303,8 @@
             };
             let before = served(&configuration);
             let whole: u64 = before.iter().sum();
-            let Ok(plan) = plan_move(&configuration, &measurements, &intent) else { return Ok(()) };
-            let (links, regions) = peaks(&plan.steps);
-            prop_assert!(links <= 0.9 && regions <= 0.9, "{links} {regions}");
+            let Ok(plan) = plan_move(&configuration, &measurements, &intent) else { continue };
+            prop_assert!(is_within_limits(&plan.steps), "{:?}", plan.steps);
             let mut current = configuration.clone();
             for step in &plan.steps {
                 let next = routes_after(&current, std::slice::from_ref(step));
@@ -312,11 +322,8 @@
             let left = served(&current);
             let moved: u64 = whole - left.iter().sum::<u64>();
             prop_assert_eq!(moved, SharePpm(share).of(whole));
-            let others_moved = (0..3).any(|home| {
-                region(REGIONS[home]) != intent.to && left[home] < before[home]
-            });
-            let home_left = left[usize::from(!back)];
-            prop_assert!(!others_moved || home_left == 0, "{before:?} {left:?}");
+            let others_moved = (0..3).any(|home| home != to && left[home] < before[home]);
+            prop_assert!(!others_moved || left[to] == 0, "{before:?} {left:?}");
             prop_assert!(current.routes.iter().all(|route| route.service == intent.service));
             configuration = current;
         }
@@ -338,8 +345,7 @@
         let Ok(plan) = plan_region_drain(&configuration, &measurements, &drained) else {
             return Ok(());
         };
-        let (links, regions) = peaks(&plan.steps);
-        prop_assert!(links <= 0.9 && regions <= 0.9, "{links} {regions}");
+        prop_assert!(is_within_limits(&plan.steps), "{:?}", plan.steps);
         let (last, earlier) = plan.steps.split_last().unwrap();
         let marks = |step: &PlanStep| step.changes.iter().any(|c| matches!(c, Change::Drain(_)));
         prop_assert!(marks(last) && !earlier.iter().any(marks));
