Split the daemon into a library and a thin binary

Cause: examples and whole-daemon tests could not use the message codec, and replies to holders could reach a later life that counts its requests anew. Change: the package has a library, main.rs only parses the command line; replies with tokens and permits name the life they are for.

--- a/crates/daemon/src/control/rates.rs
+++ b/crates/daemon/src/control/rates.rs
@@ -72,7 +72,8 @@
     match owner.answer(from, incarnation, request, now) {
         GrantAnswer::Reply(reply) if *from == daemon.own => accept(daemon, &reply),
         GrantAnswer::Reply(reply) => {
-            daemon.peers.send(from, Message::GrantReply(reply));
+            // A later life counts its requests anew and must not take tokens of an earlier one.
+            daemon.peers.send_to_life(from, incarnation, Message::GrantReply(reply));
         }
         GrantAnswer::Ignore(reason) => {
             log::debug!(peer:% = from, reason:% = reason; "request for tokens ignored");
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,33 +1,8 @@
 //! The celerygate daemon: one program for every VM of the system.
 
-mod announce;
-mod api;
-mod body;
-mod callers;
-mod commands;
-mod control;
-mod daemon;
-mod forward;
-mod jobs;
-mod locks;
-mod lookup;
-mod measure;
-mod operators;
-mod parse_errors;
-mod peers;
-mod permits;
-mod refusal;
-mod settings;
-mod shutdown;
-mod status;
-mod tables;
-mod telemetry;
-mod upstream;
-mod view;
-mod workers;
-
 use std::process::ExitCode;
 
+use celerygate_daemon::commands;
 use clap::Command;
 
 fn main() -> ExitCode {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -128,9 +128,19 @@
 
     /// Sends a message on the channel of its kind, without waiting.
     pub fn send(&self, to: &VmId, message: Message) -> Sent {
-        let Some(peer) = self.peers.get(to) else { return Sent::Dropped };
         // Heartbeats introduce daemons to each other, so a peer's incarnation is learnt from them.
         let receiver_incarnation = self.udp.guard.lock().incarnation(to);
+        self.send_to_life(to, receiver_incarnation, message)
+    }
+
+    /// Sends a message that only the given life of the receiver accepts.
+    pub fn send_to_life(
+        &self,
+        to: &VmId,
+        receiver_incarnation: Incarnation,
+        message: Message,
+    ) -> Sent {
+        let Some(peer) = self.peers.get(to) else { return Sent::Dropped };
         let introduction = matches!(message, Message::Heartbeat(_));
         if receiver_incarnation == Incarnation::ZERO && !introduction {
             return Sent::Dropped;
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -6,7 +6,7 @@
 
 use celerygate_steering::grants::{Admission, TokenNeed};
 use celerygate_steering::queue::{Arrival, QueueDecision, Ticket};
-use celerygate_steering::slots::{SlotAnswer, SlotTarget};
+use celerygate_steering::slots::{SlotAnswer, SlotMessage, SlotTarget};
 use celerygate_steering::targets::{
     Choice, Pick, Target, TargetTable, TargetUse, choose, distance,
 };
@@ -367,12 +367,12 @@
     }
 }
 
-fn send_replies(daemon: &Arc<Daemon>, messages: Vec<(VmId, SlotReply)>) {
-    for (to, reply) in messages {
-        if to == daemon.own {
+fn send_replies(daemon: &Arc<Daemon>, messages: Vec<SlotMessage>) {
+    for SlotMessage { vm, incarnation, reply } in messages {
+        if vm == daemon.own {
             accept(daemon, &reply);
         } else {
-            daemon.peers.send(&to, Message::SlotReply(reply));
+            daemon.peers.send_to_life(&vm, incarnation, Message::SlotReply(reply));
         }
     }
 }
--- a/crates/daemon/src/tables/permits.rs
+++ b/crates/daemon/src/tables/permits.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use celerygate_steering::queue::{Capacity, Ticket, WaitQueue};
-use celerygate_steering::slots::{SlotHolder, SlotOwner, SlotTarget, SlotUse};
+use celerygate_steering::slots::{SlotHolder, SlotMessage, SlotOwner, SlotTarget, SlotUse};
 use celerygate_steering::targets::{Pick, Target, TargetTable};
 use celerygate_types::wire::{SlotOwnership, SlotReply, SlotRequest};
 use celerygate_types::{RegionId, RequestCount, ServiceId, SlotCount, VmId};
@@ -201,7 +201,7 @@
     }
 
     /// Lets time pass for the owners on this VM; returns the messages to send.
-    pub fn tick_owners(&mut self, now: Instant) -> Vec<(VmId, SlotReply)> {
+    pub fn tick_owners(&mut self, now: Instant) -> Vec<SlotMessage> {
         self.owned.iter_mut().flat_map(|owned| owned.owner.tick(now)).collect()
     }
 
