Reduce the cost of a lookup

Cause: a lookup took 2.3 to 3.2 us; most of it was mispredicted branches in the selection of the best VMs, the logarithm of the library, and cache misses in the block table. Change: candidates are collected and ranked without branches; a series replaces the logarithm, which also makes scores equal on all processors; start and owner of a range, and hash and home of a block, lie side by side; sums of the answer ledger are kept for the present second.

--- a/crates/steering/src/lookup.rs
+++ b/crates/steering/src/lookup.rs
@@ -144,14 +144,15 @@
         Some(region) => return use_region(entries, &capacity.room, block, region, Reason::Route),
         None => Reason::RegionLost,
     };
+    capacity.ledger.advance(now);
     let substitute = entries.best_region(block.hash, |region| {
         let is_excluded = Some(region) == routed || capacity.overflow.share(region) > 0.0;
-        if is_excluded { 0.0 } else { capacity.ledger.left(entries, &capacity.room, region, now) }
+        if is_excluded { 0.0 } else { capacity.ledger.left(entries, &capacity.room, region) }
     });
     match substitute {
         Some(region) => {
             let slots = capacity.room[usize::from(region.0)].slots_per_answer;
-            capacity.ledger.charge(region, slots, now);
+            capacity.ledger.charge(region, slots);
             use_region(entries, &capacity.room, block, region, reason)
         }
         None => Lookup::NoCapacity,
--- a/crates/steering/src/lookup/blocks.rs
+++ b/crates/steering/src/lookup/blocks.rs
@@ -31,16 +31,16 @@
 pub struct BlockTable {
     v4: Ranges<u32>,
     v6: Ranges<u128>,
-    hashes: Vec<u64>,
-    homes: Vec<u16>,
+    /// Hash and position of the home region in `regions`.
+    blocks: Vec<(u64, u16)>,
     regions: Vec<RegionId>,
 }
 
 /// Disjoint ranges of addresses in ascending order; each ends where the next one starts.
 #[derive(Clone, Debug, Default)]
 struct Ranges<A> {
-    starts: Vec<A>,
-    owners: Vec<u32>,
+    /// Start and owner side by side, as both are read together.
+    ranges: Vec<(A, u32)>,
     /// For each value of the leading bits, the first range that starts there or later.
     index: Vec<u32>,
 }
@@ -58,10 +58,9 @@
         let (mut v4, mut v6) = (Vec::new(), Vec::new());
         for block in blocks {
             let network = block.network.parse::<IpNet>()?.trunc();
-            let owner = u32::try_from(table.hashes.len()).unwrap_or(NO_BLOCK);
-            table.hashes.push(id_hash(&network.to_string()));
+            let owner = u32::try_from(table.blocks.len()).unwrap_or(NO_BLOCK);
             let home = table.intern(&block.region);
-            table.homes.push(home);
+            table.blocks.push((id_hash(&network.to_string()), home));
             match network {
                 IpNet::V4(network) => v4.push(Network {
                     start: u32::from(network.network()).into(),
@@ -82,8 +81,7 @@
         );
         table.v6 =
             Ranges::new(flatten(v6, u128::MAX), |start| (start >> (128 - INDEX_BITS)) as usize);
-        table.hashes.shrink_to_fit();
-        table.homes.shrink_to_fit();
+        table.blocks.shrink_to_fit();
         Ok(table)
     }
 
@@ -98,20 +96,19 @@
 
     /// Returns the number of configured networks.
     pub fn len(&self) -> usize {
-        self.hashes.len()
+        self.blocks.len()
     }
 
     /// Returns whether no network is configured.
     pub fn is_empty(&self) -> bool {
-        self.hashes.is_empty()
+        self.blocks.is_empty()
     }
 
     /// Returns the bytes that the table holds on the heap.
     pub fn heap_bytes(&self) -> usize {
         self.v4.heap_bytes()
             + self.v6.heap_bytes()
-            + self.hashes.capacity() * size_of::<u64>()
-            + self.homes.capacity() * size_of::<u16>()
+            + self.blocks.capacity() * size_of::<(u64, u16)>()
             + self.regions.capacity() * size_of::<RegionId>()
     }
 
@@ -134,20 +131,19 @@
         let Some(at) = owner else {
             return Block { hash: group_hash(client), home: None };
         };
-        let home = self.regions.get(usize::from(self.homes[at])).cloned();
-        Block { hash: self.hashes[at], home }
+        let (hash, home) = self.blocks[at];
+        Block { hash, home: self.regions.get(usize::from(home)).cloned() }
     }
 }
 
 impl<A: Copy + Ord> Ranges<A> {
     fn new(ranges: impl IntoIterator<Item = (A, u32)>, leading: impl Fn(A) -> usize) -> Self {
-        let (mut starts, mut owners): (Vec<A>, Vec<u32>) = ranges.into_iter().unzip();
-        starts.shrink_to_fit();
-        owners.shrink_to_fit();
+        let mut ranges: Vec<(A, u32)> = ranges.into_iter().collect();
+        ranges.shrink_to_fit();
         let mut index = Vec::new();
-        if !starts.is_empty() {
+        if !ranges.is_empty() {
             index = vec![0_u32; (1 << INDEX_BITS) + 1];
-            for start in &starts {
+            for (start, _) in &ranges {
                 index[leading(*start) + 1] += 1;
             }
             let mut sum = 0;
@@ -156,20 +152,19 @@
                 *count = sum;
             }
         }
-        Self { starts, owners, index }
+        Self { ranges, index }
     }
 
     fn owner(&self, address: A, leading: usize) -> Option<usize> {
         let from = *self.index.get(leading)? as usize;
         let to = *self.index.get(leading + 1)? as usize;
-        let after = from + self.starts.get(from..to)?.partition_point(|start| *start <= address);
-        let owner = *self.owners.get(after.checked_sub(1)?)?;
+        let after = from + self.ranges.get(from..to)?.partition_point(|range| range.0 <= address);
+        let (_, owner) = *self.ranges.get(after.checked_sub(1)?)?;
         (owner != NO_BLOCK).then_some(owner as usize)
     }
 
     fn heap_bytes(&self) -> usize {
-        self.starts.capacity() * size_of::<A>()
-            + (self.owners.capacity() + self.index.capacity()) * size_of::<u32>()
+        self.ranges.capacity() * size_of::<(A, u32)>() + self.index.capacity() * size_of::<u32>()
     }
 }
 
--- a/crates/steering/src/lookup/entries.rs
+++ b/crates/steering/src/lookup/entries.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use super::rendezvous::{id_hash, least_hash, mix, score, score_of};
+use super::rendezvous::{id_hash, least_hash, mix, score};
 use super::{RegionIndex, RegionRoom};
 
 /// Steps to which the weight of a VM is rounded, so that small changes of a measurement do not
@@ -16,6 +16,8 @@
 /// Number of candidates whose logarithm is computed on average. With 8, more than 98% of the blocks
 /// find 3 VMs among them; the others have all candidates computed.
 const EXPECTED_ABOVE: f32 = 8.0;
+/// Most candidates that are considered first; a larger number is very rare.
+const MAX_ABOVE: usize = 32;
 
 /// An entry VM as the daemon knows it.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,11 +76,14 @@
     pub fn new(regions: &[RegionId], inputs: &[EntryInput]) -> Self {
         let mut table = Self::default();
         for (at, region) in regions.iter().enumerate() {
-            let serving = || inputs.iter().filter(|input| input.serving && input.region == *region);
-            let largest = serving().map(|input| input.headroom).fold(0.0, f32::max);
+            let mut serving: Vec<&EntryInput> =
+                inputs.iter().filter(|input| input.serving && input.region == *region).collect();
+            // Equal scores are ordered by position, which therefore is the same on all daemons.
+            serving.sort_by(|one, other| one.vm.cmp(&other.vm));
+            let largest = serving.iter().map(|input| input.headroom).fold(0.0, f32::max);
             let first = u16::try_from(table.vms.len()).unwrap_or(u16::MAX);
-            let mut candidates = Vec::with_capacity(serving().count());
-            for input in serving() {
+            let mut candidates = Vec::with_capacity(serving.len());
+            for input in serving {
                 candidates.push(Candidate {
                     hash: id_hash(input.vm.as_str()),
                     least_hash: 0,
@@ -157,17 +162,14 @@
     }
 
     fn best(&self, block_hash: u64, weight: impl Fn(RegionIndex) -> f32) -> Option<RegionIndex> {
-        let mut best = None;
+        let mut best = Top3::default();
         for (at, region) in (0_u16..).zip(&self.regions) {
             let weight = weight(RegionIndex(at));
             if weight > 0.0 {
-                let score = score(block_hash, region.hash, weight);
-                if best.is_none_or(|(known, _)| score > known) {
-                    best = Some((score, RegionIndex(at)));
-                }
+                best.offer(score(block_hash, region.hash, weight), at);
             }
         }
-        best.map(|(_, region)| region)
+        best.first(1).next().map(RegionIndex)
     }
 
     /// Appends the best VMs of a region for a block, best first.
@@ -181,25 +183,29 @@
         [u16; N]: smallvec::Array<Item = u16>,
     {
         let Some(entries) = self.regions.get(usize::from(region.0)) else { return };
-        let mut best = Best { most, ranked: SmallVec::new() };
-        let hashed = || {
-            (entries.first..)
-                .zip(&entries.candidates)
-                .map(|(at, candidate)| (at, candidate, mix(block_hash, candidate.hash)))
+        let mut best = Top3::default();
+        // Every position is written and kept only if it passes: a branch would be mispredicted for
+        // most of the positions that pass.
+        let (mut above, mut count) = ([0_u16; MAX_ABOVE], 0_usize);
+        for (at, candidate) in (0_u16..).zip(&entries.candidates) {
+            above[count % MAX_ABOVE] = at;
+            count += usize::from(mix(block_hash, candidate.hash) >= candidate.least_hash);
+        }
+        let mut offer = |at: u16| {
+            let candidate = &entries.candidates[usize::from(at)];
+            best.offer(score(block_hash, candidate.hash, candidate.weight), entries.first + at);
         };
-        for (at, candidate, mixed) in hashed() {
-            if mixed >= candidate.least_hash {
-                best.offer(score_of(mixed, candidate.weight), at);
-            }
+        if count <= MAX_ABOVE {
+            above[..count].iter().copied().for_each(&mut offer);
         }
         // A candidate below its least hash scores less than the common score.
-        if best.ranked.len() < most || best.worst() < entries.common_score {
-            best.ranked.clear();
-            hashed().for_each(|(at, candidate, mixed)| {
-                best.offer(score_of(mixed, candidate.weight), at);
-            });
+        if count > MAX_ABOVE || best.score(most) < entries.common_score {
+            best = Top3::default();
+            for (at, candidate) in (entries.first..).zip(&entries.candidates) {
+                best.offer(score(block_hash, candidate.hash, candidate.weight), at);
+            }
         }
-        chosen.extend(best.ranked.into_iter().map(|(_, at)| at));
+        chosen.extend(best.first(most));
     }
 
     /// Appends VMs of the other regions: one region is preferred by headroom, and the last VM comes
@@ -218,13 +224,13 @@
         let weight = |other: RegionIndex| {
             room.get(usize::from(other.0)).map_or(0.0, RegionRoom::headroom_slots).max(0.001)
         };
-        let mut best = Best { most: 2, ranked: SmallVec::new() };
+        let mut best = Top3::default();
         for (at, other) in (0_u16..).zip(&self.regions) {
             if at != region.0 && !other.candidates.is_empty() {
                 best.offer(score(block_hash, other.hash, weight(RegionIndex(at))), at);
             }
         }
-        let mut ranked = best.ranked.into_iter().map(|(_, at)| RegionIndex(at));
+        let mut ranked = best.first(2).map(RegionIndex);
         let Some(second) = ranked.next() else { return };
         let third = ranked.next();
         let before = chosen.len();
@@ -232,35 +238,41 @@
         self.pick(second, block_hash, from_second, chosen);
         if let Some(third) = third {
             let entries = &self.regions[usize::from(third.0)];
-            let last = (entries.first..)
-                .zip(&entries.candidates)
-                .max_by_key(|(_, candidate)| mix(block_hash, candidate.hash));
-            chosen.extend(last.map(|(at, _)| at));
+            let ranked = (0_u16..).zip(&entries.candidates).map(|(at, candidate)| {
+                (mix(block_hash, candidate.hash) & !u64::from(u16::MAX)) | u64::from(at)
+            });
+            chosen.extend(ranked.max().map(|best| entries.first + (best & 0xffff) as u16));
         }
         chosen.truncate(before + most);
     }
 }
 
-/// The candidates with the highest scores, best first.
-struct Best {
-    most: usize,
-    ranked: SmallVec<[(f32, u16); 4]>,
+/// The three candidates with the highest scores, each as the bits of its score and its position plus
+/// one. Positive floats compare like their bits, so that three maxima need no branches.
+#[derive(Clone, Copy, Debug, Default)]
+struct Top3 {
+    best: [u64; 3],
 }
 
-impl Best {
-    fn worst(&self) -> f32 {
-        self.ranked.last().map_or(0.0, |(score, _)| *score)
+impl Top3 {
+    fn offer(&mut self, score: f32, at: u16) {
+        let offered = (u64::from(score.to_bits()) << 32) | (u64::from(at) + 1);
+        let [first, second, third] = self.best;
+        let not_first = first.min(offered);
+        let not_second = second.min(not_first);
+        self.best = [first.max(offered), second.max(not_first), third.max(not_second)];
     }
 
-    fn offer(&mut self, score: f32, at: u16) {
-        if self.ranked.len() >= self.most {
-            if score <= self.worst() {
-                return;
-            }
-            self.ranked.pop();
-        }
-        let place = self.ranked.iter().position(|(known, _)| score > *known);
-        self.ranked.insert(place.unwrap_or(self.ranked.len()), (score, at));
+    /// Returns the score of a rank from 1 to 3, 0 if there are fewer candidates.
+    fn score(&self, rank: usize) -> f32 {
+        let ranked = rank.checked_sub(1).and_then(|at| self.best.get(at));
+        ranked.map_or(0.0, |best| f32::from_bits((best >> 32) as u32))
+    }
+
+    /// Returns the positions of the best candidates, at most three.
+    fn first(&self, most: usize) -> impl Iterator<Item = u16> + use<> {
+        let known = self.best.into_iter().take(most).filter(|best| *best != 0);
+        known.map(|best| ((best & 0xffff_ffff) - 1) as u16)
     }
 }
 
--- a/crates/steering/src/lookup/ledger.rs
+++ b/crates/steering/src/lookup/ledger.rs
@@ -21,82 +21,90 @@
 /// cached, and it takes a second to appear in the measurements. A caller that asks again after the
 /// cache time is part of the measured load, so as many slots as were answered in the period
 /// before are answered again without regard to the headroom.
+///
+/// Sums change with the second and with each answer, so that reading them costs no search.
 #[derive(Clone, Debug)]
 pub struct AnswerLedger {
     start: Instant,
     newest: u64,
-    charged: Vec<[f32; BUCKETS]>,
+    regions: Vec<Answers>,
+}
+
+/// Slots added to one region.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answers {
+    by_second: [f32; BUCKETS],
+    /// Recent ones, less those of the period before.
+    growth: f32,
+    /// Expired ones, less those that are cached.
+    expected_again: f32,
+}
+
+impl Answers {
+    /// Returns the slots between two ages in seconds, the younger included.
+    fn sum(&self, newest: u64, younger: u64, older: u64) -> f32 {
+        let sequences = (younger..older).filter_map(|age| newest.checked_sub(age));
+        sequences.map(|sequence| self.by_second[index(sequence)]).sum()
+    }
 }
 
 impl AnswerLedger {
     /// Returns a ledger without answers.
     pub fn new(regions: usize, now: Instant) -> Self {
-        Self { start: now, newest: 0, charged: vec![[0.0; BUCKETS]; regions] }
+        Self { start: now, newest: 0, regions: vec![Answers::default(); regions] }
     }
 
-    /// Counts an answer that sends a caller to a substitute region.
-    pub fn charge(&mut self, region: RegionIndex, slots: f32, now: Instant) {
-        self.advance(now);
-        let at = usize::from(region.0);
-        if at >= self.charged.len() {
-            self.charged.resize(at + 1, [0.0; BUCKETS]);
+    /// Moves on to the present second; the other functions then refer to it.
+    pub fn advance(&mut self, now: Instant) {
+        let newest = now.saturating_duration_since(self.start).as_secs();
+        if newest <= self.newest {
+            return;
         }
-        self.charged[at][index(self.newest)] += slots.max(0.0);
+        for answers in &mut self.regions {
+            for sequence in (self.newest + 1..=newest).take(BUCKETS) {
+                answers.by_second[index(sequence)] = 0.0;
+            }
+            let sum = |younger, older| answers.sum(newest, younger, older);
+            let (growth, again) = (
+                sum(0, RECENT) - sum(RECENT, 2 * RECENT),
+                sum(CACHED, 2 * CACHED) - sum(0, CACHED),
+            );
+            (answers.growth, answers.expected_again) = (growth, again);
+        }
+        self.newest = newest;
     }
 
-    /// Returns the slots that answers added between two ages in seconds, the younger included.
-    fn sum(&self, region: RegionIndex, younger: u64, older: u64, now: Instant) -> f32 {
-        let Some(charged) = self.charged.get(usize::from(region.0)) else { return 0.0 };
-        let newest = self.sequence(now);
-        let is_kept =
-            |sequence: &u64| *sequence <= self.newest && self.newest - *sequence < BUCKETS as u64;
-        let sequences = (younger..older).filter_map(|age| newest.checked_sub(age));
-        sequences.filter(is_kept).map(|sequence| charged[index(sequence)]).sum()
+    /// Counts an answer that sends a caller to a substitute region.
+    pub fn charge(&mut self, region: RegionIndex, slots: f32) {
+        if let Some(answers) = self.regions.get_mut(usize::from(region.0)) {
+            answers.by_second[index(self.newest)] += slots.max(0.0);
+            answers.growth += slots.max(0.0);
+            answers.expected_again -= slots.max(0.0);
+        }
     }
 
     /// Returns the slots that recent answers add and measurements may not show yet.
-    pub fn outstanding(&self, region: RegionIndex, now: Instant) -> f32 {
-        let growth = self.sum(region, 0, RECENT, now) - self.sum(region, RECENT, 2 * RECENT, now);
-        growth.max(0.0)
+    pub fn outstanding(&self, region: RegionIndex) -> f32 {
+        self.regions.get(usize::from(region.0)).map_or(0.0, |answers| answers.growth.max(0.0))
     }
 
     /// Returns the slots of callers whose answers have expired and who have not asked again.
-    pub fn expected_again(&self, region: RegionIndex, now: Instant) -> f32 {
-        let expired = self.sum(region, CACHED, 2 * CACHED, now);
-        (expired - self.sum(region, 0, CACHED, now)).max(0.0)
+    pub fn expected_again(&self, region: RegionIndex) -> f32 {
+        let answers = self.regions.get(usize::from(region.0));
+        answers.map_or(0.0, |answers| answers.expected_again.max(0.0))
     }
 
     /// Returns the slots that this daemon may still fill in a region by its answers.
     ///
     /// Daemons do not know of each other's recent answers, so each uses an equal part of the
     /// headroom.
-    pub fn left(
-        &self,
-        entries: &EntryTable,
-        room: &[RegionRoom],
-        region: RegionIndex,
-        now: Instant,
-    ) -> f32 {
+    pub fn left(&self, entries: &EntryTable, room: &[RegionRoom], region: RegionIndex) -> f32 {
         let Some(room) = room.get(usize::from(region.0)) else { return 0.0 };
         let part = room.headroom_slots().max(0.0) / entries.vms().len().max(1) as f32;
-        let left = (part - self.outstanding(region, now)).max(self.expected_again(region, now));
+        let left = (part - self.outstanding(region)).max(self.expected_again(region));
         // Half an answer covers the rounding of the sums.
         if left * 2.0 >= room.slots_per_answer { left } else { 0.0 }
     }
-
-    fn sequence(&self, now: Instant) -> u64 {
-        now.saturating_duration_since(self.start).as_secs().max(self.newest)
-    }
-
-    fn advance(&mut self, now: Instant) {
-        let newest = self.sequence(now);
-        for sequence in (self.newest + 1..=newest).take(BUCKETS) {
-            for charged in &mut self.charged {
-                charged[index(sequence)] = 0.0;
-            }
-        }
-        self.newest = newest;
-    }
 }
 
 fn index(sequence: u64) -> usize {
--- a/crates/steering/src/lookup/rendezvous.rs
+++ b/crates/steering/src/lookup/rendezvous.rs
@@ -34,13 +34,31 @@
 
 /// Returns the score of a combined hash.
 pub(super) fn score_of(mixed: u64, weight: f32) -> f32 {
-    let uniform = ((mixed >> 40) as f32 + 0.5) / (1_u64 << 24) as f32;
-    weight / -uniform.ln()
+    weight / minus_ln(((mixed >> 40) as f32 + 0.5) / (1_u64 << 24) as f32)
+}
+
+/// Returns `-ln(uniform)` for a normal number, with a relative error below 10^-6.
+///
+/// Libraries and processors differ in the last digit of their logarithm, and daemons that differ in
+/// a score may differ in the order of two VMs; these operations have the same result everywhere.
+fn minus_ln(uniform: f32) -> f32 {
+    // The mantissa is brought into [sqrt(1/2), sqrt(2)), where the series converges fast.
+    let offset = uniform.to_bits().wrapping_sub(0x3f35_04f3);
+    let exponent = (offset as i32 >> 23) as f32;
+    let mantissa = f32::from_bits((offset & 0x007f_ffff) + 0x3f35_04f3);
+    let s = (mantissa - 1.0) / (mantissa + 1.0);
+    let square = s * s;
+    let series = 2.0 * s * (1.0 + square * (1.0 / 3.0 + square * (0.2 + square / 7.0)));
+    -(exponent * std::f32::consts::LN_2 + series)
 }
 
 /// Returns the smallest combined hash with which a candidate of this weight may reach a score.
 pub(super) fn least_hash(weight: f32, score: f32) -> u64 {
-    // Two steps lower than the inverse of `score_of`, for its rounding.
+    // A little lower than the inverse of `score_of`, for its rounding.
     let uniform = f64::from(-weight / score).exp() * (1_u64 << 24) as f64;
-    ((uniform.floor() as u64).saturating_sub(2)) << 40
+    ((uniform * 0.999_99) as u64).saturating_sub(2) << 40
 }
+
+#[cfg(test)]
+#[path = "rendezvous_tests.rs"]
+mod tests;
