Keep the hash of client blocks and let relays keep deltas

Cause: each kept change hashed the whole table of client blocks, and a relay could not record the commands of a delta for its children. Change: the digest contains the hash of the table, which Recent keeps because only the bootstrap changes it; Recent::push_delta for relays, with a test.

--- a/crates/control/src/distribution/recent.rs
+++ b/crates/control/src/distribution/recent.rs
@@ -7,7 +7,7 @@
 };
 use celerygate_types::{Revision, Term};
 
-use crate::state::{self, Applied};
+use crate::state::{self, Applied, BlocksHash};
 
 /// Number of revisions that can be sent as changes; a daemon further behind gets a snapshot.
 pub const KEPT_REVISIONS: u64 = 1_000;
@@ -48,15 +48,17 @@
     /// Whether a proposal at the base revision is not among the kept commands.
     base_incomplete: bool,
     proposals: usize,
+    blocks: BlocksHash,
 }
 
 impl Recent {
     /// Returns an empty record that starts at a configuration.
     pub fn new(configuration: &Configuration) -> Self {
-        let base = (configuration.revision, state::digest(configuration));
+        let blocks = state::blocks_hash(configuration);
+        let base = (configuration.revision, state::digest_with(configuration, &blocks));
         let unconfirmed = |record: &IntentRecord| record.confirmed_revision.is_none();
         let base_incomplete = configuration.intents.iter().any(unconfirmed);
-        Self { kept: VecDeque::new(), base, base_incomplete, proposals: 0 }
+        Self { kept: VecDeque::new(), base, base_incomplete, proposals: 0, blocks }
     }
 
     /// Keeps a command after it was applied to the configuration.
@@ -76,7 +78,7 @@
             *self = Self::new(configuration);
             return;
         }
-        let digest = if raised { state::digest(configuration) } else { digest };
+        let digest = if raised { state::digest_with(configuration, &self.blocks) } else { digest };
         let revision = configuration.revision;
         let bytes = postcard::to_stdvec(command).map_or(usize::MAX, |encoded| encoded.len());
         self.kept.push_back(Kept { revision, digest, bytes, command: command.clone() });
@@ -86,6 +88,16 @@
         }
     }
 
+    /// Keeps the commands of a delta that a relay has applied to the given configuration. After a
+    /// snapshot, a relay starts again with `new`.
+    pub fn push_delta(&mut self, before: &Configuration, delta: &ConfigurationDelta) {
+        let mut configuration = before.clone();
+        for command in &delta.commands {
+            let applied = state::apply(&mut configuration, command);
+            self.push(&configuration, command, &applied);
+        }
+    }
+
     /// Returns the newest revision and its digest.
     pub fn newest(&self) -> (Revision, u64) {
         self.kept.back().map_or(self.base, |kept| (kept.revision, kept.digest))
--- a/crates/control/src/distribution_tests.rs
+++ b/crates/control/src/distribution_tests.rs
@@ -213,6 +213,27 @@
     assert_eq!(receive_snapshot(&child, Term(2), newer), Received::Older);
 }
 
+/// Guards against a relay that can only pass on snapshots, or other changes than it received.
+#[test]
+fn update_for_child_of_relay() {
+    let mut sender = Sender::new();
+    let mut relay = Sender::new();
+    let child = relay.configuration.clone();
+    for number in 1..=3 {
+        sender.change(number);
+        let update = sender.update(&relay.configuration, digest(&relay.configuration));
+        let Update::Delta(delta) = update else { panic!("no delta") };
+        let received = receive_delta(&relay.configuration, Term(1), &delta);
+        let Received::Applied(next) = received else { panic!("{received:?}") };
+        relay.recent.push_delta(&relay.configuration, &delta);
+        relay.configuration = *next;
+    }
+    let update = relay.update(&child, digest(&child));
+    assert!(matches!(&update, Update::Delta(delta) if delta.commands.len() == 6));
+    let received = receive(&child, update);
+    assert_eq!(received, Received::Applied(Box::new(sender.configuration.clone())));
+}
+
 /// Guards against deltas that are filled with refused commands.
 #[test]
 fn update_for_refused_command() {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,17 +8,15 @@
 mod members;
 mod retention;
 
-use celerygate_types::ResultCode;
-use celerygate_types::Revision;
 use celerygate_types::wire::{
-    Command, Configuration, ConfirmCommand, DrainSubject, HoldCommand, IntentKind, IntentRecord,
-    IntentState, PlanStep, ProposeCommand, Refusal, StepCommand,
+    Change, Command, Configuration, ConfirmCommand, DrainSubject, HoldCommand, IntentKind,
+    IntentRecord, IntentState, PlanStep, ProposeCommand, Refusal, StepCommand,
 };
-use celerygate_types::{IntentId, wire::Change};
+use celerygate_types::{IntentId, ResultCode, Revision};
 use smol_str::format_smolstr;
 
 pub use changes::check_change;
-pub use digest::digest;
+pub use digest::{BlocksHash, blocks_hash, digest, digest_with};
 pub use members::MAX_VOTERS;
 pub use retention::{MAX_RETAINED, RETENTION_MS};
 
