Refuse a resent hold, also through another VM and after a restart

Cause: the entry VM ignored the idempotency key, so a caller's resend of a non-idempotent request ran twice. Change: the control VMs record the keys of the last hour on disk, synced before they answer; the entry VM sends the request after two of three called the key new and releases the key when the request was certainly not sent. Homes in memory were ruled out: at the first start, and after a restart of two homes, they would refuse every key for an hour.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod log;
 pub mod membership;
 pub mod node;
+pub mod once_log;
 pub mod replica;
 pub mod state;
 pub mod storage;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -95,6 +95,11 @@
         Opened { node, snapshot }
     }
 
+    /// Returns the identity of the data folder.
+    pub fn store_id(&self) -> u64 {
+        self.log.store_id()
+    }
+
     /// Returns the state of the agreement.
     pub fn replica(&self) -> &Replica {
         &self.replica
--- /dev/null
+++ b/crates/control/src/once_log_tests.rs
@@ -0,0 +1,89 @@
+//! Tests of the idempotency keys on disk: a key that is lost by a crash lets a request run twice.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use super::*;
+use crate::storage::memory::{MemoryDisk, Tear};
+
+fn record(number: u64, change: OnceChange) -> TimedRecord {
+    let record = OnceRecord { organisation: 1, fingerprint: number, request: number, change };
+    TimedRecord { unix_ms: 1_000 + number, record }
+}
+
+fn open(disk: &MemoryDisk, unix_ms: u64) -> OpenedOnceLog {
+    OnceLog::open(disk.storage(), unix_ms).unwrap()
+}
+
+#[test]
+fn open_new_folder_is_incomplete() {
+    let disk = MemoryDisk::new();
+    assert_eq!(open(&disk, 500).log.past(), Past::UnknownBefore { unix_ms: 500 });
+    assert_eq!(open(&disk, 900).log.past(), Past::UnknownBefore { unix_ms: 500 });
+}
+
+#[test]
+fn set_complete_survives() {
+    let disk = MemoryDisk::new();
+    let mut opened = open(&disk, 500);
+    opened.log.append(&record(1, OnceChange::Started)).unwrap();
+    opened.log.set_complete(&[record(1, OnceChange::Started)]).unwrap();
+    disk.crash(Tear::Lose);
+    let opened = open(&disk, 900);
+    assert_eq!(opened.log.past(), Past::Complete);
+    assert_eq!(opened.records, [record(1, OnceChange::Started)]);
+}
+
+#[test]
+fn open_damage_before_end() {
+    let disk = MemoryDisk::new();
+    let mut opened = open(&disk, 500);
+    opened.log.append(&record(1, OnceChange::Started)).unwrap();
+    opened.log.append(&record(2, OnceChange::Started)).unwrap();
+    drop(opened);
+    disk.damage(FILE, |bytes| bytes[HEADER_BYTES + 3] ^= 1);
+    assert!(OnceLog::open(disk.storage(), 900).is_err());
+}
+
+#[test]
+fn append_failed_sync() {
+    let disk = MemoryDisk::new();
+    let mut opened = open(&disk, 500);
+    disk.fail_next_sync();
+    assert!(opened.log.append(&record(1, OnceChange::Started)).is_err());
+}
+
+fn any_tear() -> impl Strategy<Value = Tear> {
+    prop_oneof![
+        Just(Tear::Lose),
+        Just(Tear::Keep),
+        any::<usize>().prop_map(Tear::Prefix),
+        any::<usize>().prop_map(Tear::ZeroSector),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 64, rng_seed: RngSeed::Fixed(5), ..Config::default() })]
+
+    /// Oracle: what was answered before a crash is there after it.
+    #[test]
+    fn append_crash_at_any_write(
+        count in 1_u64..20, stop_at in 0_u64..40, effect in any::<bool>(), tear in any_tear()
+    ) {
+        let disk = MemoryDisk::new();
+        let mut opened = open(&disk, 500);
+        disk.stop_at_write(stop_at, effect);
+        let mut answered = Vec::new();
+        for number in 0..count {
+            let next = record(number, OnceChange::Started);
+            if opened.log.append(&next).is_err() {
+                break;
+            }
+            answered.push(next);
+        }
+        drop(opened);
+        disk.crash(tear);
+        let kept = open(&disk, 900).records;
+        prop_assert!(kept.starts_with(&answered), "{kept:?} lacks some of {answered:?}");
+    }
+}
--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -19,6 +19,7 @@
 use crate::control::{Control, first_configuration};
 use crate::daemon::Daemon;
 use crate::jobs::{self, Job, Tick};
+use crate::once::OnceHome;
 use crate::peers::{Inbound, Peers};
 use crate::settings::{self, Loaded};
 use crate::shutdown::Shutdown;
@@ -129,6 +130,10 @@
         Some(folder) => Control::open(&settings.vm, Path::new(folder.as_str()), first, now)?,
         None => Control::without_disk(state::empty_configuration()),
     };
+    let once_home = match &settings.data_folder {
+        Some(folder) => Some(OnceHome::open(&settings.vm, Path::new(folder.as_str()), &clock)?),
+        None => None,
+    };
     let others = other_addresses(&loaded)?;
     let metrics = Arc::new(Metrics::new()?);
     let counted = Arc::clone(&metrics);
@@ -144,7 +149,7 @@
         own: settings.vm.clone(),
         place,
         incarnation,
-        tables: Tables::new(control, configuration, now),
+        tables: Tables::new(control, once_home, configuration, now),
         started_at: now,
         fresh_until_ms: AtomicU64::new(0),
         clock,
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -10,6 +10,7 @@
 
 use super::{Control, deployed, publish};
 use crate::daemon::Daemon;
+use crate::once;
 
 /// Returns the first configuration of a deployment.
 pub fn first_configuration(settings: &Settings, deployment: &Deployment) -> Configuration {
@@ -22,6 +23,11 @@
     for entry in &entries {
         let applied = state::apply(&mut control.configuration, &entry.command);
         log_applied(entry, &applied, control);
+        if let Command::Bootstrap(first) = &entry.command
+            && is_founding_store(daemon, control, first)
+        {
+            once::note_founded(daemon);
+        }
         if let Some(vm) = &mut control.vm {
             vm.recent.push(&control.configuration, &entry.command, &applied);
         }
@@ -50,6 +56,14 @@
     publish(daemon, control);
 }
 
+/// Returns whether the group was founded with the data folder that this VM has now. A folder that
+/// replaced a lost one has another identity.
+fn is_founding_store(daemon: &Daemon, control: &Control, first: &Configuration) -> bool {
+    let store_id = control.vm.as_ref().map(|vm| vm.node.store_id());
+    let own = first.members.iter().find(|member| member.vm == daemon.own);
+    store_id.is_some() && own.is_some_and(|own| own.store_id == store_id)
+}
+
 fn log_applied(entry: &LogEntry, applied: &Applied, control: &Control) {
     let (kind, intent) = describe(&entry.command);
     log::info!(
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use celerygate_steering::headers::{self, HeaderFilter};
+use celerygate_steering::once;
 use celerygate_steering::outcome::{
-    FailedAttempt, NextAttempt, give_up, is_idempotent, next_attempt,
+    FailedAttempt, NextAttempt, Reached, give_up, is_idempotent, next_attempt,
 };
 use celerygate_types::{RequestId, ResultCode, ServiceId};
 use hyper::body::{Body, Incoming};
@@ -20,6 +21,7 @@
 use crate::body::{self, ResponseBody};
 use crate::daemon::Daemon;
 use crate::lookup;
+use crate::once::RecordedKey;
 use crate::refusal::Refusal;
 use crate::shutdown::Phase;
 use crate::view::Caller;
@@ -47,6 +49,8 @@
     pub deadline: Duration,
     /// Whether sending it twice has the effect of sending it once.
     pub idempotent: bool,
+    /// Hash of the idempotency key of a request that is not idempotent.
+    pub fingerprint: Option<u64>,
 }
 
 impl Exchange {
@@ -177,13 +181,17 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let deadline = headers::parse_deadline(values(request.headers(), headers::DEADLINE_HEADER))?;
     let caller = identity::identify(daemon, service, &uri, request.headers())?;
+    let idempotent = is_idempotent(request.method().as_str());
+    let key = values(request.headers(), headers::IDEMPOTENCY_HEADER);
+    let key = headers::parse_idempotency_key(key)?;
     let exchange = Arc::new(Exchange {
         id: id.clone(),
         service: service.clone(),
         caller,
         received_at,
         deadline,
-        idempotent: is_idempotent(request.method().as_str()),
+        idempotent,
+        fingerprint: key.filter(|_| !idempotent).map(once::fingerprint),
     });
     let upstream = UpstreamRequest::new(request, uri, &exchange);
     send(daemon, exchange, upstream).await
@@ -197,6 +205,7 @@
     mut upstream: UpstreamRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut attempts = Attempt::default();
+    let mut recorded_key = None;
     daemon.tables.retries.lock().count_request(daemon.clock.now());
     loop {
         let mut picked = match attempt::pick(daemon, &exchange, &attempts).await {
@@ -207,13 +216,20 @@
         if let Err(refusal) = identity::check_again(daemon, &exchange) {
             return Err(attempts.refusal_after(refusal));
         }
+        if recorded_key.is_none() {
+            recorded_key = record_key(daemon, &exchange).await?;
+        }
         let end = attempt::send(daemon, &exchange, &mut upstream, &mut picked).await;
         let (reached, ended, detail) = match end {
             AttemptEnd::Response(response) => {
+                recorded_key.iter_mut().for_each(RecordedKey::mark_sent);
                 return Ok(relay::relay(daemon, exchange, picked, response));
             }
             AttemptEnd::Failed { reached, ended, detail } => (reached, ended, detail),
         };
+        if reached >= Reached::BytesSent {
+            recorded_key.iter_mut().for_each(RecordedKey::mark_sent);
+        }
         let failed = FailedAttempt {
             reached,
             ended,
@@ -244,6 +260,20 @@
     }
 }
 
+/// Records the idempotency key of a request, if it has one, so that a resend does not run again.
+async fn record_key(
+    daemon: &Arc<Daemon>,
+    exchange: &Exchange,
+) -> Result<Option<RecordedKey>, Refusal> {
+    let (Some(fingerprint), Some(caller)) = (exchange.fingerprint, &exchange.caller) else {
+        return Ok(None);
+    };
+    let ends_at = exchange.ends_at();
+    let recorded =
+        crate::once::record(daemon, &exchange.id, &caller.organisation, fingerprint, ends_at);
+    recorded.await.map(Some)
+}
+
 /// Returns the values of a header as bytes.
 pub fn values<'a>(headers: &'a HeaderMap, name: &str) -> impl Iterator<Item = &'a [u8]> {
     headers.get_all(name).into_iter().map(HeaderValue::as_bytes)
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -11,7 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::workers::{JobFuture, JobQueue, Offered};
-use crate::{control, lookup, permits};
+use crate::{control, lookup, once, permits};
 
 /// Something for a worker to do.
 pub enum Job {
@@ -92,6 +92,9 @@
         Message::SlotRequest(request) => {
             permits::answer(daemon, &envelope.sender, envelope.sender_incarnation, &request);
         }
+        message @ (Message::OnceRequest(_) | Message::OnceReply(_) | Message::OnceRelease(_)) => {
+            once::receive(daemon, &envelope.sender, message);
+        }
         Message::SlotReply(reply) => permits::accept(daemon, &reply),
         Message::GrantReply(reply) => control::accept_tokens(daemon, &reply),
         _ => control::receive(daemon, envelope),
@@ -122,7 +125,10 @@
         Tick::Heartbeat => daemon.send_heartbeats(),
         Tick::Lookup => lookup::rebuild(daemon),
         Tick::Permits => permits::tick(daemon),
-        Tick::Targets => review_targets(daemon),
+        Tick::Targets => {
+            once::update_members(daemon);
+            review_targets(daemon);
+        }
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod locks;
 pub mod lookup;
 pub mod measure;
+pub mod once;
 pub mod operators;
 pub mod parse_errors;
 pub mod peers;
--- /dev/null
+++ b/crates/daemon/src/once.rs
@@ -0,0 +1,272 @@
+//! Idempotency keys: asking the homes of a key before a request is sent, and being a home.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use celerygate_control::once_log::{OnceLog, OpenedOnceLog, Past, TimedRecord};
+use celerygate_control::storage;
+use celerygate_steering::once::{
+    Homes, OnceChange, OnceDecision, OnceLimits, OnceRecord, OnceTable, RETENTION, decide, homes,
+};
+use celerygate_types::wire::{MemberRole, Message, OnceReply, OnceRequest, OnceVerdict};
+use celerygate_types::{Clock, OrganisationId, RequestId, ResultCode, VmId};
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::daemon::Daemon;
+use crate::refusal::Refusal;
+
+/// Folder of the idempotency keys within the data folder.
+const FOLDER: &str = "once";
+/// Longest wait for the homes: a round trip between regions takes 20 ms and a sync a few more, so a
+/// home that is silent for this long is down.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an unanswered home is asked again.
+const RESEND_AFTER: Duration = Duration::from_millis(250);
+
+/// The table of a home and its file.
+pub struct OnceHome {
+    table: OnceTable,
+    log: OnceLog,
+}
+
+impl OnceHome {
+    /// Opens the file of a control VM and restores the table.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or is damaged.
+    pub fn open(own: &VmId, data_folder: &Path, clock: &Clock) -> Result<Self> {
+        let (now, now_unix_ms) = (clock.now(), clock.unix_ms());
+        let folder = data_folder.join(FOLDER);
+        let storage = storage::open_folder(&folder)
+            .with_context(|| format!("open the folder {}", folder.display()))?;
+        let OpenedOnceLog { log, records } = OnceLog::open(storage, now_unix_ms)?;
+        let mut table = OnceTable::new(own.clone(), OnceLimits::default(), now);
+        match log.past() {
+            Past::Complete => table.set_complete(now),
+            Past::UnknownBefore { unix_ms } => {
+                let known_for = Duration::from_millis(now_unix_ms.saturating_sub(unix_ms));
+                table.set_clear_from(now + RETENTION.saturating_sub(known_for));
+            }
+        }
+        for timed in &records {
+            let age = Duration::from_millis(now_unix_ms.saturating_sub(timed.unix_ms));
+            // A machine that has been up for less than the age kept no record that long ago.
+            let at = now.checked_sub(age).unwrap_or(now);
+            table.restore(&timed.record, at);
+        }
+        Ok(Self { table, log })
+    }
+
+    /// Notes that the control group was founded with this data folder: no request was admitted
+    /// before.
+    ///
+    /// # Errors
+    ///
+    /// When the disk fails.
+    pub fn set_founded(&mut self, clock: &Clock) -> Result<()> {
+        if self.log.past() == Past::Complete {
+            return Ok(());
+        }
+        self.table.set_complete(clock.now());
+        self.log.set_complete(&live_records(&self.table, clock))
+    }
+
+    /// Notes the homes of all keys.
+    pub fn set_members(&mut self, vms: &[VmId], now: Instant) {
+        self.table.set_members(vms, now);
+    }
+
+    fn start(&mut self, request: &OnceRequest, clock: &Clock) -> Result<OnceVerdict> {
+        let OnceRequest { organisation, fingerprint, request } = request;
+        let now = clock.now();
+        self.table.expire(now);
+        let before = self.table.len();
+        let verdict = self.table.start(organisation, *fingerprint, request, now);
+        if self.table.len() > before {
+            let change = OnceChange::Started;
+            self.append(OnceRecord::new(organisation, *fingerprint, request, change), clock)?;
+        }
+        Ok(verdict)
+    }
+
+    fn release(&mut self, request: &OnceRequest, clock: &Clock) -> Result<()> {
+        let OnceRequest { organisation, fingerprint, request } = request;
+        let before = self.table.len();
+        self.table.release(organisation, *fingerprint, request);
+        if self.table.len() == before {
+            return Ok(());
+        }
+        let change = OnceChange::Released;
+        self.append(OnceRecord::new(organisation, *fingerprint, request, change), clock)
+    }
+
+    fn append(&mut self, record: OnceRecord, clock: &Clock) -> Result<()> {
+        self.log.append(&TimedRecord { unix_ms: clock.unix_ms(), record })?;
+        if self.log.is_compaction_due(self.table.len()) {
+            self.log.rewrite(&live_records(&self.table, clock))?;
+        }
+        Ok(())
+    }
+}
+
+fn live_records(table: &OnceTable, clock: &Clock) -> Vec<TimedRecord> {
+    let (now, now_unix_ms) = (clock.now(), clock.unix_ms());
+    let timed = |(at, record): (Instant, OnceRecord)| {
+        let age_ms = now.saturating_duration_since(at).as_millis() as u64;
+        TimedRecord { unix_ms: now_unix_ms.saturating_sub(age_ms), record }
+    };
+    table.records().map(timed).collect()
+}
+
+/// Requests of this VM that wait for answers of homes.
+#[derive(Default)]
+pub struct OnceWaiting {
+    answers: HashMap<RequestId, mpsc::UnboundedSender<(VmId, OnceVerdict)>>,
+}
+
+/// A recorded key; dropping it releases the key at its homes unless the request may have been sent.
+pub struct RecordedKey {
+    daemon: Arc<Daemon>,
+    homes: Homes,
+    request: OnceRequest,
+    may_have_run: bool,
+}
+
+impl RecordedKey {
+    /// Notes that a byte of the request may have reached a target.
+    pub fn mark_sent(&mut self) {
+        self.may_have_run = true;
+    }
+}
+
+impl Drop for RecordedKey {
+    fn drop(&mut self) {
+        self.daemon.tables.once_waiting.lock().answers.remove(&self.request.request);
+        if self.may_have_run {
+            return;
+        }
+        for home in &self.homes {
+            send(&self.daemon, home, Message::OnceRelease(self.request.clone()));
+        }
+    }
+}
+
+/// Records the key of a request at its homes before the request is sent.
+///
+/// # Errors
+///
+/// When the key was used before, or too few homes can tell.
+pub async fn record(
+    daemon: &Arc<Daemon>,
+    request: &RequestId,
+    organisation: &OrganisationId,
+    fingerprint: u64,
+    deadline: Instant,
+) -> Result<RecordedKey, Refusal> {
+    let vms = control_vms(daemon);
+    let homes = homes(&vms, organisation, fingerprint);
+    let (organisation, request) = (organisation.clone(), request.clone());
+    let question = OnceRequest { request: request.clone(), organisation, fingerprint };
+    let (sender, mut answers) = mpsc::unbounded_channel();
+    daemon.tables.once_waiting.lock().answers.insert(request, sender);
+    let mut key =
+        RecordedKey { daemon: Arc::clone(daemon), homes, request: question, may_have_run: false };
+    let give_up_at = deadline.min(daemon.clock.now() + ANSWER_TIMEOUT);
+    let mut heard: SmallVec<[(VmId, OnceVerdict); 3]> = SmallVec::new();
+    let mut ask_at = daemon.clock.now();
+    loop {
+        let now = daemon.clock.now();
+        let known = heard.iter().map(|(vm, verdict)| (vm, *verdict));
+        match decide(&key.homes, known, now >= give_up_at) {
+            OnceDecision::Send => return Ok(key),
+            OnceDecision::Wait => {}
+            OnceDecision::Refuse(code) => {
+                // The key belongs to the first request, which may have run.
+                key.may_have_run = code == ResultCode::DuplicateRequest;
+                return Err(code.into());
+            }
+        }
+        if now >= ask_at {
+            ask_at = now + RESEND_AFTER;
+            for home in key.homes.iter().filter(|home| !heard.iter().any(|(vm, _)| vm == *home)) {
+                send(daemon, home, Message::OnceRequest(key.request.clone()));
+            }
+        }
+        tokio::select! {
+            answer = answers.recv() => heard.extend(answer),
+            () = sleep_until(ask_at.min(give_up_at).into()) => {}
+        }
+    }
+}
+
+/// Returns the VMs with a disk, which are the homes of all keys.
+fn control_vms(daemon: &Daemon) -> Vec<VmId> {
+    let view = daemon.tables.view();
+    let members = view.configuration.members.iter();
+    let control = members.filter(|member| member.role != MemberRole::Follower);
+    control.map(|member| member.vm.clone()).collect()
+}
+
+fn send(daemon: &Arc<Daemon>, home: &VmId, message: Message) {
+    if *home == daemon.own {
+        receive(daemon, home, message);
+    } else {
+        daemon.peers.send(home, message);
+    }
+}
+
+/// Handles a message about an idempotency key.
+pub fn receive(daemon: &Arc<Daemon>, from: &VmId, message: Message) {
+    match message {
+        Message::OnceRequest(request) => {
+            if let Some(verdict) = at_home(daemon, |home| home.start(&request, &daemon.clock)) {
+                let reply = OnceReply { request: request.request, verdict };
+                send(daemon, from, Message::OnceReply(reply));
+            }
+        }
+        Message::OnceRelease(request) => {
+            at_home(daemon, |home| home.release(&request, &daemon.clock));
+        }
+        Message::OnceReply(reply) => {
+            let waiting = daemon.tables.once_waiting.lock();
+            if let Some(sender) = waiting.answers.get(&reply.request) {
+                // The request may have been decided by the other answers.
+                let _ = sender.send((from.clone(), reply.verdict));
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Runs an operation of this home, if this VM is one. A failure of the disk ends the process, as
+/// for the control group's log.
+fn at_home<T>(daemon: &Daemon, operation: impl FnOnce(&mut OnceHome) -> Result<T>) -> Option<T> {
+    let mut home = daemon.tables.once_home.lock();
+    let home = home.as_mut()?;
+    match tokio::task::block_in_place(|| operation(home)) {
+        Ok(value) => Some(value),
+        Err(error) => daemon.fail(&error.context("the idempotency keys' file failed")),
+    }
+}
+
+/// Tells this home which VMs are homes.
+pub fn update_members(daemon: &Daemon) {
+    let vms = control_vms(daemon);
+    let now = daemon.clock.now();
+    if let Some(home) = daemon.tables.once_home.lock().as_mut()
+        && !vms.is_empty()
+    {
+        home.set_members(&vms, now);
+    }
+}
+
+/// Notes that the control group was founded with this VM's data folder.
+pub fn note_founded(daemon: &Daemon) {
+    at_home(daemon, |home| home.set_founded(&daemon.clock));
+}
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -1,7 +1,8 @@
 //! The tables that all workers and connections share, with their lock order.
 //!
 //! A thread may take a lock only while it holds locks of lower rank. The ranks are, in order:
-//! control 10, view 20, neighbours 30, targets 40, permits 50, lookups 60, grants 70, retries 80.
+//! control 10, view 20, neighbours 30, targets 40, permits 50, lookups 60, grants 70, once home 72,
+//! once waiting 74, retries 80.
 //! No lock is held across an await.
 
 mod neighbours;
@@ -22,6 +23,7 @@
 use crate::control::Control;
 use crate::locks::Ranked;
 use crate::lookup::LookupState;
+use crate::once::{OnceHome, OnceWaiting};
 use crate::view::View;
 
 /// The shared tables of a daemon.
@@ -39,13 +41,22 @@
     pub lookups: Ranked<LookupState>,
     /// Rate tokens of this VM.
     pub grants: Ranked<GrantHolder>,
+    /// Idempotency keys of which this VM is a home; none without a disk.
+    pub once_home: Ranked<Option<OnceHome>>,
+    /// Requests that wait for answers of homes.
+    pub once_waiting: Ranked<OnceWaiting>,
     /// Limits the share of requests that are sent again.
     pub retries: Ranked<RetryBudget>,
 }
 
 impl Tables {
     /// Returns tables without targets, neighbours and grants.
-    pub fn new(control: Control, configuration: Configuration, now: Instant) -> Self {
+    pub fn new(
+        control: Control,
+        once_home: Option<OnceHome>,
+        configuration: Configuration,
+        now: Instant,
+    ) -> Self {
         Self {
             control: Ranked::new(10, control),
             view: Ranked::new(20, Arc::new(View::new(configuration))),
@@ -54,6 +65,8 @@
             permits: Ranked::new(50, Permits::default()),
             lookups: Ranked::new(60, LookupState::default()),
             grants: Ranked::new(70, GrantHolder::new(Term::ZERO)),
+            once_home: Ranked::new(72, once_home),
+            once_waiting: Ranked::new(74, OnceWaiting::default()),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
     }
--- a/crates/steering/src/once.rs
+++ b/crates/steering/src/once.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use celerygate_types::wire::OnceVerdict;
-use celerygate_types::{OrganisationId, ResultCode, VmId};
+use celerygate_types::{OrganisationId, RequestId, ResultCode, VmId};
 use smallvec::SmallVec;
 
 use crate::lookup::rendezvous::{first_8_bytes, id_hash, mix};
@@ -23,6 +23,41 @@
 /// Time for which a key is kept; a resend after that is a new request.
 pub const RETENTION: Duration = Duration::from_secs(3_600);
 
+/// What a record says about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnceChange {
+    /// It may have been sent.
+    Started,
+    /// It was refused and will never be sent.
+    Released,
+}
+
+/// A change of a home's table, as it is kept on disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OnceRecord {
+    /// Hash of the organisation's id.
+    pub organisation: u64,
+    /// Hash of the idempotency key.
+    pub fingerprint: u64,
+    /// Hash of the request's id.
+    pub request: u64,
+    /// What the record says.
+    pub change: OnceChange,
+}
+
+impl OnceRecord {
+    /// Returns the record of a request.
+    pub fn new(
+        organisation: &OrganisationId,
+        fingerprint: u64,
+        request: &RequestId,
+        change: OnceChange,
+    ) -> Self {
+        let (organisation, request) = (id_hash(organisation.as_str()), id_hash(request.as_str()));
+        Self { organisation, fingerprint, request, change }
+    }
+}
+
 /// The homes of a key, in order of their hash.
 pub type Homes = SmallVec<[VmId; HOMES]>;
 
--- a/crates/steering/src/once/table.rs
+++ b/crates/steering/src/once/table.rs
@@ -7,7 +7,7 @@
 use celerygate_types::wire::OnceVerdict;
 use celerygate_types::{OrganisationId, RequestId, VmId};
 
-use super::{RETENTION, homes};
+use super::{OnceChange, OnceRecord, RETENTION, homes};
 use crate::lookup::rendezvous::id_hash;
 
 /// Most keys that a home records.
@@ -69,6 +69,39 @@
         }
     }
 
+    /// Notes that nothing recorded before can be missing: the records were restored from disk, or
+    /// no request was admitted anywhere before this VM started.
+    pub fn set_complete(&mut self, now: Instant) {
+        self.clear_from = self.clear_from.min(now);
+    }
+
+    /// Notes that records may be missing until this time.
+    pub fn set_clear_from(&mut self, at: Instant) {
+        self.clear_from = at;
+    }
+
+    /// Adds a record from an earlier life, oldest first.
+    pub fn restore(&mut self, record: &OnceRecord, at: Instant) {
+        let OnceRecord { organisation, fingerprint, request, change } = *record;
+        let key = KeyOf { organisation, fingerprint };
+        match change {
+            OnceChange::Started => {
+                self.record(key, request, at);
+            }
+            OnceChange::Released => self.remove(key),
+        }
+    }
+
+    /// Returns the live records with their times, oldest first.
+    pub fn records(&self) -> impl Iterator<Item = (Instant, OnceRecord)> {
+        self.order.iter().filter_map(|(at, key)| {
+            let started = self.started.get(key).filter(|started| started.at == *at)?;
+            let KeyOf { organisation, fingerprint } = *key;
+            let (request, change) = (started.request, OnceChange::Started);
+            Some((*at, OnceRecord { organisation, fingerprint, request, change }))
+        })
+    }
+
     /// Notes the configured VMs.
     ///
     /// A change makes this VM a home of keys that were recorded elsewhere; it answers "unknown" for
