Keep the hashes of VMs for the homes of idempotency keys

Cause: the homes of a key hashed the id of every VM for each request. Change: once::Members holds the ids with their hashes.

--- a/crates/steering/src/once.rs
+++ b/crates/steering/src/once.rs
@@ -31,23 +31,41 @@
     first_8_bytes(&blake3::hash(idempotency_key))
 }
 
-/// Returns the homes of a key among the configured VMs, whether they are up or not.
+/// The configured VMs with their hashes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    vms: Vec<(VmId, u64)>,
+}
+
+impl Members {
+    /// Hashes the ids of the configured VMs, whether they are up or not.
+    pub fn new<'a>(vms: impl IntoIterator<Item = &'a VmId>) -> Self {
+        Self { vms: vms.into_iter().map(|vm| (vm.clone(), id_hash(vm.as_str()))).collect() }
+    }
+
+    /// Returns the homes of a key.
+    pub fn homes(&self, organisation: &OrganisationId, fingerprint: u64) -> Homes {
+        let subject = mix(id_hash(organisation.as_str()), fingerprint);
+        let mut best: SmallVec<[(u64, &VmId); HOMES + 1]> = SmallVec::new();
+        for (vm, hash) in &self.vms {
+            let ranked = (mix(subject, *hash), vm);
+            let place = best.iter().position(|known| ranked > *known).unwrap_or(best.len());
+            if place < HOMES && best.iter().all(|(_, known)| *known != vm) {
+                best.insert(place, ranked);
+                best.truncate(HOMES);
+            }
+        }
+        best.into_iter().map(|(_, vm)| vm.clone()).collect()
+    }
+}
+
+/// Returns the homes of a key among the configured VMs; [`Members`] saves hashing their ids.
 pub fn homes<'a>(
     vms: impl IntoIterator<Item = &'a VmId>,
     organisation: &OrganisationId,
     fingerprint: u64,
 ) -> Homes {
-    let subject = mix(id_hash(organisation.as_str()), fingerprint);
-    let mut best: SmallVec<[(u64, &VmId); HOMES + 1]> = SmallVec::new();
-    for vm in vms {
-        let ranked = (mix(subject, id_hash(vm.as_str())), vm);
-        let place = best.iter().position(|known| ranked > *known).unwrap_or(best.len());
-        if best.iter().all(|(_, known)| *known != vm) {
-            best.insert(place, ranked);
-            best.truncate(HOMES);
-        }
-    }
-    best.into_iter().map(|(_, vm)| vm.clone()).collect()
+    Members::new(vms).homes(organisation, fingerprint)
 }
 
 /// What an entry VM does with a request that carries an idempotency key.
--- a/crates/steering/src/once/table.rs
+++ b/crates/steering/src/once/table.rs
@@ -7,7 +7,7 @@
 use celerygate_types::wire::OnceVerdict;
 use celerygate_types::{OrganisationId, RequestId, VmId};
 
-use super::{RETENTION, homes};
+use super::{Members, RETENTION};
 use crate::lookup::rendezvous::id_hash;
 
 /// Most keys that a home records.
@@ -48,7 +48,7 @@
     per_organisation: HashMap<u64, usize>,
     /// Members of the last hour, each list with the time at which it came into force. Until the
     /// first list applies, nothing is known of the keys that others recorded.
-    members: Vec<(Instant, Vec<VmId>)>,
+    members: Vec<(Instant, Members)>,
     clear_from: Instant,
 }
 
@@ -74,8 +74,9 @@
     /// A change makes this VM a home of keys that were recorded elsewhere; it answers "unknown" for
     /// those for an hour.
     pub fn set_members(&mut self, vms: &[VmId], now: Instant) {
-        if self.members.last().is_none_or(|(_, known)| known != vms) {
-            self.members.push((now, vms.to_vec()));
+        let members = Members::new(vms);
+        if self.members.last().is_none_or(|(_, known)| *known != members) {
+            self.members.push((now, members));
         }
         // A list counts until an hour after its successor came into force.
         let still_counts = |since: &Instant| now.saturating_duration_since(*since) < RETENTION;
@@ -182,6 +183,6 @@
             && self
                 .members
                 .iter()
-                .all(|(_, vms)| homes(vms, organisation, fingerprint).contains(&self.vm))
+                .all(|(_, vms)| vms.homes(organisation, fingerprint).contains(&self.vm))
     }
 }
