Choose the last address of an answer without comparing all VMs

Cause: the VM of the third region cost a quarter of the instructions of a lookup, for an address that is used after the loss of two regions. Change: its place is computed from the hash of the block.

--- a/crates/steering/src/lookup/entries.rs
+++ b/crates/steering/src/lookup/entries.rs
@@ -238,10 +238,10 @@
         self.pick(second, block_hash, from_second, chosen);
         if let Some(third) = third {
             let entries = &self.regions[usize::from(third.0)];
-            let ranked = (0_u16..).zip(&entries.candidates).map(|(at, candidate)| {
-                (mix(block_hash, candidate.hash) & !u64::from(u16::MAX)) | u64::from(at)
-            });
-            chosen.extend(ranked.max().map(|best| entries.first + (best & 0xffff) as u16));
+            // The last address is rarely used, so its order may change with the number of VMs.
+            let count = entries.candidates.len() as u128;
+            let place = (u128::from(mix(block_hash, entries.hash)) * count) >> 64;
+            chosen.push(entries.first + place as u16);
         }
         chosen.truncate(before + most);
     }
--- a/crates/steering/src/lookup_tests.rs
+++ b/crates/steering/src/lookup_tests.rs
@@ -271,3 +271,22 @@
         assert!((count as f64 / 20_000.0 - expected).abs() < 0.02, "{first:?}");
     }
 }
+
+/// Guards against combined hashes that favour some of many VMs.
+#[test]
+fn pick_many_equal() {
+    let inputs: Vec<EntryInput> = (0..78).map(|vm| input(vm, 0, 1.0)).collect();
+    let entries = EntryTable::new(&regions(), &inputs);
+    let mut counts = [[0_u32; 78]; 3];
+    for block in 0..78_000_u64 {
+        let mut chosen: SmallVec<[u16; 6]> = SmallVec::new();
+        entries.pick(RegionIndex(0), rendezvous::id_hash(&block.to_string()), 3, &mut chosen);
+        for (rank, at) in chosen.iter().enumerate() {
+            counts[rank][usize::from(*at)] += 1;
+        }
+    }
+    // 1,000 blocks are expected for each rank, with a standard deviation of 31.
+    for counts in counts {
+        assert!(counts.iter().all(|count| count.abs_diff(1_000) < 160), "{counts:?}");
+    }
+}
