--- a/crates/control/src/state_tests.rs
+++ b/crates/control/src/state_tests.rs
@@ -430,6 +430,7 @@
 #[test]
 fn apply_slot_owner_epochs() {
     let mut configuration = booted();
+    configuration.members.push(member("vm-2", MemberRole::Follower));
     let members: Vec<VmId> = configuration.members.iter().map(|m| m.vm.clone()).collect();
     let name = |vm: &VmId| {
         Command::SlotOwner(SlotOwnerCommand { region: region("north"), vm: vm.clone() })
