Do not say twice that a confirm is applied at most once

Cause: the advice of an unanswered confirm repeated the sentence of the result code.

Change: the added advice only names the command to repeat.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -66,10 +66,7 @@
         intent: &IntentId,
         based_on: Revision,
     ) -> Result<IntentAnswer, Failure> {
-        let advice = format!(
-            "Repeat the same command, confirm {intent} --based-on {based_on}; it is applied at \
-             most once."
-        );
+        let advice = format!("Repeat the same command, confirm {intent} --based-on {based_on}.");
         let path = format!("/v1/intents/{intent}/confirm");
         let call = Call::post(path, &ConfirmRequest { based_on }, advice)?;
         self.send(&call).await.map_err(|failure| failure.with_intent(intent))
