--- a/crates/control/src/storage/memory.rs
+++ b/crates/control/src/storage/memory.rs
@@ -207,9 +207,4 @@
     pub fn names(&self) -> Vec<String> {
         self.disk.lock().files.keys().cloned().collect()
     }
-
-    /// Removes all files, as a replaced disk does.
-    pub fn erase(&self) {
-        self.disk.lock().files.clear();
-    }
 }
