Bound the memory of a full table of idempotency keys in a test

Cause: the limit of 150,000 keys was chosen by calculation only. Change: a test fills the table to its limits.

--- a/crates/steering/src/once_tests.rs
+++ b/crates/steering/src/once_tests.rs
@@ -305,3 +305,19 @@
     table.expire(now + minutes(60));
     assert!(table.is_empty());
 }
+
+/// Guards against a full table that takes a large part of a daemon's memory.
+#[test]
+fn heap_bytes_full() {
+    let now = Instant::now() + minutes(100);
+    let members = vms(0..3);
+    let mut table = settled(&members[0], &members, OnceLimits::default(), now);
+    for (at, organisation) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let organisation = organisation.parse().unwrap();
+        for key in 0..50_001 {
+            table.start(&organisation, key, &request(at), now);
+        }
+    }
+    assert_eq!(table.len(), 150_000);
+    assert!(table.heap_bytes() < 20_000_000, "{} B", table.heap_bytes());
+}
