Keep what crosses a link between regions within its cap

Cause: responses from targets of another region were read as fast as they came, and the measured use of every link was 0, so step plans had nothing to compare with the cap. Change: entry VMs pace request and response bodies that cross a link, ask the slot owner of the sending region for budgets, and report their use in heartbeats. Connections to another region have a bounded receive buffer.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -158,9 +158,10 @@
         let records = self.tables.targets.lock().records(now);
         let revision = self.tables.view().configuration.revision;
         let (state, loads) = (self.state(), self.loads());
+        let links = self.tables.links.lock().loads();
         for targets in split_records(records) {
             let heartbeat =
-                Heartbeat { state, revision, loads: loads.clone(), links: Vec::new(), targets };
+                Heartbeat { state, revision, loads: loads.clone(), links: links.clone(), targets };
             for peer in self.peers.names() {
                 self.peers.send(peer, Message::Heartbeat(heartbeat.clone()));
             }
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -9,7 +9,7 @@
 
 use celerygate_steering::headers::{self, HeaderFilter};
 use celerygate_steering::outcome::{Ended, NextAttempt, Reached};
-use celerygate_steering::targets::{Observation, Pick};
+use celerygate_steering::targets::{Distance, Observation, Pick};
 use celerygate_types::{OrganisationId, ResultCode, ServiceId, TargetId};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -20,10 +20,11 @@
 
 use super::{Exchange, REQUEST_HEADER, copy_kept, is_empty, pairs};
 use crate::daemon::Daemon;
+use crate::links::{self, PacedBody};
 use crate::permits::{self, Admittee};
 use crate::refusal::Refusal;
 use crate::tables::Grant;
-use crate::upstream::{RelayedBody, RequestBody, SendError};
+use crate::upstream::{Reach, RelayedBody, RequestBody, SendError};
 
 /// Request header that tells a target whose request it runs.
 const ORGANISATION_HEADER: &str = "celerygate-organisation";
@@ -173,9 +174,20 @@
         self.body_is_empty || (self.body.is_some() && !self.body_touched.load(Ordering::Acquire))
     }
 
-    fn build(&mut self, address: SocketAddr, remaining_ms: u64) -> Request<RequestBody> {
+    fn build(
+        &mut self,
+        daemon: &Arc<Daemon>,
+        picked: &Picked,
+        remaining_ms: u64,
+    ) -> Request<RequestBody> {
+        let address = picked.address;
         let empty = || Empty::new().map_err(|never| match never {}).boxed_unsync();
-        let mut request = Request::new(self.body.take().unwrap_or_else(empty));
+        let body = self.body.take().unwrap_or_else(empty);
+        let body = match links::outward(daemon, &picked.pick.region) {
+            Some(link) => PacedBody::new(body, Some(link), daemon).boxed_unsync(),
+            None => body,
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
@@ -229,9 +241,13 @@
     else {
         return AttemptEnd::failed(Reached::NotConnected, Ended::DeadlinePassed, "no time left");
     };
-    let request = upstream.build(picked.address, remaining);
+    let request = upstream.build(daemon, picked, remaining);
     picked.mark_sent();
-    let sent = daemon.upstream.send(picked.address, request);
+    let reach = match picked.pick.distance {
+        Distance::Remote => Reach::OtherRegion,
+        Distance::DataCentre | Distance::Region => Reach::SameRegion,
+    };
+    let sent = daemon.upstream.send(picked.address, reach, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
         Ok(Ok(response)) => return AttemptEnd::Response(response),
         Ok(Err(SendError::NotConnected { request, reason })) => {
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -15,6 +15,7 @@
 use super::{Exchange, copy_kept, pairs};
 use crate::body::{BodyError, ResponseBody};
 use crate::daemon::Daemon;
+use crate::links::{self, PacedBody};
 use crate::upstream::RelayedBody;
 
 /// How a relayed response ended.
@@ -37,6 +38,7 @@
     let (parts, body) = response.into_parts();
     let deadline = Box::pin(sleep_until(exchange.ends_at().into()));
     let is_error = parts.status.is_server_error();
+    let body = PacedBody::new(body, links::inward(daemon, &picked.pick.region), daemon);
     let finish = Finish { daemon: Arc::clone(daemon), exchange, picked, is_error, end: None };
     let mut relayed = Response::new(RelayBody { body, deadline, finish }.boxed_unsync());
     *relayed.status_mut() = parts.status;
@@ -46,7 +48,7 @@
 }
 
 struct RelayBody {
-    body: RelayedBody,
+    body: PacedBody<RelayedBody>,
     deadline: Pin<Box<Sleep>>,
     finish: Finish,
 }
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -11,7 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::workers::{JobFuture, JobQueue, Offered};
-use crate::{control, lookup, once, permits};
+use crate::{control, links, lookup, once, permits};
 
 /// Something for a worker to do.
 pub enum Job {
@@ -34,6 +34,8 @@
     Heartbeat,
     /// Entry table and rooms of lookups.
     Lookup,
+    /// Budgets of links.
+    Links,
     /// Slot permits and waiting requests.
     Permits,
     /// Expired announcements and ejections.
@@ -48,6 +50,7 @@
             Self::Grants => Duration::from_millis(25),
             Self::Heartbeat => Duration::from_secs(1),
             Self::Lookup => lookup::REBUILD_INTERVAL,
+            Self::Links => Duration::from_millis(100),
             Self::Permits => Duration::from_millis(20),
             Self::Targets => Duration::from_millis(500),
         }
@@ -89,6 +92,10 @@
         Message::Heartbeat(heartbeat) => {
             record_heartbeat(daemon, envelope.sender, heartbeat);
         }
+        Message::LinkRequest(request) => {
+            links::answer(daemon, &envelope.sender, envelope.sender_incarnation, &request);
+        }
+        Message::LinkReply(reply) => links::accept(daemon, &reply),
         Message::SlotRequest(request) => {
             permits::answer(daemon, &envelope.sender, envelope.sender_incarnation, &request);
         }
@@ -124,6 +131,7 @@
         Tick::Grants => control::poll_owner(daemon),
         Tick::Heartbeat => daemon.send_heartbeats(),
         Tick::Lookup => lookup::rebuild(daemon),
+        Tick::Links => links::tick(daemon),
         Tick::Permits => permits::tick(daemon),
         Tick::Targets => {
             once::update_members(daemon);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod forward;
 pub mod jobs;
+pub mod links;
 pub mod locks;
 pub mod lookup;
 pub mod measure;
--- a/crates/daemon/src/measure.rs
+++ b/crates/daemon/src/measure.rs
@@ -5,7 +5,7 @@
 use celerygate_types::measurements::{
     LinkMeasure, Measurements, RegionLoad, ServiceRegionLoad, TargetPlace,
 };
-use celerygate_types::wire::{Configuration, Member, ServiceLoad};
+use celerygate_types::wire::{Configuration, LinkLoad, Member, ServiceLoad};
 use celerygate_types::{RegionId, VmId};
 
 use crate::daemon::Daemon;
@@ -21,6 +21,9 @@
             add_neighbour(&mut measured, &neighbours, member, now);
         }
     }
+    for link in daemon.tables.links.lock().loads() {
+        add_link(&mut measured, &link, Duration::ZERO);
+    }
     for load in daemon.loads() {
         add_load(&mut measured, &daemon.place.region, &load, Duration::ZERO);
     }
@@ -54,13 +57,17 @@
         add_load(measured, &member.region, load, age);
     }
     for link in &neighbour.heartbeat.links {
-        let key = (link.from.clone(), link.to.clone());
-        let measure = measured.links.entry(key).or_default();
-        measure.use_bytes_per_s = measure.use_bytes_per_s.saturating_add(link.use_bytes_per_s);
-        measure.age = measure.age.max(age);
+        add_link(measured, link, age);
     }
 }
 
+fn add_link(measured: &mut Measurements, link: &LinkLoad, age: Duration) {
+    let key = (link.from.clone(), link.to.clone());
+    let measure = measured.links.entry(key).or_default();
+    measure.use_bytes_per_s = measure.use_bytes_per_s.saturating_add(link.use_bytes_per_s);
+    measure.age = measure.age.max(age);
+}
+
 fn add_load(measured: &mut Measurements, region: &RegionId, load: &ServiceLoad, age: Duration) {
     let total = measured.regions.entry(region.clone()).or_default();
     total.load_slots = total.load_slots.saturating_add(load.running_slots);
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -2,7 +2,7 @@
 //!
 //! A thread may take a lock only while it holds locks of lower rank. The ranks are, in order:
 //! control 10, view 20, neighbours 30, targets 40, permits 50, lookups 60, grants 70, once home 72,
-//! once waiting 74, retries 80.
+//! once waiting 74, retries 80, links 90.
 //! No lock is held across an await.
 
 mod neighbours;
@@ -21,6 +21,7 @@
 pub use permits::{Grant, Permits, Waiter};
 
 use crate::control::Control;
+use crate::links::Links;
 use crate::locks::Ranked;
 use crate::lookup::LookupState;
 use crate::once::{OnceHome, OnceWaiting};
@@ -45,6 +46,8 @@
     pub once_home: Ranked<Option<OnceHome>>,
     /// Requests that wait for answers of homes.
     pub once_waiting: Ranked<OnceWaiting>,
+    /// Budgets of the links between regions.
+    pub links: Ranked<Links>,
     /// Limits the share of requests that are sent again.
     pub retries: Ranked<RetryBudget>,
 }
@@ -67,6 +70,7 @@
             grants: Ranked::new(70, GrantHolder::new(Term::ZERO)),
             once_home: Ranked::new(72, once_home),
             once_waiting: Ranked::new(74, OnceWaiting::default()),
+            links: Ranked::new(90, Links::default()),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
     }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
 /// Longest time for connecting to a target. Between regions a round trip takes 20 ms, so a target
@@ -23,6 +23,21 @@
 /// Idle connections kept for each target; a target has a few slots, so more are rarely of use.
 const IDLE_PER_TARGET: usize = 16;
 
+/// Receive buffer of a connection to another region. What a target has sent is on the link whether
+/// its budget allows it or not, so the buffer bounds the excess; 256 KiB carry 12 MB/s at 20 ms.
+const PACED_RECEIVE_BYTES: u32 = 256 * 1_024;
+/// Read buffer of such a connection, for the same reason.
+const PACED_READ_BYTES: usize = 32 * 1_024;
+
+/// Whether a connection crosses a link between regions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// The target is in the same region.
+    SameRegion,
+    /// The target is in another region.
+    OtherRegion,
+}
+
 /// The body of a request to a target.
 pub type RequestBody = UnsyncBoxBody<Bytes, hyper::Error>;
 type Sender = SendRequest<RequestBody>;
@@ -67,6 +82,7 @@
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
+        reach: Reach,
         request: Request<RequestBody>,
     ) -> Result<Response<RelayedBody>, SendError> {
         let mut request = request;
@@ -78,7 +94,7 @@
                 other => return other,
             }
         }
-        match connect(address).await {
+        match connect(address, reach).await {
             Ok(sender) => self.send_on(address, sender, request).await,
             Err(reason) => Err(SendError::NotConnected {
                 request: Box::new(request),
@@ -131,10 +147,16 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> anyhow::Result<Sender> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+async fn connect(address: SocketAddr, reach: Reach) -> anyhow::Result<Sender> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let mut http = http1::Builder::new();
+    if reach == Reach::OtherRegion {
+        socket.set_recv_buffer_size(PACED_RECEIVE_BYTES)?;
+        http.max_buf_size(PACED_READ_BYTES);
+    }
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http.handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(target_address:% = address, error:% = error; "target connection closed");
