--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -272,7 +272,7 @@
         sent_at + self.round_trip
     }
 
-    /// Returns when [`Self::poll`] may next return a request.
+    /// Returns the earliest time at which [`Self::poll`] can return a request; none before the first.
     pub fn next_poll(&self) -> Option<Instant> {
         match (self.pending, self.sent_at) {
             (Some(pending), _) => Some(pending.sent_at + RESEND_AFTER),
@@ -280,7 +280,8 @@
         }
     }
 
-    /// Returns the request to send to the owner now, if one is due. `waiting` returns the number of
+    /// Returns the request to send to the owner now, if one is due. To be called every
+    /// [`REQUEST_INTERVAL`], and while requests wait also at [`Self::next_poll`]. `waiting` returns the number of
     /// requests of an organisation that wait for tokens at this VM.
     pub fn poll(
         &mut self,
--- a/crates/steering/src/slots.rs
+++ b/crates/steering/src/slots.rs
@@ -48,8 +48,9 @@
 /// Time after which an unmet want is asked for again, in case the owner's notice was lost.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Shortest time between two requests of a holder.
-pub const REQUEST_INTERVAL: Duration = Duration::from_millis(2);
+/// Shortest time between two requests of a holder. In the replay, 5 ms need about 40% fewer requests
+/// than 2 ms; the 99th percentile of the wait is up to 40 ms longer.
+pub const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Time after which a holder without a reply asks again.
 pub const RESEND_AFTER: Duration = Duration::from_millis(100);
--- a/crates/steering/src/slots/holder.rs
+++ b/crates/steering/src/slots/holder.rs
@@ -140,7 +140,15 @@
         }
     }
 
-    /// Returns the request to send to the owner now, if one is due. `wanted` lists the targets for
+    /// Returns the earliest time at which [`Self::poll`] can return a request; none before the first.
+    pub fn next_poll(&self) -> Option<Instant> {
+        let interval = if self.in_flight.is_some() { RESEND_AFTER } else { REQUEST_INTERVAL };
+        self.sent_at.map(|sent_at| sent_at + interval)
+    }
+
+    /// Returns the request to send to the owner now, if one is due. To be called when a request
+    /// waits or has ended, when a message was accepted, at [`Self::next_poll`] while any of these
+    /// is unreported, and every [`RETRY_INTERVAL`]. `wanted` lists the targets for
     /// which requests wait, with the number of permits that would let them start.
     pub fn poll<'a>(
         &mut self,
