Bound the answers to rejected append requests

Cause: with the comparison of logs in votes removed on a scratch copy, the random test did not end: each rejection was answered with a request, and duplicates multiplied both. A member that had lost acknowledged entries was never sent them again.

Change: at most 8 rejections of a member are answered at once in each round; a rejection of a newer round lowers the member's agreed position, which can only delay a commit.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -225,6 +225,8 @@
     round: u64,
     heard_at: Option<Instant>,
     snapshot_sent_at: Option<Instant>,
+    /// Rejections in the current round.
+    rejections: u32,
 }
 
 impl Replica {
--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -8,7 +8,8 @@
 
 use super::{
     APPEND_BYTES_MAX, APPEND_ENTRIES_MAX, Action, HEARTBEAT_INTERVAL, LEASE, Leadership, Progress,
-    ProposeRefusal, QUORUM_TIMEOUT, REACHABLE, Replica, Role, SNAPSHOT_RETRY, send,
+    ProposeRefusal, QUORUM_TIMEOUT, REACHABLE, REJECTIONS_ANSWERED, Replica, Role, SNAPSHOT_RETRY,
+    send,
 };
 use crate::membership::{self, MemberProgress, MembershipRefusal};
 
@@ -96,6 +97,7 @@
             round: 0,
             heard_at: None,
             snapshot_sent_at: None,
+            rejections: 0,
         });
     }
 }
@@ -108,6 +110,7 @@
     while leadership.sent.front().is_some_and(|(_, sent_at)| *sent_at + LEASE < now) {
         leadership.sent.pop_front();
     }
+    leadership.peers.values_mut().for_each(|progress| progress.rejections = 0);
     let peers: Vec<VmId> = leadership.peers.keys().cloned().collect();
     for peer in peers {
         replicate(replica, &peer, now, actions);
@@ -192,7 +195,9 @@
         // An unrecorded store gets the log only after the group has recorded it.
         return;
     }
+    let is_newer_round = reply.round > progress.round;
     progress.round = progress.round.max(reply.round);
+    let mut may_send = true;
     if reply.success {
         progress.matched = progress.matched.max(reply.match_index);
         progress.next = progress.next.max(LogIndex(progress.matched.0 + 1));
@@ -200,10 +205,17 @@
             progress.snapshot_sent_at = None;
         }
     } else {
+        if is_newer_round {
+            // The member no longer holds what it acknowledged; it gets the entries again.
+            progress.matched = progress.matched.min(reply.match_index);
+        }
         let agreed = LogIndex(reply.match_index.0 + 1);
         progress.next = progress.next.min(agreed).max(LogIndex(progress.matched.0 + 1));
+        may_send = progress.rejections < REJECTIONS_ANSWERED;
+        progress.rejections += 1;
     }
-    let is_missing_entries = progress.next <= last_index && progress.snapshot_sent_at.is_none();
+    let is_missing_entries =
+        may_send && progress.next <= last_index && progress.snapshot_sent_at.is_none();
     advance_lease(replica);
     advance_commit(replica, now, actions);
     if is_missing_entries {
--- a/crates/control/src/replica/limits.rs
+++ b/crates/control/src/replica/limits.rs
@@ -21,6 +21,9 @@
 pub const SNAPSHOT_RETRY: Duration = Duration::from_millis(2_000);
 /// Time after its last reply for which a member counts as reachable.
 pub const REACHABLE: Duration = Duration::from_millis(1_000);
+/// Rejections of a member that are answered with entries at once in each round. Without a limit, a
+/// network that duplicates messages multiplies requests and rejections until the logs agree.
+pub const REJECTIONS_ANSWERED: u32 = 8;
 /// Entries that stay in memory after a snapshot, so that a member that restarts after missing
 /// hundreds of changes receives entries instead of the whole configuration.
 pub const RETAINED_ENTRIES: u64 = 1_000;
--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -219,6 +219,30 @@
     assert!(!fixture.replica.has_lease(fixture.clock.clock().now()));
 }
 
+/// Guards against duplicated rejections that multiply requests, and against a member that never
+/// gets back entries which it has lost after acknowledging them.
+#[test]
+fn append_reply_rejected() {
+    let mut fixture = Fixture::new(1);
+    fixture.elect();
+    fixture.reply(2, 1, 2);
+    fixture.wait(200);
+    fixture.input(Input::Tick { random: 0 });
+    let (round, match_index, term) = (2, LogIndex(1), Term(2));
+    let rejection = AppendReply { match_index, round, store_id: 2, success: false, term };
+    let actions: Vec<Action> =
+        (0..20).flat_map(|_| fixture.receive(2, rejection.clone())).collect();
+    assert_eq!(actions.len(), REJECTIONS_ANSWERED as usize);
+    let sends_entry = |action: &Action| match action {
+        Action::Send { message, .. } => match &**message {
+            Message::AppendRequest(r) => r.previous_index == LogIndex(1) && r.entries.len() == 1,
+            _ => false,
+        },
+        _ => false,
+    };
+    assert!(actions.iter().all(sends_entry), "{actions:?}");
+}
+
 /// Guards against two changes of the group whose quorums need not overlap, and against a change
 /// before the leader knows whether an earlier one is in progress.
 #[test]
