Remove a link to a private item from the documentation

Cause: cargo doc with warnings as errors failed on a link to a private item. Change: plain code formatting instead of the link.

--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -5,7 +5,7 @@
 //! - `identity`: the VM's id and the random store id of the folder.
 //! - `vote`: term and vote, replaced atomically.
 //! - `snapshot`: the latest snapshot, replaced atomically.
-//! - `segment-N`: frames, the first a [`SegmentHeader`], each other one a batch of entries. A batch
+//! - `segment-N`: frames, the first a `SegmentHeader`, each other one a batch of entries. A batch
 //!   whose first index is not above the last one replaces the entries from that index, so that
 //!   conflicting entries are discarded and replaced in one write.
 
