--- a/crates/daemon/examples/load_client/caller.rs
+++ b/crates/daemon/examples/load_client/caller.rs
@@ -36,6 +36,8 @@
     Cut(String),
     /// The answer belongs to another request or was changed.
     Wrong(String),
+    /// The request ran more than once.
+    Twice(String),
 }
 
 /// How one try ended.
@@ -82,6 +84,7 @@
             Outcome::Failed(reason) => Some(format!("failed: {reason}")),
             Outcome::Cut(reason) => Some(format!("cut: {reason}")),
             Outcome::Wrong(reason) => Some(format!("wrong: {reason}")),
+            Outcome::Twice(reason) => Some(format!("twice: {reason}")),
         };
         if let Some(shown) = shown {
             eprintln!("{} request {number} {shown}", self.organisation.name);
@@ -158,6 +161,13 @@
         let tried = timeout_at(deadline + DEADLINE_MARGIN, exchange).await.unwrap_or_else(|_| {
             Tried::Ended(Outcome::Failed(format!("{entry}: no answer before the deadline")))
         });
+        // The entry VM shows whether it is one that was killed.
+        let tried = match tried {
+            Tried::Ended(Outcome::Cut(reason)) => {
+                Tried::Ended(Outcome::Cut(format!("{entry}: {reason}")))
+            }
+            other => other,
+        };
         // A connection with an unfinished answer is not used again.
         if matches!(tried, Tried::Ended(Outcome::Good) | Tried::NotRun(_)) && !sender.is_closed() {
             self.open.insert(entry.to_owned(), sender);
@@ -233,7 +243,7 @@
     match response.into_body().collect().await {
         Ok(body) => match body.to_bytes().as_ref() {
             b"1" => Outcome::Good,
-            _ => Outcome::Wrong("the request ran more than once".to_owned()),
+            count => Outcome::Twice(format!("it ran {} times", String::from_utf8_lossy(count))),
         },
         Err(error) => Outcome::Cut(error.to_string()),
     }
--- a/crates/daemon/examples/load_client/report.rs
+++ b/crates/daemon/examples/load_client/report.rs
@@ -18,6 +18,8 @@
     failed: u64,
     cut: u64,
     wrong: u64,
+    /// Requests that ran more than once.
+    twice: u64,
     /// Latency of good requests, with every try, in microseconds.
     latency_us: Histogram<u64>,
 }
@@ -29,7 +31,7 @@
         let latency_us =
             Histogram::new_with_max(MAX_LATENCY_US, 3).context("create a histogram")?;
         let name = name.to_owned();
-        Ok(Self { name, good: 0, refused: 0, failed: 0, cut: 0, wrong: 0, latency_us })
+        Ok(Self { name, good: 0, refused: 0, failed: 0, cut: 0, wrong: 0, twice: 0, latency_us })
     }
 
     /// Adds a request.
@@ -43,6 +45,7 @@
             Outcome::Failed(_) => self.failed += 1,
             Outcome::Cut(_) => self.cut += 1,
             Outcome::Wrong(_) => self.wrong += 1,
+            Outcome::Twice(_) => self.twice += 1,
         }
     }
 
@@ -55,6 +58,7 @@
             total.failed += report.failed;
             total.cut += report.cut;
             total.wrong += report.wrong;
+            total.twice += report.twice;
             total.latency_us.add(&report.latency_us).context("add histograms")?;
         }
         Ok(total)
@@ -62,16 +66,16 @@
 
     /// Returns whether nothing went wrong, apart from the allowed refusals.
     pub fn is_good(&self, max_refused: u64) -> bool {
-        self.failed + self.cut + self.wrong == 0 && self.refused <= max_refused
+        self.failed + self.cut + self.wrong + self.twice == 0 && self.refused <= max_refused
     }
 
     /// Describes the report in one line.
     pub fn line(&self) -> String {
-        let Self { name, good, refused, failed, cut, wrong, latency_us } = self;
+        let Self { name, good, refused, failed, cut, wrong, twice, latency_us } = self;
         let ms = |quantile| latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
         format!(
             "{name}: good={good} refused={refused} failed={failed} cut={cut} wrong={wrong} \
-             p50={:.1}ms p99={:.1}ms max={:.1}ms",
+             twice={twice} p50={:.1}ms p99={:.1}ms max={:.1}ms",
             ms(0.5),
             ms(0.99),
             ms(1.0)
--- a/crates/daemon/examples/stand_in_target.rs
+++ b/crates/daemon/examples/stand_in_target.rs
@@ -42,7 +42,7 @@
     let mut terminate = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("wait for SIGINT")?;
 
-    let target = Arc::new(Target::new(&options));
+    let target = Arc::new(Target::new(&options)?);
     let announcer = Announcer::new(&options, &address);
     let renewals = tokio::spawn(announcer.clone().renew());
     eprintln!("target {} serves {} on {address}", options.target, options.service);
--- a/crates/daemon/examples/stand_in_target/options.rs
+++ b/crates/daemon/examples/stand_in_target/options.rs
@@ -23,6 +23,8 @@
     /// Time for which the target still accepts requests after its departure.
     pub drain: Duration,
     pub faults: Faults,
+    /// File to which the idempotency key of each request is appended when it runs.
+    pub ran_file: Option<PathBuf>,
 }
 
 /// Which requests the target treats badly; 0 means none, N every Nth.
@@ -33,6 +35,8 @@
     pub stall_every: u64,
     pub shed_every: u64,
     pub truncate_every: u64,
+    /// Time after each piece of a body.
+    pub piece_delay: Duration,
 }
 
 fn command() -> Command {
@@ -70,8 +74,13 @@
                 .value_parser(value_parser!(u32))
                 .default_value("300"),
         )
+        .arg(
+            option("ran-file", "File to which the idempotency key of each request is appended")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(number("drain-ms", "Time to accept requests after departure").default_value("4000"))
         .arg(number("delay-ms", "Time before each answer").default_value("0"))
+        .arg(number("piece-delay-ms", "Time after each 64 KiB of a body").default_value("0"))
         .arg(number("stall-every", "Never answer every Nth request").default_value("0"))
         .arg(number("shed-every", "Answer every Nth request with 503").default_value("0"))
         .arg(number("truncate-every", "Cut the body of every Nth request").default_value("0"))
@@ -99,7 +108,9 @@
             stall_every: value(&matches, "stall-every"),
             shed_every: value(&matches, "shed-every"),
             truncate_every: value(&matches, "truncate-every"),
+            piece_delay: Duration::from_millis(value(&matches, "piece-delay-ms")),
         },
+        ran_file: matches.get_one::<PathBuf>("ran-file").cloned(),
     })
 }
 
--- a/crates/daemon/examples/stand_in_target/serve.rs
+++ b/crates/daemon/examples/stand_in_target/serve.rs
@@ -2,13 +2,16 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::fs::{File, OpenOptions};
 use std::future::Future as _;
+use std::io::Write as _;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use anyhow::{Context as _, Result};
 use blake3::{Hasher, OutputReader};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -52,6 +55,9 @@
     most_running: AtomicU64,
     over_slots: AtomicU64,
     with_key: AtomicU64,
+    truncated: AtomicU64,
+    stalled: AtomicU64,
+    shed: AtomicU64,
     counts: Mutex<HashMap<String, u64>>,
 }
 
@@ -60,6 +66,8 @@
     slots: u64,
     faults: Faults,
     seen: Arc<Seen>,
+    /// Shared by the targets of a service, so that a repeat on another target is found as well.
+    ran: Option<File>,
 }
 
 /// Counts a request as running until its body is gone.
@@ -77,9 +85,14 @@
 
 impl Target {
     /// Makes the target that the options describe.
-    pub fn new(options: &Options) -> Self {
+    pub fn new(options: &Options) -> Result<Self> {
         let slots = u64::from(options.slots.get());
-        Self { slots, faults: options.faults, seen: Arc::default() }
+        let open = |path: &std::path::PathBuf| {
+            let opened = OpenOptions::new().create(true).append(true).open(path);
+            opened.with_context(|| format!("open {}", path.display()))
+        };
+        let ran = options.ran_file.as_ref().map(open).transpose()?;
+        Ok(Self { slots, faults: options.faults, seen: Arc::default(), ran })
     }
 
     /// Answers one request.
@@ -91,9 +104,11 @@
         let number = self.seen.requests.fetch_add(1, Ordering::Relaxed) + 1;
         tokio::time::sleep(self.faults.delay).await;
         if is_nth(number, self.faults.stall_every) {
+            self.seen.stalled.fetch_add(1, Ordering::Relaxed);
             std::future::pending::<()>().await;
         }
         if is_nth(number, self.faults.shed_every) {
+            self.seen.shed.fetch_add(1, Ordering::Relaxed);
             return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "shed", running));
         }
         let (head, body) = request.into_parts();
@@ -105,7 +120,10 @@
         Ok(match (&head.method, path.strip_prefix("/echo/")) {
             (&Method::GET, Some(rest)) => {
                 let cut = is_nth(number, self.faults.truncate_every);
-                echo(path, rest, cut, running)
+                if cut {
+                    self.seen.truncated.fetch_add(1, Ordering::Relaxed);
+                }
+                echo(path, rest, cut, self.faults.piece_delay, running)
             }
             (&Method::POST, None) if path == "/count" => {
                 match head.headers.get("idempotency-key").and_then(|key| key.to_str().ok()) {
@@ -130,6 +148,12 @@
     }
 
     fn count(&self, key: &str) -> u64 {
+        // One write for each line, so that lines of several targets do not mix.
+        if let Some(mut ran) = self.ran.as_ref()
+            && let Err(error) = ran.write_all(format!("{key}\n").as_bytes())
+        {
+            eprintln!("the run of {key} is not recorded: {error}");
+        }
         let mut counts = self.seen.counts.lock();
         let count = counts.entry(key.to_owned()).or_default();
         *count += 1;
@@ -141,12 +165,16 @@
         let seen = &self.seen;
         let repeated = seen.counts.lock().values().filter(|count| **count > 1).count();
         format!(
-            "requests={} most_running={} slots={} over_slots={} with_key={} repeated_keys={repeated}",
+            "requests={} most_running={} slots={} over_slots={} with_key={} repeated_keys={repeated} \
+             truncated={} stalled={} shed={}",
             seen.requests.load(Ordering::Relaxed),
             seen.most_running.load(Ordering::Relaxed),
             self.slots,
             seen.over_slots.load(Ordering::Relaxed),
             seen.with_key.load(Ordering::Relaxed),
+            seen.truncated.load(Ordering::Relaxed),
+            seen.stalled.load(Ordering::Relaxed),
+            seen.shed.load(Ordering::Relaxed),
         )
     }
 }
@@ -166,7 +194,13 @@
     response(status, body.boxed_unsync())
 }
 
-fn echo(path: &str, rest: &str, cut: bool, running: Running) -> Response<AnyBody> {
+fn echo(
+    path: &str,
+    rest: &str,
+    cut: bool,
+    piece_delay: Duration,
+    running: Running,
+) -> Response<AnyBody> {
     let size = rest.split('/').next().and_then(|size| size.parse().ok());
     let Some(size) = size.filter(|size| *size <= MAX_BODY_BYTES) else {
         return text(StatusCode::BAD_REQUEST, "the size is invalid", running);
@@ -177,6 +211,8 @@
         left: size,
         cut_at: size - sent,
         before_cut: None,
+        piece_delay,
+        before_piece: None,
         _running: running,
     };
     let mut response = response(StatusCode::OK, body.boxed_unsync());
@@ -209,6 +245,9 @@
     cut_at: u64,
     /// Runs while the first part is sent.
     before_cut: Option<Pin<Box<Sleep>>>,
+    piece_delay: Duration,
+    /// Runs after a piece when there is a delay.
+    before_piece: Option<Pin<Box<Sleep>>>,
     _running: Running,
 }
 
@@ -220,6 +259,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        if let Some(pause) = &mut self.before_piece {
+            ready!(pause.as_mut().poll(context));
+            self.before_piece = None;
+        }
         if self.left == self.cut_at {
             if self.cut_at == 0 {
                 return Poll::Ready(None);
@@ -232,6 +275,9 @@
         let mut piece = vec![0; size as usize];
         self.reader.fill(&mut piece);
         self.left -= size;
+        if !self.piece_delay.is_zero() {
+            self.before_piece = Some(Box::pin(sleep(self.piece_delay)));
+        }
         Poll::Ready(Some(Ok(Frame::data(piece.into()))))
     }
 
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -1,14 +1,18 @@
 # Functions of the scripts that start daemons and targets; sourced, not run.
 
 repository=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-binaries="$repository/target/debug"
+# `CELERYGATE_PROFILE=release` builds and runs optimised binaries.
+profile=${CELERYGATE_PROFILE:-debug}
+binaries="$repository/target/$profile"
 work=""
 
 # Builds everything and copies a deployment into a fresh folder with its own secrets.
 prepare() {
     cd "$repository"
-    cargo build --quiet -p celerygated --bins --examples
-    cargo build --quiet -p celerygate
+    local flags=(--quiet)
+    if [ "$profile" = release ]; then flags+=(--release); fi
+    cargo build "${flags[@]}" -p celerygated --bins --examples
+    cargo build "${flags[@]}" -p celerygate
     work=$(mktemp -d "${TMPDIR:-/tmp}/celerygate.XXXXXX")
     cp -r "$repository/deploy/$1/." "$work"
     CELERYGATE="$binaries/celerygate" "$repository/deploy/make-secrets.sh" "$work" >/dev/null
@@ -54,6 +58,8 @@
     local end=$((SECONDS + 45)) pid
     for pid in $(jobs -pr); do
         kill -TERM "$pid" 2>/dev/null || true
+        # A stopped process handles the signal only after it continues.
+        kill -CONT "$pid" 2>/dev/null || true
     done
     while [ -n "$(jobs -pr)" ]; do
         if [ $SECONDS -ge $end ]; then
--- /dev/null
+++ b/scripts/failures.sh
@@ -0,0 +1,409 @@
+#!/usr/bin/env bash
+# Failure runs on seven daemons over loopback, with the load client running. Each case prints its
+# counts and checks what must hold; the exit code is not 0 when a check fails.
+#
+# usage: scripts/failures.sh [CASE..]   all cases by default; --list prints their names
+set -euo pipefail
+CELERYGATE_PROFILE=${CELERYGATE_PROFILE:-release}
+
+cases=(sigkill_entry sigkill_leader sigstop_leader two_lost all_restarted torn_log empty_disk
+    target_vanishes target_truncates target_stalls target_sheds key_withdrawn sigterm_downloads)
+
+if [ "${1:-}" = --list ]; then
+    printf '%s\n' "${cases[@]}"
+    exit
+fi
+
+# Each case runs in a shell of its own, so that it stops at its first failing command and cleans up.
+if [ "${1:-}" != --case ]; then
+    if [ $# -gt 0 ]; then
+        for name in "$@"; do
+            if [[ " ${cases[*]} " != *" $name "* ]]; then
+                echo "unknown case $name; the cases are: ${cases[*]}" >&2
+                exit 2
+            fi
+        done
+        cases=("$@")
+    fi
+    child=""
+    # Background processes of a shell ignore SIGINT, so that the child gets SIGTERM.
+    interrupted() {
+        if [ -n "$child" ]; then
+            kill -TERM "$child" 2>/dev/null || true
+            wait "$child" || true
+        fi
+        exit "$1"
+    }
+    trap 'interrupted 130' INT
+    trap 'interrupted 143' TERM
+    failed=()
+    for name in "${cases[@]}"; do
+        "$0" --case "$name" &
+        child=$!
+        if wait "$child"; then echo "PASS $name"; else
+            echo "FAIL $name"
+            failed+=("$name")
+        fi
+        child=""
+    done
+    echo "${#cases[@]} cases, ${#failed[@]} failed: ${failed[*]:-none}"
+    [ ${#failed[@]} -eq 0 ]
+    exit
+fi
+
+. "$(dirname "$0")/common.sh"
+. "$(dirname "$0")/punchlist.sh"
+
+name=$2
+load_pid=""
+killed=()       # VMs whose connections were killed
+disturbed=no    # whether a process was killed or stopped
+code=0
+
+check() { # check WHAT COMMAND..
+    local what=$1
+    shift
+    if ! "$@"; then
+        echo "  $name: does not hold: $what"
+        code=1
+    fi
+}
+
+# Sends 100 requests/s for each of 8 organisations, which is within every rate.
+start_load() { # start_load SECONDS [OPTION..]
+    "${load[@]}" --requests $(($1 * 800)) --rate 100 --connections 8 --count-every 5 \
+        --verbose "${@:2}" >"$work/summary" 2>"$work/load.log" &
+    load_pid=$!
+}
+
+kill_vm() {
+    echo "  SIGKILL to $1"
+    kill -KILL "${pid_of[$1]}"
+    wait "${pid_of[$1]}" 2>/dev/null || true
+    killed+=("$1")
+    disturbed=yes
+}
+
+restart_vm() {
+    echo "  $1 starts again"
+    start_vm "$1"
+}
+
+status_of() {
+    operate "$(address "$1" 2)" --output json status
+}
+
+leader() { # leader [VM that is not asked..]
+    local json
+    json=$(CELERYGATE_DAEMONS=$(addresses_without 2 "$@") "$binaries/celerygate" \
+        --token-file "$work/secrets/operators.token" --output json status)
+    jq --raw-output '.leader // empty' <<<"$json"
+}
+
+# Changes the rate of an organisation that sends no more than 100 requests/s, and waits until the
+# change is in force everywhere.
+change_rate() { # change_rate ID RATE [VM that is not asked..]
+    local id=$1 rate=$2 operators
+    shift 2
+    operators=$(addresses_without 2 "$@")
+    operate "$operators" intent rate --organisation dogwood --rate "$rate" --burst 300 \
+        --id "$id" >/dev/null
+    operate "$operators" confirm "$id" --wait >/dev/null
+}
+
+# Whether all VMs have the same revision and show the rate.
+all_have_rate() { # all_have_rate RATE [VM that is missing..]
+    local vm json rate=$1 revision="" shown
+    shift
+    for vm in "${vms[@]}"; do
+        if [[ " $* " == *" $vm "* ]]; then continue; fi
+        json=$(status_of "$vm") || return 1
+        shown=$(jq --raw-output '"\(.revision)" + " " + (.organisations[] |
+            select(.organisation == "dogwood") | "\(.rate_requests_per_s)")' <<<"$json")
+        if [ "${shown#* }" != "$rate" ]; then return 1; fi
+        if [ -n "$revision" ] && [ "${shown% *}" != "$revision" ]; then return 1; fi
+        revision=${shown% *}
+    done
+}
+
+# Whether the revisions that each life of a daemon applied never go back.
+no_reverts() {
+    local vm file
+    for vm in "${vms[@]}"; do
+        for file in "$work/$vm.earlier" "$work/$vm.log"; do
+            if [ ! -f "$file" ]; then continue; fi
+            awk -v vm="$vm" '
+                /daemon started/ { last = 0 }
+                /command applied|configuration received|snapshot installed/ {
+                    if (match($0, /[ {,"]revision"?[=:] ?"?[0-9]+/)) {
+                        text = substr($0, RSTART, RLENGTH); gsub(/[^0-9]/, "", text)
+                        if (text + 0 < last) { print "  " vm ": " last " then " text; bad = 1 }
+                        last = text + 0
+                    }
+                }
+                END { exit bad }' "$file" || return 1
+        done
+    done
+}
+
+sum_of() { # sum_of FIELD: adds the field up over the summaries of the targets
+    cat "$work"/target-*.log | grep -o "$1=[0-9]*" | awk -F= '{ sum += $2 } END { print sum + 0 }'
+}
+
+lines_of_killed() { # lines_of_killed KIND
+    local vm count=0
+    for vm in "${killed[@]}"; do
+        count=$((count + $(grep -cF " $1: $(address "$vm" 0):" "$work/load.log" || true)))
+    done
+    echo "$count"
+}
+
+# Waits for the load, stops everything, prints the counts and checks what must always hold.
+conclude() {
+    local total cut failed cut_killed failed_killed ran_twice most
+    wait "$load_pid" || true
+    stop_all
+    total=$(grep '^total: ' "$work/summary")
+    field() { grep -o "\b$1=[0-9]*" <<<"$total" | cut -d= -f2; }
+    cut=$(field cut)
+    failed=$(field failed)
+    cut_killed=$(lines_of_killed cut)
+    failed_killed=$(lines_of_killed failed)
+    touch "$work/ran"
+    ran_twice=$(sort "$work/ran" | uniq -d | wc -l)
+    most=$(cat "$work"/target-*.log | grep -o 'most_running=[0-9]*' | cut -d= -f2 | sort -n |
+        tail -n 1)
+    echo "  $name: good=$(field good) refused=$(field refused) failed=$failed" \
+        "(of killed VMs $failed_killed) cut=$cut (of killed VMs $cut_killed)" \
+        "run_twice=$ran_twice wrong=$(field wrong)" \
+        "occupancy=${most:-unknown}/3 over_slots=$(sum_of over_slots)" \
+        "truncated=$(sum_of truncated) stalled=$(sum_of stalled) shed=$(sum_of shed)"
+    echo "  $name: latency $(grep -o 'p50=.*' <<<"$total")"
+    # The most frequent reasons, without the numbers of requests and addresses.
+    grep -oE '(refused|failed|cut|wrong|twice): .*' "$work/load.log" |
+        sed -E 's/127\.0\.0\.1:[0-9]+/VM/g; s/[0-9]+ of [0-9]+ bytes/N bytes/' |
+        cut -c 1-150 | sort | uniq -c | sort -rn | head -n 6 || true
+    check "no answer is wrong" [ "$(field wrong)" -eq 0 ]
+    check "no request ran twice" [ "$ran_twice" -eq 0 ]
+    check "no answer counts a repeat" [ "$(field twice)" -eq 0 ]
+    # A target that truncates has cut the answer itself; the daemon must not make it look complete.
+    check "no answer is cut" [ $((cut - cut_killed)) -eq "$(sum_of truncated)" ]
+    check "no target sees a key" [ "$(sum_of with_key)" -eq 0 ]
+    if [ "$disturbed" = no ]; then
+        check "no slot is exceeded" [ "$(sum_of over_slots)" -eq 0 ]
+    fi
+    check "no configuration reverts" no_reverts
+}
+
+run_sigkill_entry() {
+    start_load 14
+    sleep 3
+    kill_vm east-2
+    change_rate after-kill 151 east-2
+    check "the change is everywhere" all_have_rate 151 east-2
+}
+
+run_sigkill_leader() {
+    local old
+    old=$(leader)
+    start_load 14
+    sleep 3
+    kill_vm "$old"
+    wait_for 10 "another leader" has_leader "$(addresses_without 2 "$old")"
+    wait_for 10 "a change after the election" change_rate after-kill 151 "$old"
+    check "the change is everywhere" all_have_rate 151 "$old"
+}
+
+run_sigstop_leader() {
+    local old stopped_at answers=0 try
+    change_rate before-stop 151
+    old=$(leader)
+    start_load 22
+    sleep 3
+    echo "  SIGSTOP to $old, the leader, for 10 s"
+    disturbed=yes
+    kill -STOP "${pid_of[$old]}"
+    stopped_at=$SECONDS
+    sleep 4
+    wait_for 5 "a change under another leader" change_rate while-stopped 152 "$old"
+    check "another VM leads" [ "$(leader "$old")" != "$old" ]
+    while [ $((SECONDS - stopped_at)) -lt 10 ]; do sleep 0.1; done
+    kill -CONT "${pid_of[$old]}"
+    # Only a leader with a lease answers for an intent; the old one must not.
+    for try in $(seq 20); do
+        if curl --silent --fail --max-time 1 --output /dev/null --config "$work/secrets/operator" \
+            "http://$(address "$old" 2)/v1/intents/before-stop"; then
+            answers=$((answers + 1))
+        fi
+        sleep 0.02
+    done
+    if [ "$(leader "$old")" != "$old" ]; then
+        check "the old leader answers as a leader $answers times" [ "$answers" -eq 0 ]
+    fi
+    check "the change reaches the old leader" wait_for 10 "the old leader" all_have_rate 152
+}
+
+run_two_lost() {
+    local first=west-2 second=central-1
+    start_load 30
+    sleep 3
+    kill_vm "$first"
+    sleep 4
+    restart_vm "$first"
+    wait_for 20 "$first" all_serving
+    sleep 2
+    kill_vm "$second"
+    wait_for 10 "a leader" has_leader "$(addresses_without 2 "$second")"
+    wait_for 10 "a change" change_rate after-second 151 "$second"
+    check "the change is everywhere" all_have_rate 151 "$second"
+    restart_vm "$second"
+    check "$second gets the change" wait_for 20 "$second" all_have_rate 151
+}
+
+run_all_restarted() {
+    local vm
+    change_rate before-restart 151
+    start_load 22
+    sleep 3
+    echo "  SIGKILL to all seven, and all start again"
+    for vm in "${vms[@]}"; do kill -KILL "${pid_of[$vm]}"; done
+    for vm in "${vms[@]}"; do wait "${pid_of[$vm]}" 2>/dev/null || true; done
+    killed=("${vms[@]}")
+    disturbed=yes
+    for vm in "${vms[@]}"; do start_vm "$vm"; done
+    wait_for 20 "a leader" has_leader "$(addresses_without 2)"
+    check "all daemons serve again" wait_for 20 "all daemons" all_serving
+    check "the change survives" wait_for 10 "the change" all_have_rate 151
+}
+
+# A control VM that does not lead.
+other_control_vm() {
+    local vm current
+    current=$(leader)
+    for vm in "${control_vms[@]}"; do
+        if [ "$vm" != "$current" ]; then
+            echo "$vm"
+            return
+        fi
+    done
+}
+
+last_segment() {
+    find "$work/data/$1" -name 'segment-*' | sort -V | tail -n 1
+}
+
+run_torn_log() {
+    local vm
+    vm=$(other_control_vm)
+    start_load 26
+    sleep 1
+    change_rate before-tear 151
+    kill_vm "$vm"
+    head -c 37 /dev/urandom >>"$(last_segment "$vm")"
+    restart_vm "$vm"
+    wait_for 20 "$vm after bytes were appended" all_serving
+    check "$vm has the change after bytes were appended" wait_for 10 "$vm" all_have_rate 151
+    check "the torn end is reported" grep -q 'write was interrupted' "$work/$vm.log"
+    kill_vm "$vm"
+    truncate -s -5 "$(last_segment "$vm")"
+    restart_vm "$vm"
+    wait_for 20 "$vm after bytes were cut" all_serving
+    check "the torn end is reported" grep -q 'write was interrupted' "$work/$vm.log"
+    change_rate after-tear 152
+    check "$vm has both changes" wait_for 10 "$vm" all_have_rate 152
+}
+
+run_empty_disk() {
+    local vm
+    vm=$(other_control_vm)
+    start_load 22
+    sleep 1
+    change_rate before-loss 151
+    kill_vm "$vm"
+    rm -r "$work/data/${vm:?}"
+    restart_vm "$vm"
+    wait_for 20 "$vm" all_serving
+    check "$vm has the change" wait_for 10 "$vm" all_have_rate 151
+    is_promoted() {
+        cat "$work"/*.log | grep 'membership change proposed' | grep -q "Promote.*$vm"
+    }
+    check "$vm joins as a learner and is promoted" wait_for 15 "the promotion" is_promoted
+    grep -h 'membership change proposed' "$work"/*.log | cut -c 1-160 | tail -n 4 || true
+    # The group needs the promoted VM for a quorum when another one is lost.
+    local lost
+    for lost in "${control_vms[@]}"; do
+        if [ "$lost" != "$vm" ]; then break; fi
+    done
+    kill_vm "$lost"
+    wait_for 10 "a leader" has_leader "$(addresses_without 2 "$lost")"
+    check "the group works with $vm as a voter" \
+        wait_for 10 "a change" change_rate after-promotion 152 "$lost"
+}
+
+run_target_vanishes() {
+    start_load 14
+    sleep 3
+    echo "  SIGKILL to target east-a"
+    kill -KILL "${pid_of[target-east-a]}"
+    disturbed=yes
+}
+
+run_target_truncates() {
+    start_load 10
+}
+
+run_target_stalls() {
+    start_load 12 --deadline-ms 3000
+}
+
+run_target_sheds() {
+    start_load 10
+}
+
+run_key_withdrawn() {
+    local vm addresses=()
+    for vm in "${vms[@]}"; do
+        addresses+=(--operators "$(address "$vm" 2)" --entry "$(address "$vm" 0)")
+    done
+    start_load 16
+    sleep 1
+    check "a withdrawn key is refused" "$binaries/examples/measure_in_force" "${addresses[@]}" \
+        --rounds 3 --token-file "$work/secrets/operators.token" --service listkeeper \
+        --key-organisation alder-build --rate-organisation dogwood
+}
+
+# Downloads of 16 MiB at 3.2 MB/s at most take 5 s, so that some are in progress when the VM stops
+# taking requests 6 s after SIGTERM.
+run_sigterm_downloads() {
+    local vm=east-2 vm_code=0
+    "${load[@]}" --requests 40 --rate 0.3 --connections 8 --bytes 16777216 --deadline-ms 60000 \
+        --verbose >"$work/summary" 2>"$work/load.log" &
+    load_pid=$!
+    sleep 4
+    echo "  SIGTERM to $vm"
+    kill -TERM "${pid_of[$vm]}"
+    wait "${pid_of[$vm]}" || vm_code=$?
+    check "$vm exits with 0, not $vm_code" [ "$vm_code" -eq 0 ]
+}
+
+target_options=()
+case $name in
+    target_truncates) target_options=(--truncate-every 50) ;;
+    target_stalls) target_options=(--stall-every 200) ;;
+    target_sheds) target_options=(--shed-every 10) ;;
+    sigterm_downloads) target_options=(--piece-delay-ms 20) ;;
+esac
+
+echo "== $name"
+prepare_punchlist
+printf 'header = "Authorization: Bearer %s"\n' "$(cat "$work/secrets/operators.token")" \
+    >"$work/secrets/operator"
+start_seven
+start_targets "${target_options[@]}"
+set_load
+# Warm-up requests may meet the targets' faults; only that requests are answered matters.
+some_good() { "${load[@]}" --requests 24 --deadline-ms 2000 | grep -q '^total: good=[1-9]'; }
+wait_for 20 "the targets" some_good
+"run_$name"
+conclude
+exit "$code"
