Answer unknown paths of the APIs with their code

Cause: a request for a path that the operators' or the targets' API does not have was answered with the text "not found" and no code, also without a token. Change: both APIs check the credential and refuse such a path with unknown-path.

--- a/crates/daemon/src/announce.rs
+++ b/crates/daemon/src/announce.rs
@@ -15,10 +15,13 @@
 
 /// Returns the endpoints of the targets' API.
 pub fn endpoints(daemon: Arc<Daemon>) -> impl Endpoint<Output = Response> + 'static {
-    let (first, second) = (Arc::clone(&daemon), daemon);
+    let (first, second, third) = (Arc::clone(&daemon), Arc::clone(&daemon), daemon);
+    let unknown =
+        move |request| api::unknown_path(Arc::clone(&third), api::Surface::Targets, request);
     Route::new()
         .at("/v1/announce", endpoint::make(move |request| announce(Arc::clone(&first), request)))
         .at("/v1/leave", endpoint::make(move |request| leave(Arc::clone(&second), request)))
+        .at("/*path", endpoint::make(unknown))
         .map_to_response()
 }
 
--- a/crates/daemon/src/api.rs
+++ b/crates/daemon/src/api.rs
@@ -77,6 +77,17 @@
     Ok(response)
 }
 
+/// Refuses a request for a path that the API does not have.
+pub async fn unknown_path(
+    daemon: Arc<Daemon>,
+    surface: Surface,
+    request: Request,
+) -> poem::Result<Response> {
+    let method = request.method().clone();
+    let refuse = async |_: &Arc<Daemon>, _: &[u8]| Err(ResultCode::UnknownPath.into());
+    respond(&daemon, surface, method, request, refuse).await
+}
+
 fn admit(
     daemon: &Daemon,
     surface: Surface,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -33,6 +33,12 @@
         )
         .at("/v1/status", with(|daemon, request| Box::pin(show_status(daemon, request))))
         .at("/metrics", with(|daemon, _| Box::pin(scrape(daemon))))
+        .at(
+            "/*path",
+            with(|daemon, request| {
+                Box::pin(api::unknown_path(daemon, Surface::Operators, request))
+            }),
+        )
         .map_to_response()
 }
 
