Ask for a permit of another target for a retry

Cause: a retry used only permits that the VM held already. At low load it holds permits of one target, so a GET whose target failed was answered with target-failed and a POST whose connection was refused with target-unreachable although another target was usable. Change: a request that failed wants a permit of up to two other targets and waits for it at most 250 ms and no longer than its deadline.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Waits for a token and a permit for the first attempt, and looks for a free permit of another
-/// target for a further one: a request that has failed once does not wait again.
+/// Waits for a token and a permit for the first attempt. A further one takes a permit of another
+/// target, and waits for it only as long as an owner needs to answer.
 pub async fn pick(
     daemon: &Arc<Daemon>,
     exchange: &Exchange,
@@ -113,7 +113,7 @@
         };
         permits::admit(daemon, &admittee).await?
     } else {
-        permits::take_other(daemon, &exchange.service, &attempts.tried)?
+        permits::take_other(daemon, &exchange.service, &attempts.tried, exchange.ends_at()).await?
     };
     let Grant { pick, work } = grant;
     let permit = Permit {
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -15,6 +15,7 @@
     Incarnation, OrganisationId, RegionId, ResultCode, ServiceId, SlotCount, TargetId, VmId,
 };
 use tokio::sync::oneshot;
+use tokio::time::timeout_at;
 
 use crate::daemon::Daemon;
 use crate::refusal::Refusal;
@@ -24,6 +25,12 @@
 /// Queue in which requests on open routes wait together.
 const OPEN_ROUTES: &str = "_open";
 
+/// Longest wait for a permit of another target after a failed attempt. The answer of an owner in
+/// another region takes 20 ms and a lost message is repeated after some 100 ms.
+const OTHER_PERMIT_WAIT: Duration = Duration::from_millis(250);
+/// Targets that are asked for when a request needs another one; the nearest may have no free slot.
+const OTHER_TARGETS: usize = 2;
+
 /// A request that needs a token, unless its route is open, and a slot.
 pub struct Admittee<'a> {
     /// Service that is asked for.
@@ -180,16 +187,39 @@
         && (!region_drained || target.region == daemon.place.region)
 }
 
-/// Takes a free permit of a target that was not tried before.
+/// Takes a permit of a target that was not tried before, and asks the owners when this VM has none.
 ///
 /// # Errors
 ///
-/// When no other target has a free permit on this VM.
-pub fn take_other(
-    daemon: &Daemon,
+/// When no permit of another target arrives in time.
+pub async fn take_other(
+    daemon: &Arc<Daemon>,
     service: &ServiceId,
     tried: &[TargetId],
+    deadline: Instant,
 ) -> Result<Grant, Refusal> {
+    if let Some(grant) = take_free(daemon, service, tried) {
+        return Ok(grant);
+    }
+    let until = deadline.min(daemon.clock.now() + OTHER_PERMIT_WAIT);
+    let arrived = Arc::clone(&daemon.tables.permits.lock().arrived);
+    let _wants = RetryWants::register(daemon, service, tried)?;
+    loop {
+        let mut notified = std::pin::pin!(arrived.notified());
+        // Permits that arrive from here on are noticed.
+        notified.as_mut().enable();
+        ask_owners(daemon);
+        if let Some(grant) = take_free(daemon, service, tried) {
+            return Ok(grant);
+        }
+        if timeout_at(until.into(), notified).await.is_err() {
+            return Err(ResultCode::NoCapacity.into());
+        }
+    }
+}
+
+/// Takes a free permit of a target that was not tried before; none when this VM has no such permit.
+fn take_free(daemon: &Daemon, service: &ServiceId, tried: &[TargetId]) -> Option<Grant> {
     let view = daemon.tables.view();
     let now = daemon.clock.now();
     let targets = daemon.tables.targets.lock();
@@ -198,12 +228,64 @@
     match pick(daemon, &view, &permits, service, known, tried, now) {
         Choice::Use(pick) => {
             take(&mut permits, service, &pick, now);
-            Ok(Grant { pick, work: permits.expected_work(service) })
+            Some(Grant { pick, work: permits.expected_work(service) })
+        }
+        Choice::Wait | Choice::NoTarget => None,
+    }
+}
+
+/// The permits that a failed request wants; dropping it withdraws the wish.
+struct RetryWants<'a> {
+    daemon: &'a Daemon,
+    wants: Vec<(RegionId, SlotTarget)>,
+}
+
+impl<'a> RetryWants<'a> {
+    fn register(
+        daemon: &'a Daemon,
+        service: &ServiceId,
+        tried: &[TargetId],
+    ) -> Result<Self, Refusal> {
+        let view = daemon.tables.view();
+        let now = daemon.clock.now();
+        let targets = daemon.tables.targets.lock();
+        let usable = usable(daemon, &view, &targets, service, now);
+        let wants: Vec<_> = usable
+            .filter(|target| !tried.contains(&target.target))
+            .take(OTHER_TARGETS)
+            .map(|target| (target.region.clone(), (service.clone(), target.target.clone())))
+            .collect();
+        if wants.is_empty() {
+            return Err(ResultCode::NoCapacity.into());
         }
-        Choice::Wait | Choice::NoTarget => Err(ResultCode::NoCapacity.into()),
+        daemon.tables.permits.lock().want_for_retry(&wants);
+        Ok(Self { daemon, wants })
     }
 }
 
+impl Drop for RetryWants<'_> {
+    fn drop(&mut self) {
+        self.daemon.tables.permits.lock().forget_retry(&self.wants);
+    }
+}
+
+/// Returns the targets of a service that may get new work, the nearest first.
+fn usable<'a>(
+    daemon: &Daemon,
+    view: &View,
+    targets: &'a TargetTable,
+    service: &ServiceId,
+    now: Instant,
+) -> impl Iterator<Item = &'a Target> {
+    let mut usable: Vec<&Target> = targets
+        .of_service(service)
+        .iter()
+        .filter(|target| target.is_usable(now) && is_allowed(daemon, view, service, target))
+        .collect();
+    usable.sort_by_key(|target| (distance(&daemon.place, target), rand::random::<u32>()));
+    usable.into_iter()
+}
+
 /// Takes a permit for a picked target.
 pub fn take(permits: &mut Permits, service: &ServiceId, pick: &Pick, now: Instant) -> bool {
     permits.take(&pick.region, &(service.clone(), pick.target.clone()), now)
@@ -319,20 +401,19 @@
     now: Instant,
 ) -> HashMap<RegionId, Vec<(SlotTarget, u32)>> {
     let mut wanted: HashMap<RegionId, Vec<(SlotTarget, u32)>> = HashMap::new();
+    for (region, key) in permits.retry_wants() {
+        add_want(&mut wanted, region, key, 1);
+    }
     for service in &view.configuration.services {
         let service = &service.service;
         let mut open = u32::try_from(permits.waiting(service).get()).unwrap_or(u32::MAX);
         if open == 0 {
             continue;
         }
-        let mut usable: Vec<&Target> = targets
-            .of_service(service)
-            .iter()
-            .filter(|target| target.is_usable(now) && is_allowed(daemon, view, service, target))
-            .collect();
+        let mut usable: Vec<&Target> = usable(daemon, view, targets, service, now).collect();
         usable.sort_by_key(|target| {
             let held = permits.slot_use(service, target).held;
-            (distance(&daemon.place, target), held >= target.slots, rand::random::<u32>())
+            (distance(&daemon.place, target), held >= target.slots)
         });
         for target in usable {
             if open == 0 {
@@ -343,13 +424,27 @@
             if count > 0 {
                 open -= count;
                 let key = (service.clone(), target.target.clone());
-                wanted.entry(target.region.clone()).or_default().push((key, count));
+                add_want(&mut wanted, &target.region, &key, count);
             }
         }
     }
     wanted
 }
 
+/// Adds to the number of permits that are wanted of a target.
+fn add_want(
+    wanted: &mut HashMap<RegionId, Vec<(SlotTarget, u32)>>,
+    region: &RegionId,
+    key: &SlotTarget,
+    count: u32,
+) {
+    let wants = wanted.entry(region.clone()).or_default();
+    match wants.iter_mut().find(|(known, _)| known == key) {
+        Some((_, sum)) => *sum += count,
+        None => wants.push((key.clone(), count)),
+    }
+}
+
 /// Answers a request for permits as the owner of a region.
 pub fn answer(daemon: &Arc<Daemon>, from: &VmId, incarnation: Incarnation, request: &SlotRequest) {
     let now = daemon.clock.now();
--- a/crates/daemon/src/tables/permits.rs
+++ b/crates/daemon/src/tables/permits.rs
@@ -1,6 +1,7 @@
 //! Slot permits of this VM, the regions whose permits it leases out, and the requests that wait.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use celerygate_steering::queue::{Capacity, Ticket, WaitQueue};
@@ -8,7 +9,7 @@
 use celerygate_steering::targets::{Pick, Target, TargetTable};
 use celerygate_types::wire::{SlotOwnership, SlotReply, SlotRequest};
 use celerygate_types::{RegionId, RequestCount, ServiceId, SlotCount, VmId};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::refusal::Refusal;
 
@@ -49,6 +50,10 @@
     /// Order of the waiting requests.
     pub queue: WaitQueue,
     waiters: HashMap<Ticket, Waiter>,
+    /// Targets of which requests that failed elsewhere want a permit, one entry each.
+    retry_wants: Vec<(RegionId, SlotTarget)>,
+    /// Notified when permits have arrived.
+    pub arrived: Arc<Notify>,
     work: HashMap<ServiceId, Duration>,
 }
 
@@ -177,6 +182,25 @@
         self.waiters.remove(&ticket);
     }
 
+    /// Notes that a request that failed elsewhere wants a permit of one of these targets.
+    pub fn want_for_retry(&mut self, wants: &[(RegionId, SlotTarget)]) {
+        self.retry_wants.extend_from_slice(wants);
+    }
+
+    /// Removes what `want_for_retry` noted.
+    pub fn forget_retry(&mut self, wants: &[(RegionId, SlotTarget)]) {
+        for want in wants {
+            if let Some(at) = self.retry_wants.iter().position(|known| known == want) {
+                self.retry_wants.swap_remove(at);
+            }
+        }
+    }
+
+    /// Returns the targets that are wanted for retries.
+    pub fn retry_wants(&self) -> &[(RegionId, SlotTarget)] {
+        &self.retry_wants
+    }
+
     /// Returns the requests for permits that are due, by region.
     pub fn poll(
         &mut self,
@@ -209,6 +233,10 @@
     pub fn accept(&mut self, reply: &SlotReply, now: Instant) -> bool {
         let mut holders = self.holders.values_mut();
         // Epochs are revisions, so no two regions share one.
-        holders.any(|holder| holder.accept(reply, now))
+        let accepted = holders.any(|holder| holder.accept(reply, now));
+        if accepted {
+            self.arrived.notify_waiters();
+        }
+        accepted
     }
 }
