Test the whole daemon as a process

Cause: access, forwarding, intents and planned stops were tested in parts only, not on the built program.

--- /dev/null
+++ b/crates/daemon/tests/shutdown.rs
@@ -0,0 +1,104 @@
+//! Planned stops.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use blake3::Hasher;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use serde_json::Value;
+use support::caller::{Caller, get};
+use support::daemon::{ALPHA_KEY, Daemon};
+use support::target::Target;
+use support::{eventually, random_bytes};
+
+/// Size of the download: more than all buffers on the way hold together.
+const DOWNLOAD_BYTES: usize = 64 << 20;
+
+/// Returns whether a look-up lists the VM; a refused look-up lists none.
+async fn is_listed(daemon: &Daemon) -> bool {
+    let reply = daemon.caller().await.send(get("/lookup/echo", None)).await;
+    if reply.status != StatusCode::OK {
+        reply.assert_refused(503, 1203, "no-capacity", "not-run");
+        return false;
+    }
+    let answer: Value = reply.json();
+    answer["entries"].as_array().expect("entries").iter().any(|entry| entry["vm"] == "vm-1")
+}
+
+async fn wait_for_end(daemon: &mut Daemon) {
+    let end = Instant::now() + support::PATIENCE;
+    let status = loop {
+        if let Some(status) = daemon.ended() {
+            break status;
+        }
+        assert!(Instant::now() < end, "the process does not end");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+/// Guards against a planned stop that cuts a response in progress, that refuses callers whose
+/// look-up answer is still cached, or that never ends.
+#[tokio::test]
+async fn terminate_during_download() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announced = daemon.announce("target-1", target.address, 3).await;
+    eventually("the VM is listed", async || is_listed(&daemon).await.then_some(())).await;
+    let path = format!("/bytes/{DOWNLOAD_BYTES}");
+    let mut downloading = daemon.caller().await;
+    let sent = get(&format!("/svc/echo{path}"), Some(ALPHA_KEY));
+    let mut body = downloading.open(sent).await.unwrap().into_body();
+    let mut hasher = Hasher::new();
+    let mut len = 0;
+    let mut add = |frame: hyper::body::Bytes| {
+        hasher.update(&frame);
+        len += frame.len();
+    };
+    add(body.frame().await.unwrap().unwrap().into_data().unwrap());
+    let mut idle = daemon.caller().await;
+    assert_eq!(idle.send(get("/svc/echo/a", Some(ALPHA_KEY))).await.status, StatusCode::OK);
+    daemon.terminate();
+    eventually("the VM is not listed", async || (!is_listed(&daemon).await).then_some(())).await;
+    // The answers that listed it are cached for 5 s, so it accepts new and idle connections.
+    let reply = daemon.caller().await.send(get("/svc/echo/b", Some(ALPHA_KEY))).await;
+    assert_eq!((reply.status, &reply.body[..]), (StatusCode::OK, &b"/b"[..]));
+    assert_eq!(reply.headers["connection"], "close");
+    let reply = idle.send(get("/svc/echo/c", Some(ALPHA_KEY))).await;
+    assert_eq!((reply.status, &reply.body[..]), (StatusCode::OK, &b"/c"[..]));
+    // Then it closes its listener while the download goes on.
+    let address = daemon.callers;
+    eventually("the listener is closed", async || Caller::connect(address).await.err()).await;
+    assert_eq!(daemon.ended(), None, "it ended during the download");
+    while let Some(frame) = body.frame().await {
+        add(frame.expect("the download is cut").into_data().unwrap());
+    }
+    assert_eq!(len, DOWNLOAD_BYTES);
+    assert_eq!(hasher.finalize(), blake3::hash(&random_bytes(&path, DOWNLOAD_BYTES)));
+    wait_for_end(&mut daemon).await;
+    assert!(daemon.log().contains("daemon stopped"));
+}
+
+/// Guards against a stop that waits for idle connections.
+#[tokio::test]
+async fn terminate_idle() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announced = daemon.announce("target-1", target.address, 3).await;
+    let mut idle = daemon.caller().await;
+    assert_eq!(idle.send(get("/svc/echo/a", Some(ALPHA_KEY))).await.status, StatusCode::OK);
+    let _unused = tokio::net::TcpStream::connect(daemon.callers).await.unwrap();
+    daemon.terminate();
+    wait_for_end(&mut daemon).await;
+}
+
+/// Guards against state that only a crash leaves behind: a daemon starts again after a stop.
+#[tokio::test]
+async fn terminate_and_start_again() {
+    let mut daemon = Daemon::start().await;
+    let before = daemon.status().await["revision"].as_u64();
+    daemon.terminate();
+    wait_for_end(&mut daemon).await;
+    daemon.run().await;
+    assert!(daemon.status().await["revision"].as_u64() >= before);
+}
