Test late surplus, HEAD and callers that leave midway

Cause: surplus bytes on an idle connection, the length of a response to HEAD and callers that leave during a response or a request body had no test on the built program; the resent confirm relied on a revision of after the restart. Change: four more tests in the forwarding suite, which count the open connections of the target; the resent confirm names the revision of the intent.

--- a/crates/daemon/tests/forwarding.rs
+++ b/crates/daemon/tests/forwarding.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use support::caller::{exchange, get, request, with_header};
 use support::daemon::{ALPHA_KEY, Announced, Daemon, SMALL_KEY};
-use support::raw_target::{Answer, BODY_END, RawTarget};
+use support::raw_target::{Answer, BODY_END, LATE, RawTarget};
 use support::target::Target;
 use support::{eventually, position, random_bytes};
 
@@ -288,6 +288,36 @@
     }
 }
 
+/// Guards against bytes that arrive on an idle connection and become the answer to the next request.
+#[tokio::test]
+async fn response_with_late_surplus() {
+    let ok = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let late = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nforeigner";
+    let (daemon, target, _announced) = with_answer(Answer::Late(ok.into(), late.into())).await;
+    for number in 0..3 {
+        let reply = daemon.caller().await.send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
+        assert_eq!((reply.status, &reply.body[..]), (StatusCode::OK, &b"ok"[..]));
+        assert_eq!(target.seen()[number].connection, number, "the connection was used again");
+        // Several times the delay, so that the surplus has reached the daemon.
+        tokio::time::sleep(LATE * 5).await;
+    }
+}
+
+/// Guards against a response to HEAD whose announced length is taken for a body.
+#[tokio::test]
+async fn head_keeps_connection() {
+    let (daemon, _target, _announced) = with_target(1).await;
+    let mut caller = daemon.caller().await;
+    for _ in 0..3 {
+        let sent = request(Method::HEAD, "/svc/echo/bytes/1000", Some(ALPHA_KEY), "");
+        let reply = caller.send(sent).await;
+        assert_eq!((reply.status, reply.body.len()), (StatusCode::OK, 0));
+        assert_eq!(reply.headers["content-length"], "1000");
+        let reply = caller.send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
+        assert_eq!((reply.status, &reply.body[..]), (StatusCode::OK, &b"/a"[..]));
+    }
+}
+
 /// Guards against a 503 of a target that is hidden, or taken as proof that a POST did not run.
 #[tokio::test]
 async fn target_sheds() {
@@ -338,6 +368,53 @@
     assert_eq!(reply.status, StatusCode::OK);
 }
 
+/// Guards against a target that goes on with a response that nobody reads.
+#[tokio::test]
+async fn caller_leaves_during_response() {
+    let (daemon, target, _announced) = with_target(1).await;
+    let mut caller = daemon.caller().await;
+    let sent = get(&format!("/svc/echo/bytes/{}", 64 << 20), Some(ALPHA_KEY));
+    let mut body = caller.open(sent).await.unwrap().into_body();
+    body.frame().await.unwrap().unwrap();
+    assert_eq!(target.open_connections(), 1);
+    drop((body, caller));
+    eventually("the target's connection is closed", async || {
+        (target.open_connections() == 0).then_some(())
+    })
+    .await;
+    let reply = daemon.caller().await.send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
+    assert_eq!(reply.status, StatusCode::OK);
+}
+
+/// Guards against a request body that was cut and looks complete to the target.
+#[tokio::test]
+async fn caller_truncates_body() {
+    use tokio::io::AsyncWriteExt;
+    for (framing, part) in
+        [("transfer-encoding: chunked", "4\r\npart\r\n"), ("content-length: 1000", "part")]
+    {
+        let (daemon, target, _announced) = with_target(1).await;
+        let mut stream = tokio::net::TcpStream::connect(daemon.callers).await.unwrap();
+        let head = format!(
+            "POST /svc/echo/echo HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ALPHA_KEY}\r\n\
+             {framing}\r\n\r\n{part}"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        eventually("the target has the first part", async || {
+            position(&target.received(), b"part").map(drop)
+        })
+        .await;
+        drop(stream);
+        eventually("the target's connection is closed", async || {
+            (target.open_connections() == 0).then_some(())
+        })
+        .await;
+        let received = target.received();
+        assert_eq!(position(&received, b"0\r\n\r\n"), None, "{framing}");
+        assert_eq!(target.seen().len(), 1, "{framing}: a cut request was sent again");
+    }
+}
+
 /// Guards against a deadline that starts anew at the target, after the request has waited.
 #[tokio::test]
 async fn deadline_reduced() {
--- a/crates/daemon/tests/intents.rs
+++ b/crates/daemon/tests/intents.rs
@@ -103,23 +103,21 @@
     daemon.run().await;
     let resent = daemon.propose("first", None, rate(50)).await;
     assert_eq!(resent.json()["record"], created.json()["record"]);
-    // The start changes the configuration too, for example the slot owner.
-    let now = revision(&resent);
     let intents = daemon.status().await["intents"].as_array().map(Vec::len);
     assert_eq!(intents, Some(1), "a resent intent was recorded twice");
-    let confirmed = daemon.confirm("first", now).await;
-    assert_eq!(confirmed.status, StatusCode::OK, "based on {based_on}, now {now}");
+    let confirmed = daemon.confirm("first", based_on).await;
+    assert_eq!(confirmed.status, StatusCode::OK, "{}", confirmed.json());
     let first = confirmed.json()["record"].clone();
     assert_eq!(first["state"], "done");
     // A later change must survive the resent confirm of the earlier one.
     let later = daemon.propose("second", None, rate(60)).await;
     assert_eq!(daemon.confirm("second", revision(&later)).await.status, StatusCode::OK);
     let changed = daemon.status().await["revision"].clone();
-    let resent = daemon.confirm("first", now).await;
+    let resent = daemon.confirm("first", based_on).await;
     assert_eq!((resent.status, &resent.json()["record"]), (StatusCode::OK, &first));
     daemon.kill();
     daemon.run().await;
-    let resent = daemon.confirm("first", now).await;
+    let resent = daemon.confirm("first", based_on).await;
     assert_eq!((resent.status, &resent.json()["record"]), (StatusCode::OK, &first));
     let resent = daemon.propose("first", None, rate(50)).await;
     assert_eq!((resent.status, &resent.json()["record"]), (StatusCode::OK, &first));
--- a/crates/daemon/tests/support/raw_target.rs
+++ b/crates/daemon/tests/support/raw_target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -12,6 +13,9 @@
 /// End of every request body that is sent to a raw target, so that it can tell when it has all.
 pub const BODY_END: &str = "end-of-body";
 
+/// Time between a response and bytes that nobody asked for.
+pub const LATE: Duration = Duration::from_millis(200);
+
 /// What a raw target does with a request.
 #[derive(Clone, Debug)]
 pub enum Answer {
@@ -19,6 +23,8 @@
     Close(Vec<u8>),
     /// Sends bytes and waits for the next request.
     Keep(Vec<u8>),
+    /// Sends bytes, and others a while later although there was no other request.
+    Late(Vec<u8>, Vec<u8>),
     /// Sends bytes and then nothing more.
     Stall(Vec<u8>),
 }
@@ -85,6 +91,13 @@
                     return;
                 }
             }
+            Answer::Late(bytes, late) => {
+                let _ = stream.write_all(&bytes).await;
+                tokio::time::sleep(LATE).await;
+                if stream.write_all(&late).await.is_err() {
+                    return;
+                }
+            }
             Answer::Stall(bytes) => {
                 let _ = stream.write_all(&bytes).await;
                 // Ends when the daemon closes the connection.
--- a/crates/daemon/tests/support/target.rs
+++ b/crates/daemon/tests/support/target.rs
@@ -42,6 +42,7 @@
     running: AtomicUsize,
     most_running: AtomicUsize,
     cancelled: AtomicUsize,
+    connections: AtomicUsize,
     release: Notify,
 }
 
@@ -64,12 +65,15 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let state = Arc::clone(&accepting);
+                state.connections.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(async move {
+                    let ended = Arc::clone(&state);
                     let stream = Recorded { stream, state: Arc::clone(&state) };
                     let service = service_fn(move |request| answer(Arc::clone(&state), request));
                     let connection =
                         http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                     let _ = connection.await;
+                    ended.connections.fetch_sub(1, Ordering::SeqCst);
                 });
             }
         });
@@ -96,6 +100,11 @@
         self.state.cancelled.load(Ordering::SeqCst)
     }
 
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
     /// Lets one request to `/hold` continue.
     pub fn release(&self) {
         self.state.release.notify_one();
