Keep the permit of a cancelled request until its target can stop

Cause: when the deadline passed or the caller left, the daemon closed the connection to the target and gave the permit back at once. The next request reached the target before the target had read the end of the stream, so that it ran more requests than it has slots.

Change: a permit whose request was sent and not ended by the target is given back 100 ms later. Other permits are given back at once as before.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -16,7 +16,8 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use smallvec::SmallVec;
-use tokio::time::timeout_at;
+use tokio::runtime::Handle;
+use tokio::time::{sleep, timeout_at};
 
 use super::{Exchange, REQUEST_HEADER, copy_kept, is_empty, pairs};
 use crate::daemon::Daemon;
@@ -28,6 +29,11 @@
 /// Request header that tells a target whose request it runs.
 const ORGANISATION_HEADER: &str = "celerygate-organisation";
 
+/// Time for which the permit of a cancelled request is kept. The target runs the request until it
+/// notices that the connection is closed: a round trip between regions takes 20 ms, and a busy
+/// target needs some time to read the end of the stream.
+const CANCEL_TIME: Duration = Duration::from_millis(100);
+
 /// What the attempts of a request did so far.
 #[derive(Default)]
 pub struct Attempt {
@@ -72,9 +78,14 @@
     pub fn mark_sent(&mut self) {
         self.permit.sent_at = Some(self.permit.daemon.clock.now());
     }
+
+    /// Notes that the target ended the exchange, so that the slot is free at once.
+    pub fn mark_ended(&mut self) {
+        self.permit.ended = true;
+    }
 }
 
-/// A permit in use; dropping it gives it back.
+/// A permit in use; dropping it gives it back, after [`CANCEL_TIME`] if the request may still run.
 struct Permit {
     daemon: Arc<Daemon>,
     service: ServiceId,
@@ -82,6 +93,8 @@
     work: Duration,
     organisation: Option<OrganisationId>,
     sent_at: Option<Instant>,
+    /// Whether the target ended the exchange.
+    ended: bool,
 }
 
 impl Drop for Permit {
@@ -92,7 +105,19 @@
             let actual = actual.unwrap_or_default();
             self.daemon.tables.permits.lock().queue.finish(organisation, self.work, actual);
         }
-        permits::release(&self.daemon, &self.service, &self.pick, actual);
+        let is_cancelled = self.sent_at.is_some() && !self.ended;
+        // Without a runtime the process is about to end.
+        match Handle::try_current() {
+            Ok(runtime) if is_cancelled => {
+                let (daemon, service) = (Arc::clone(&self.daemon), self.service.clone());
+                let pick = self.pick.clone();
+                runtime.spawn(async move {
+                    sleep(CANCEL_TIME).await;
+                    permits::release(&daemon, &service, &pick, actual);
+                });
+            }
+            _ => permits::release(&self.daemon, &self.service, &self.pick, actual),
+        }
     }
 }
 
@@ -123,6 +148,7 @@
         work,
         organisation: organisation.cloned(),
         sent_at: None,
+        ended: false,
     };
     let address = pick.address.parse().map_err(|_| ResultCode::TargetUnreachable)?;
     log::info!(
@@ -248,6 +274,9 @@
         // How far the attempt got is not known here, so the worse case is assumed.
         Err(_) => AttemptEnd::failed(Reached::BytesSent, Ended::DeadlinePassed, "deadline passed"),
     };
+    if !matches!(end, AttemptEnd::Failed { ended: Ended::DeadlinePassed, .. }) {
+        picked.mark_ended();
+    }
     let observation = match &end {
         AttemptEnd::Failed { reached: Reached::NotConnected, .. } => Observation::ConnectFailure,
         _ => Observation::Failure,
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -102,6 +102,9 @@
 impl Drop for Finish {
     fn drop(&mut self) {
         let end = self.end.unwrap_or(End::CallerGone);
+        if matches!(end, End::Complete | End::TargetFailed) {
+            self.picked.mark_ended();
+        }
         let observation = match end {
             End::Complete if !self.is_error => Some(Observation::Success),
             End::CallerGone => None,
