Test a late slot report after the lease

Cause: with VMs that learn late of a new owner, the fuzz test of slots no longer notices an owner that renews permits which another VM was given meanwhile.

Change: a protocol test of exactly this case.

--- a/crates/steering/src/slots/protocol_tests.rs
+++ b/crates/steering/src/slots/protocol_tests.rs
@@ -157,3 +157,20 @@
     case.ask(0, 1);
     assert_eq!(case.take_all(0), 1);
 }
+
+/// Guards against a late report that renews permits which another VM was given meanwhile.
+#[test]
+fn receive_report_after_lease() {
+    let mut case = Case::new(2);
+    case.ask(0, 2);
+    case.now += 900 * MS;
+    let late = case.holders[0].poll([], case.now).unwrap();
+    case.now += OWNER_LEASE - 900 * MS;
+    case.ask(1, 2);
+    case.now += 300 * MS;
+    case.ask(1, 0);
+    let answer = case.owner.receive(&case.vms[0], Incarnation(1), &late, case.now);
+    let SlotAnswer::Send(messages) = answer else { panic!("{answer:?}") };
+    assert!(case.holders[0].accept(&messages[0].reply, case.now));
+    assert_eq!((case.take_all(0), case.take_all(1)), (0, 2));
+}
