Ask all control VMs when the known leader stops answering

Change: after 1 s without an answer all control VMs are asked; a leader without a lease counts as none; intents wait until a majority of the control VMs votes; the others are corrected where they arose.

--- a/crates/control/src/intents.rs
+++ b/crates/control/src/intents.rs
@@ -190,15 +190,17 @@
     let mut changes =
         vec![Change::IntentState(IntentStateChange { intent: intent.clone(), state: to })];
     let mut risks = Vec::new();
-    if to == IntentState::Cancelled && record.next_step > 0 {
-        risks.push("shares that were moved stay where they are".into());
-    }
+    let mut note = format_smolstr!("sets intent {intent} from {} to {to}", record.state);
     if let (IntentState::Cancelled, IntentState::Done, IntentKind::Drain(subject)) =
         (to, record.state, &record.kind)
     {
         changes.insert(0, Change::Undrain(subject.clone()));
+        note = format_smolstr!("{note} and ends the drain");
+    }
+    let moved = state::is_stepped(&record.kind) && record.next_step > 0;
+    if to == IntentState::Cancelled && moved {
+        risks.push("shares that were moved stay where they are".into());
     }
-    let note = format_smolstr!("sets intent {intent} from {} to {to}", record.state);
     one_step(configuration, changes, note, risks)
 }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -69,6 +69,8 @@
     pub freshness: Freshness,
     /// The leader as last heard of.
     pub leader: Option<VmId>,
+    /// When a freshness request was last answered.
+    answered_at: Option<Instant>,
     /// Whether a delta did not lead to the sender's configuration, so that all of it is needed.
     digest_differs: bool,
     /// Only on VMs with a disk.
@@ -79,7 +81,14 @@
     /// Returns the state of a daemon without a disk.
     pub fn without_disk(configuration: Configuration) -> Self {
         let freshness = Freshness::new(rand::random());
-        Self { configuration, freshness, leader: None, digest_differs: false, vm: None }
+        Self {
+            configuration,
+            freshness,
+            leader: None,
+            answered_at: None,
+            digest_differs: false,
+            vm: None,
+        }
     }
 
     /// Opens the data folder of a control VM.
@@ -112,12 +121,29 @@
         agreed.max(self.freshness.term())
     }
 
-    /// Returns the leader as far as this daemon knows.
-    pub fn leader(&self) -> Option<VmId> {
-        let agreed = self.vm.as_ref().and_then(|vm| vm.node.replica().leader());
+    /// Returns the leader as far as this daemon knows. A leader without a lease does not count: it
+    /// may have been replaced.
+    pub fn leader(&self, now: Instant) -> Option<VmId> {
+        let replica = self.vm.as_ref().map(|vm| vm.node.replica());
+        if replica.is_some_and(|replica| replica.is_leader() && !replica.has_lease(now)) {
+            return None;
+        }
+        let agreed = replica.and_then(|replica| replica.leader());
         agreed.or(self.leader.as_ref()).cloned()
     }
 
+    /// Returns whether a majority of the control VMs vote. Until then an accepted change is on too
+    /// few disks to survive the loss of one.
+    pub fn is_group_formed(&self) -> bool {
+        let roles = self.configuration.members.iter().map(|member| member.role);
+        let (mut voters, mut control_vms) = (0, 0);
+        for role in roles.filter(|role| *role != MemberRole::Follower) {
+            control_vms += 1;
+            voters += usize::from(role == MemberRole::Voter);
+        }
+        2 * voters > control_vms
+    }
+
     /// Returns the last revision that is in force everywhere; only the leader knows it.
     pub fn in_force(&mut self, now: Instant) -> Option<Revision> {
         let leading = self.vm.as_mut()?.leading.as_mut()?;
@@ -230,7 +256,7 @@
     let now = daemon.clock.now();
     let mut control = daemon.tables.control.lock();
     if !control.is_leading(now) {
-        return Err(not_leader(&control));
+        return Err(not_leader(&control, now));
     }
     let Some(vm) = &mut control.vm else { return Err(ResultCode::NotLeader.into()) };
     let handled = tokio::task::block_in_place(|| vm.node.handle(Input::Propose(command), now));
@@ -260,16 +286,16 @@
     }
     match refused {
         None => Ok(receiver),
-        Some(ProposeRefusal::NotLeader { .. }) => Err(not_leader(&control)),
+        Some(ProposeRefusal::NotLeader { .. }) => Err(not_leader(&control, now)),
         Some(refusal) => Err(Refusal::with_detail(ResultCode::IntentRefused, refusal.to_string())),
     }
 }
 
 /// Returns the refusal that names the leader, when one is known.
-pub fn not_leader(control: &Control) -> Refusal {
+pub fn not_leader(control: &Control, now: Instant) -> Refusal {
     let members = &control.configuration.members;
     let address = control
-        .leader()
+        .leader(now)
         .and_then(|leader| members.iter().find(|member| member.vm == leader))
         .map(|member| member.operators_address.clone());
     let code = if address.is_some() { ResultCode::NotLeader } else { ResultCode::NoLeader };
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -82,7 +82,7 @@
         Command::Step(command) => ("step", command.intent.as_str()),
         Command::Hold(command) => ("hold", command.intent.as_str()),
         Command::Membership(_) => ("membership", ""),
-        Command::SlotOwner(command) => ("slot-owner", command.vm.as_str()),
+        Command::SlotOwner(_) => ("slot-owner", ""),
     }
 }
 
--- a/crates/daemon/src/control/distribute.rs
+++ b/crates/daemon/src/control/distribute.rs
@@ -1,6 +1,7 @@
 //! Freshness and the distribution of the configuration to daemons.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use celerygate_control::distribution::{
     self, DIGEST_UNKNOWN, Parent, Received, Update, select_parent,
@@ -40,7 +41,12 @@
     }
 }
 
-/// Returns whom to ask: the parent, or all control VMs while no leader is known.
+/// Time without an answer after which a daemon asks all control VMs. A leader that has lost its
+/// office answers nothing although it is alive, so asking it alone would never end.
+const LEADER_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Returns whom to ask: the parent, or all control VMs while no leader is known or the known one
+/// does not answer.
 fn receivers(daemon: &Daemon, control: &Control) -> Vec<VmId> {
     let now = daemon.clock.now();
     let live: Vec<VmId> = {
@@ -49,7 +55,9 @@
     };
     let is_live = |vm: &VmId| live.contains(vm);
     let leader = control.vm.as_ref().and_then(|vm| vm.node.replica().leader());
-    let leader = leader.or(control.leader.as_ref()).filter(|leader| is_live(leader));
+    let answered =
+        control.answered_at.is_some_and(|at| now.saturating_duration_since(at) < LEADER_SILENCE);
+    let leader = leader.or(control.leader.as_ref()).filter(|leader| answered && is_live(leader));
     match select_parent(&control.configuration, &daemon.own, leader, is_live) {
         Some(Parent::Leader(vm) | Parent::Relay(vm)) => vec![vm],
         Some(Parent::Nobody) | None => {
@@ -138,6 +146,7 @@
             if reply.age_ms == 0 {
                 control.leader = Some(from);
             }
+            control.answered_at = Some(daemon.clock.now());
             daemon.note_freshness(&control.freshness);
             let term = reply.term;
             daemon.tables.grants.lock().set_term(term);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -156,6 +156,7 @@
     pub fn send_heartbeats(&self) {
         let now = self.clock.now();
         let records = self.tables.targets.lock().records(now);
+        self.tables.traffic.lock().settle(now);
         let revision = self.tables.view().configuration.revision;
         let (state, loads) = (self.state(), self.loads());
         let links = self.tables.links.lock().loads();
@@ -172,6 +173,7 @@
     pub fn loads(&self) -> Vec<ServiceLoad> {
         let targets = self.tables.targets.lock();
         let permits = self.tables.permits.lock();
+        let traffic = self.tables.traffic.lock();
         permits
             .running(&targets)
             .into_iter()
@@ -179,7 +181,7 @@
                 service: service.clone(),
                 running_slots,
                 waiting_requests: permits.waiting(service),
-                sent_bytes_per_s: Default::default(),
+                sent_bytes_per_s: traffic.rate(service),
             })
             .collect()
     }
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -71,6 +71,11 @@
             Some(Ok(_)) if !self.body.is_end_stream() => {}
             _ => self.finish.end = Some(End::Complete),
         }
+        if let Some(Ok(Some(data))) =
+            frame.as_ref().map(|frame| frame.as_ref().map(Frame::data_ref))
+        {
+            self.finish.count_bytes(data.len());
+        }
         Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
     }
 
@@ -101,6 +106,13 @@
     end: Option<End>,
 }
 
+impl Finish {
+    fn count_bytes(&self, bytes: usize) {
+        let service = &self.exchange.service;
+        self.daemon.tables.traffic.lock().add(service, bytes as u64);
+    }
+}
+
 impl Drop for Finish {
     fn drop(&mut self) {
         let end = self.end.unwrap_or(End::CallerGone);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -71,7 +71,7 @@
     let now = daemon.clock.now();
     let mut control = daemon.tables.control.lock();
     if !control.is_leading(now) {
-        return Err(not_leader(&control));
+        return Err(not_leader(&control, now));
     }
     if let Some(record) = state::find_intent(&control.configuration, &request.intent).cloned() {
         if record.kind != request.kind {
@@ -80,6 +80,10 @@
         let answer = answer_for(&mut control, record, now);
         return Ok(Prepared::Recorded(Box::new(answer)));
     }
+    if !control.is_group_formed() {
+        let detail = "The control group is being formed.";
+        return Err(Refusal::with_detail(ResultCode::NoLeader, detail));
+    }
     let configuration = &control.configuration;
     let at_unix_ms = daemon.clock.unix_ms();
     let based_on = request.based_on.unwrap_or(configuration.revision);
@@ -128,9 +132,10 @@
 
 /// Checks a confirm against the latest measurements.
 fn check_again(daemon: &Daemon, command: &ConfirmCommand) -> Result<(), Refusal> {
+    let now = daemon.clock.now();
     let control = daemon.tables.control.lock();
-    if !control.is_leading(daemon.clock.now()) {
-        return Err(not_leader(&control));
+    if !control.is_leading(now) {
+        return Err(not_leader(&control, now));
     }
     let configuration = &control.configuration;
     let measurements = measure::measurements(daemon, configuration);
@@ -158,7 +163,7 @@
     let now = daemon.clock.now();
     let mut control = daemon.tables.control.lock();
     if !control.is_leading(now) {
-        return Err(not_leader(&control));
+        return Err(not_leader(&control, now));
     }
     let record = state::find_intent(&control.configuration, intent).cloned();
     let record = record.ok_or(ResultCode::IntentUnknown)?;
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -19,7 +19,7 @@
     let (configuration, term, leader, in_force) = {
         let mut control = daemon.tables.control.lock();
         let term = control.term();
-        (control.configuration.clone(), term, control.leader(), control.in_force(now))
+        (control.configuration.clone(), term, control.leader(now), control.in_force(now))
     };
     let measured = measure::measurements(daemon, &configuration);
     let regions = configuration.regions.iter().map(|region| {
--- a/crates/daemon/src/tables.rs
+++ b/crates/daemon/src/tables.rs
@@ -2,11 +2,12 @@
 //!
 //! A thread may take a lock only while it holds locks of lower rank. The ranks are, in order:
 //! control 10, view 20, neighbours 30, targets 40, permits 50, lookups 60, grants 70, once home 72,
-//! once waiting 74, retries 80, links 90.
+//! once waiting 74, retries 80, traffic 85, links 90.
 //! No lock is held across an await.
 
 mod neighbours;
 mod permits;
+mod traffic;
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -19,6 +20,7 @@
 
 pub use neighbours::{DEAD_AFTER, Neighbours};
 pub use permits::{Grant, Permits, Waiter};
+pub use traffic::Traffic;
 
 use crate::control::Control;
 use crate::links::Links;
@@ -46,6 +48,8 @@
     pub once_home: Ranked<Option<OnceHome>>,
     /// Requests that wait for answers of homes.
     pub once_waiting: Ranked<OnceWaiting>,
+    /// Bytes sent to callers.
+    pub traffic: Ranked<Traffic>,
     /// Budgets of the links between regions.
     pub links: Ranked<Links>,
     /// Limits the share of requests that are sent again.
@@ -70,6 +74,7 @@
             grants: Ranked::new(70, GrantHolder::new(Term::ZERO)),
             once_home: Ranked::new(72, once_home),
             once_waiting: Ranked::new(74, OnceWaiting::default()),
+            traffic: Ranked::new(85, Traffic::new(now)),
             links: Ranked::new(90, Links::default()),
             retries: Ranked::new(80, RetryBudget::new(now)),
         }
--- /dev/null
+++ b/crates/daemon/src/tables/traffic_tests.rs
@@ -0,0 +1,18 @@
+//! Tests of the traffic meter: a rate that outlives its traffic would block moves.
+
+use std::time::Duration;
+
+use super::*;
+
+#[test]
+fn settle_rate_and_silence() {
+    let start = Instant::now();
+    let mut traffic = Traffic::new(start);
+    let service: ServiceId = "echo".parse().unwrap();
+    traffic.add(&service, 500);
+    traffic.add(&service, 500);
+    traffic.settle(start + Duration::from_secs(2));
+    assert_eq!(traffic.rate(&service), ByteRate(500));
+    traffic.settle(start + Duration::from_secs(3));
+    assert_eq!(traffic.rate(&service), ByteRate::ZERO);
+}
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -28,6 +28,10 @@
         .context("start logging")
 }
 
+/// Bounds of the request times: from a forwarded small request to the longest deadline.
+const REQUEST_SECONDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0, 30.0, 120.0, 600.0];
+
 /// Metrics of the daemon.
 pub struct Metrics {
     registry: Registry,
@@ -70,6 +74,7 @@
             request_seconds: meter
                 .f64_histogram("celerygate_request_duration")
                 .with_unit("s")
+                .with_boundaries(REQUEST_SECONDS.to_vec())
                 .with_description("Time from a request's head to the end of its response.")
                 .build(),
             _provider: provider,
--- a/crates/steering/src/moves/load.rs
+++ b/crates/steering/src/moves/load.rs
@@ -107,6 +107,10 @@
             self.check_slots(gauge, added, || format_smolstr!("region {region}"))?;
         }
         for ((service, region), added) in services {
+            // A service that has no targets anywhere is served nowhere, whatever is moved.
+            if !self.services.iter().any(|((known, _), g)| known == service && g.capacity > 0) {
+                continue;
+            }
             let none = Gauge { used: 0, capacity: 0 };
             let gauge = self.services.get(&(service.clone(), region.clone())).unwrap_or(&none);
             self.check_slots(gauge, added, || format_smolstr!("{service} in {region}"))?;
--- a/crates/steering/src/moves_tests.rs
+++ b/crates/steering/src/moves_tests.rs
@@ -227,6 +227,15 @@
     assert_eq!(refused.unwrap_err().code, ResultCode::NoHeadroom.number());
 }
 
+/// A service that has no targets anywhere must not keep an operator from draining a region.
+#[test]
+fn plan_region_drain_service_without_targets_anywhere() {
+    let services = [("listkeeper", 2, 20, 1_000), ("planroom", 0, 0, 0)];
+    let (configuration, measurements) = deployment(&services, 37_500_000, 0);
+    let planned = plan_region_drain(&configuration, &measurements, &region(REGIONS[0]));
+    assert!(planned.is_ok(), "{planned:?}");
+}
+
 /// Guards against steps that start too early, on old measurements, or against a link that filled up
 /// after the plan.
 #[test]
