Send a member the entries that it lost after acknowledging them

Cause: a leader never moved its next entry for a member below what the member had acknowledged. A member that restarted with a shorter log refused every append and got no entry until another leader was elected.

Change: a refusal that is not older than the latest answer lowers what counts as acknowledged, so that the leader sends the entries again and does not count them for a commit. The leader logs an error.

The test append_reply_lost_entries fails without the change.

--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -192,6 +192,7 @@
         // An unrecorded store gets the log only after the group has recorded it.
         return;
     }
+    let is_latest = reply.round >= progress.round;
     progress.round = progress.round.max(reply.round);
     if reply.success {
         progress.matched = progress.matched.max(reply.match_index);
@@ -200,6 +201,14 @@
             progress.snapshot_sent_at = None;
         }
     } else {
+        // A member that restarted with a shorter log no longer has what it acknowledged. Without
+        // this it gets no entries until another leader is elected.
+        if is_latest && reply.match_index < progress.matched {
+            log::error!(vm = replica.vm.as_str(), member = from.as_str(),
+                acknowledged = progress.matched.0, agreed = reply.match_index.0;
+                "a member lost acknowledged entries");
+            progress.matched = reply.match_index;
+        }
         let agreed = LogIndex(reply.match_index.0 + 1);
         progress.next = progress.next.min(agreed).max(LogIndex(progress.matched.0 + 1));
     }
--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -230,6 +230,39 @@
     assert!(fixture.input(Input::Tick { random: 0 }).contains(&Action::StepDown(Term(2))));
 }
 
+/// Guards against a leader that never sends the missing entries to a member that restarted with a
+/// shorter log, and against a late reply of the member that takes back what it has acknowledged.
+#[test]
+fn append_reply_lost_entries() {
+    let mut fixture = Fixture::new(1);
+    fixture.elect();
+    fixture.reply(2, 1, 2);
+    fixture.wait(200);
+    fixture.input(Input::Tick { random: 0 });
+    fixture.reply(2, 2, 2);
+    let refuse = |round| AppendReply {
+        match_index: LogIndex(1),
+        round,
+        store_id: 2,
+        success: false,
+        term: Term(2),
+    };
+    let sent_entries = |actions: &[Action]| {
+        let entries = |action: &Action| match action {
+            Action::Send { to, message } if *to == vm(2) => match &**message {
+                Message::AppendRequest(request) => Some(request.entries.len()),
+                _ => None,
+            },
+            _ => None,
+        };
+        actions.iter().filter_map(entries).sum::<usize>()
+    };
+    let late = fixture.receive(2, refuse(1));
+    assert_eq!(sent_entries(&late), 0);
+    let latest = fixture.receive(2, refuse(2));
+    assert_eq!(sent_entries(&latest), 1);
+}
+
 /// Guards against memory that grows with the log, and against forgetting what a member that missed
 /// hundreds of changes still needs.
 #[test]
