--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -205,9 +205,13 @@
             progress.snapshot_sent_at = None;
         }
     } else {
-        if is_newer_round {
-            // The member no longer holds what it acknowledged; it gets the entries again.
-            progress.matched = progress.matched.min(reply.match_index);
+        // A member that restarted with a shorter log no longer has what it acknowledged. Without
+        // this it gets no entries until another leader is elected.
+        if is_newer_round && reply.match_index < progress.matched {
+            log::error!(vm = replica.vm.as_str(), member = from.as_str(),
+                acknowledged = progress.matched.0, agreed = reply.match_index.0;
+                "a member lost acknowledged entries");
+            progress.matched = reply.match_index;
         }
         let agreed = LogIndex(reply.match_index.0 + 1);
         progress.next = progress.next.min(agreed).max(LogIndex(progress.matched.0 + 1));
