Close idle connections of callers when closing

Cause: each connection task kept a reference to the graceful shutdown until its connection ended, so the shutdown was never told to the connections. A closing daemon served requests on idle connections until their 5 s limit for a head. Change: a connection task gives its reference back once it has registered.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -71,7 +71,7 @@
         let Some((stream, address, permit)) = accepted else { continue };
         let (tls, daemon, graceful) = (tls.clone(), Arc::clone(&daemon), Arc::clone(&graceful));
         tokio::spawn(async move {
-            if let Err(error) = connection(stream, address, tls, daemon, &graceful).await {
+            if let Err(error) = connection(stream, address, tls, daemon, graceful).await {
                 log::debug!(caller:% = address, error:% = format!("{error:#}"); "connection ended");
             }
             drop(permit);
@@ -116,7 +116,7 @@
     address: SocketAddr,
     tls: Option<TlsAcceptor>,
     daemon: Arc<Daemon>,
-    graceful: &GracefulShutdown,
+    graceful: Arc<GracefulShutdown>,
 ) -> Result<()> {
     stream.set_nodelay(true)?;
     match tls {
@@ -136,7 +136,7 @@
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     address: SocketAddr,
     daemon: Arc<Daemon>,
-    graceful: &GracefulShutdown,
+    graceful: Arc<GracefulShutdown>,
 ) -> Result<()> {
     let stream = NumberedErrors::new(stream, daemon.next_request_id());
     let outstanding = stream.outstanding();
@@ -154,5 +154,8 @@
         .max_buf_size(READ_BUFFER_BYTES)
         .max_headers(MAX_PARSED_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    graceful.watch(connection).await.context("serve connection")
+    let connection = graceful.watch(connection);
+    // `finish` waits until no connection registers any more.
+    drop(graceful);
+    connection.await.context("serve connection")
 }
