Strengthen tests that passed on broken code

Cause: with requests that outlive their caller, caller_leaves still passed, because the default deadline cancelled them within the limit of the test; a cut chunked response that stalls had no test, and neither had idle connections of a closing daemon. Change: the deadline is longer than the limit, response_stalls covers both framings, terminate_closes_idle_connections is new.

--- a/crates/daemon/tests/forwarding.rs
+++ b/crates/daemon/tests/forwarding.rs
@@ -262,11 +262,16 @@
 /// Guards against a response that stalls after its head and looks complete or never ends.
 #[tokio::test]
 async fn response_stalls() {
-    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\npart".to_vec();
-    let (daemon, _target, _announced) = with_answer(Answer::Stall(answer)).await;
-    let sent = with_header(get("/svc/echo/a", Some(ALPHA_KEY)), "celerygate-deadline-ms", "1500");
-    let result = daemon.caller().await.try_send(sent).await;
-    assert!(result.is_err(), "{result:?}");
+    for part in
+        ["content-length: 1000\r\n\r\npart", "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n"]
+    {
+        let answer = format!("HTTP/1.1 200 OK\r\n{part}");
+        let (daemon, _target, _announced) = with_answer(Answer::Stall(answer.into())).await;
+        let sent = get("/svc/echo/a", Some(ALPHA_KEY));
+        let sent = with_header(sent, "celerygate-deadline-ms", "1500");
+        let result = daemon.caller().await.try_send(sent).await;
+        assert!(result.is_err(), "{result:?}");
+    }
 }
 
 /// Guards against surplus bytes of a target that become the answer to another caller's request.
@@ -357,7 +362,9 @@
     let (daemon, target, _announced) = with_target(1).await;
     let mut caller = daemon.caller().await;
     let waiting = tokio::spawn(async move {
-        let _ = caller.open(get("/svc/echo/stall", Some(ALPHA_KEY))).await;
+        // Longer than the test waits, so that the deadline does not cancel the request.
+        let sent = get("/svc/echo/stall", Some(ALPHA_KEY));
+        let _ = caller.open(with_header(sent, "celerygate-deadline-ms", "600000")).await;
     });
     eventually("the target has the request", async || (target.seen().len() == 1).then_some(()))
         .await;
@@ -374,6 +381,7 @@
     let (daemon, target, _announced) = with_target(1).await;
     let mut caller = daemon.caller().await;
     let sent = get(&format!("/svc/echo/bytes/{}", 64 << 20), Some(ALPHA_KEY));
+    let sent = with_header(sent, "celerygate-deadline-ms", "600000");
     let mut body = caller.open(sent).await.unwrap().into_body();
     body.frame().await.unwrap().unwrap();
     assert_eq!(target.open_connections(), 1);
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -92,6 +92,27 @@
     wait_for_end(&mut daemon).await;
 }
 
+/// Guards against a closing daemon that still takes requests on connections that were idle, instead
+/// of closing them.
+#[tokio::test]
+async fn terminate_closes_idle_connections() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announced = daemon.announce("target-1", target.address, 3).await;
+    daemon.terminate();
+    // The last connection before the listener closes is far from its time limit for a head.
+    let mut last = daemon.caller().await;
+    let address = daemon.callers;
+    while let Ok(caller) = Caller::connect(address).await {
+        last = caller;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let result = last.try_send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
+    assert!(result.is_err(), "{result:?}");
+    assert!(target.seen().is_empty());
+    wait_for_end(&mut daemon).await;
+}
+
 /// Guards against state that only a crash leaves behind: a daemon starts again after a stop.
 #[tokio::test]
 async fn terminate_and_start_again() {
