Add a measurement of what control costs a daemon

The target size needs slopes of processor time, memory, bytes and delay over the number of daemons and client blocks, and nothing measured them.

--- /dev/null
+++ b/crates/daemon/examples/control_load/slots.rs
@@ -0,0 +1,94 @@
+//! Time and messages of a slot owner by the number of VMs that hold permits.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use celerygate_steering::slots::{RENEW_INTERVAL, SlotAnswer, SlotOwner, SlotTarget};
+use celerygate_types::wire::{SlotAsk, SlotReply, SlotRequest};
+use celerygate_types::{Incarnation, SlotCount, VmId};
+
+use crate::process::usage;
+use crate::settings::stand_in_name;
+
+/// Targets of a region: three services of 10 to 20 targets.
+const TARGETS: usize = 40;
+const SLOTS_PER_TARGET: u32 = 400;
+/// Requests of each holder.
+const ROUNDS: u64 = 20;
+
+struct Holder {
+    vm: VmId,
+    held: Vec<SlotCount>,
+    sequence: u64,
+}
+
+impl Holder {
+    /// Asks for one more slot of every target, one of which is idle.
+    fn request(&mut self, targets: &[SlotTarget]) -> SlotRequest {
+        self.sequence += 1;
+        let ask = |((service, target), held): (&SlotTarget, &SlotCount)| SlotAsk {
+            held_slots: *held,
+            running_slots: SlotCount(held.get().saturating_sub(1)),
+            service: service.clone(),
+            target: target.clone(),
+            wanted_slots: SlotCount(1),
+        };
+        let asks = targets.iter().zip(&self.held).map(ask).collect();
+        SlotRequest { asks, epoch: 1, sequence: self.sequence }
+    }
+
+    fn accept(&mut self, targets: &[SlotTarget], reply: &SlotReply) {
+        for award in &reply.awards {
+            let at = targets.iter().position(|(_, target)| *target == award.target);
+            if let Some(at) = at {
+                self.held[at] = award.held_slots;
+            }
+        }
+    }
+}
+
+/// Prints rows for each count.
+pub fn measure(counts: &[usize]) -> Result<()> {
+    let targets = (0..TARGETS)
+        .map(|index| Ok((format!("site-{}", index % 3).parse()?, format!("t-{index}").parse()?)))
+        .collect::<Result<Vec<SlotTarget>>>()?;
+    for &count in counts {
+        let before = usage(std::process::id())?.resident_kib;
+        let started = Instant::now();
+        let mut owner = SlotOwner::new(1, [], started + Duration::from_secs(60), started);
+        targets.iter().for_each(|target| owner.set_slots(target, SlotCount(SLOTS_PER_TARGET)));
+        let holder = |index| {
+            Ok(Holder { vm: stand_in_name(index)?, held: vec![SlotCount(0); TARGETS], sequence: 0 })
+        };
+        let mut holders = (0..count).map(holder).collect::<Result<Vec<_>>>()?;
+        let (mut spent, mut messages, mut bytes) = (Duration::ZERO, 0, 0);
+        for round in 0..ROUNDS {
+            // Time passes as between two renewals of all holders.
+            let now = started + RENEW_INTERVAL * round as u32;
+            for holder in &mut holders {
+                let request = holder.request(&targets);
+                let begin = Instant::now();
+                let answer = owner.receive(&holder.vm, Incarnation(1), &request, now);
+                spent += begin.elapsed();
+                bytes += postcard::experimental::serialized_size(&request)?;
+                let SlotAnswer::Send(answers) = answer else { continue };
+                messages += answers.len();
+                for answer in &answers {
+                    bytes += postcard::experimental::serialized_size(&answer.reply)?;
+                }
+                if let Some(first) = answers.first() {
+                    holder.accept(&targets, &first.reply);
+                }
+            }
+        }
+        let requests = (count as u64 * ROUNDS) as f64;
+        let resident = usage(std::process::id())?.resident_kib - before;
+        let row = |name: &str, value: f64| println!("slots\t{name}\t{count}\t{value:.4}");
+        row("receive_us", spent.as_secs_f64() * 1e6 / requests);
+        row("messages_per_request", messages as f64 / requests);
+        row("bytes_per_request", bytes as f64 / requests);
+        row("resident_kib", resident);
+        std::mem::forget((owner, holders));
+    }
+    Ok(())
+}
