Believe a refusal of the latest round, not only of a newer one

Change: rounds that are equal count too. Lowering what a member acknowledged is safe in any case: it only counts fewer acknowledgements for a commit.

--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -195,7 +195,7 @@
         // An unrecorded store gets the log only after the group has recorded it.
         return;
     }
-    let is_newer_round = reply.round > progress.round;
+    let is_latest_round = reply.round >= progress.round;
     progress.round = progress.round.max(reply.round);
     let mut may_send = true;
     if reply.success {
@@ -207,7 +207,7 @@
     } else {
         // A member that restarted with a shorter log no longer has what it acknowledged. Without
         // this it gets no entries until another leader is elected.
-        if is_newer_round && reply.match_index < progress.matched {
+        if is_latest_round && reply.match_index < progress.matched {
             log::error!(vm = replica.vm.as_str(), member = from.as_str(),
                 acknowledged = progress.matched.0, agreed = reply.match_index.0;
                 "a member lost acknowledged entries");
