Push a change to the daemons at commit and acknowledge it at once

Cause: a change went out only in answer to polls each 500 ms and was acknowledged with the next poll, so "in force" took about 1 s. Change: the leader sends the delta when it applies a change; a daemon that has applied one asks its parent at once, which acknowledges it.

--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -8,7 +8,7 @@
     Command, Configuration, Deployment, LogEntry, Settings, SnapshotRecord,
 };
 
-use super::{Control, deployed, publish};
+use super::{Control, deployed, distribute, publish};
 use crate::daemon::Daemon;
 use crate::once;
 
@@ -20,6 +20,7 @@
 /// Applies entries in their order, answers the proposals among them, and publishes the result.
 pub fn apply_entries(daemon: &Arc<Daemon>, control: &mut Control, entries: Vec<LogEntry>) {
     let before = control.configuration.revision;
+    let newest = control.vm.as_ref().map(|vm| vm.recent.newest());
     for entry in &entries {
         let applied = state::apply(&mut control.configuration, &entry.command);
         log_applied(entry, &applied, control);
@@ -36,6 +37,11 @@
     if control.configuration.revision != before {
         note_revision(daemon, control);
         publish(daemon, control);
+        if let Some(newest) = newest {
+            distribute::push(daemon, control, newest);
+        }
+        // Tells the leader, or the leader's own record, that the change is applied here.
+        distribute::ask(daemon, control);
     }
     store_snapshot_if_due(daemon, control);
 }
--- a/crates/daemon/src/control/distribute.rs
+++ b/crates/daemon/src/control/distribute.rs
@@ -19,14 +19,19 @@
 
 /// Asks whether the applied configuration is current.
 pub fn poll_parent(daemon: &Arc<Daemon>) {
-    let now = daemon.clock.now();
-    let state = daemon.state();
     let mut control = daemon.tables.control.lock();
+    ask(daemon, &mut control);
+}
+
+/// Asks now; also tells the parent which revision is applied.
+pub fn ask(daemon: &Daemon, control: &mut Control) {
+    let now = daemon.clock.now();
     if control.is_leading(now) {
-        answer_own(daemon, &mut control);
+        answer_own(daemon, control);
         return;
     }
-    let receivers = receivers(daemon, &control);
+    let state = daemon.state();
+    let receivers = receivers(daemon, control);
     let nonce = control.freshness.request(now);
     // A control VM receives the configuration through its log.
     let digest = if control.vm.is_some() || control.digest_differs {
@@ -138,6 +143,25 @@
     }
 }
 
+/// Sends a change to the daemons without a disk, without waiting for their next poll. A daemon that
+/// does not stand at the revision before the change ignores it and gets what it lacks when it asks.
+pub fn push(daemon: &Daemon, control: &Control, before: (Revision, u64)) {
+    if !control.is_leading(daemon.clock.now()) {
+        return;
+    }
+    let Some(vm) = &control.vm else { return };
+    let (configuration, term) = (&control.configuration, vm.node.replica().term());
+    let Update::Delta(delta) = vm.recent.update_for(configuration, term, before.0, before.1) else {
+        return;
+    };
+    for member in &configuration.members {
+        let follows = member.role == MemberRole::Follower && member.vm != daemon.own;
+        if follows && distribution::reports_directly(configuration, &member.vm) {
+            daemon.peers.send(&member.vm, Message::ConfigurationDelta(delta.clone()));
+        }
+    }
+}
+
 /// Handles the answer to a freshness request.
 pub fn accept(daemon: &Daemon, control: &mut Control, from: VmId, reply: &FreshnessReply) {
     let verdict = control.freshness.reply(reply);
@@ -200,6 +224,8 @@
             control.freshness.applied(control.configuration.revision);
             daemon.note_freshness(&control.freshness);
             publish(daemon, control);
+            // The leader learns at once that the change is applied here.
+            ask(daemon, control);
         }
         Received::DigestDiffers => {
             log::error!(peer:% = from; "configuration differs from the leader's, fetching all of it");
