Compute the load of all services at once, and split the permits module

Change: one pass gives the load of all services, waiting requests included; permits/owners.rs and permits/retry.rs; ResultCode::from_number is used. Result: tests of both packages pass; the cost of the timers was not measured again.

--- a/crates/cli/src/client/tries.rs
+++ b/crates/cli/src/client/tries.rs
@@ -3,7 +3,7 @@
 use celerygate_types::wire::ErrorBody;
 use celerygate_types::{Outcome, ResultCode};
 
-use crate::exit::{Failure, code_of};
+use crate::exit::Failure;
 
 /// How one try ended.
 #[derive(Debug, PartialEq)]
@@ -83,7 +83,7 @@
             return Next::TryAnother;
         }
         let another_may_accept = matches!(
-            code_of(failure.code),
+            ResultCode::from_number(failure.code),
             Some(
                 ResultCode::NotLeader
                     | ResultCode::NoLeader
--- a/crates/cli/src/commands/intent.rs
+++ b/crates/cli/src/commands/intent.rs
@@ -13,7 +13,7 @@
 
 use super::{intent_argument, required};
 use crate::client::Client;
-use crate::exit::{Failure, code_of};
+use crate::exit::Failure;
 use crate::output::Output;
 use crate::share;
 
@@ -169,7 +169,7 @@
     let record = &answer.record;
     match (&record.plan.refusal, record.state) {
         (Some(refusal), _) => {
-            let code = code_of(refusal.code).unwrap_or(ResultCode::IntentRefused);
+            let code = ResultCode::from_number(refusal.code).unwrap_or(ResultCode::IntentRefused);
             Err(Failure::new(code, refusal.reason.as_str()).with_intent(&record.intent))
         }
         (None, IntentState::Refused) => {
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -5,7 +5,6 @@
 use celerygate_types::wire::ErrorBody;
 use celerygate_types::{IntentId, Outcome, RequestId, ResultCode};
 use serde::Serialize;
-use strum::IntoEnumIterator as _;
 
 /// Why a command failed, in the form in which it is printed.
 ///
@@ -105,11 +104,6 @@
     }
 }
 
-/// Returns the result code of a number, when this version of the program knows it.
-pub fn code_of(number: u16) -> Option<ResultCode> {
-    ResultCode::iter().find(|code| code.number() == number)
-}
-
 #[cfg(test)]
 #[path = "exit_tests.rs"]
 mod tests;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,7 +8,9 @@
 use celerygate_control::freshness::Freshness;
 use celerygate_steering::targets::{Observation, Observed, Pick, Place};
 use celerygate_types::wire::{Heartbeat, Message, ServiceLoad, TargetRecord, VmState};
-use celerygate_types::{Clock, Incarnation, RegionId, RequestId, ServiceId, SlotCount, VmId};
+use celerygate_types::{
+    Clock, Incarnation, RegionId, RequestCount, RequestId, ServiceId, SlotCount, VmId,
+};
 
 use crate::peers::Peers;
 use crate::settings::Loaded;
@@ -96,40 +98,37 @@
         }
     }
 
-    /// Returns the running slots of a service by region, as the latest heartbeats tell.
-    pub fn region_load(&self, service: &ServiceId, now: Instant) -> HashMap<RegionId, SlotCount> {
+    /// Returns the load of each service by region, as the latest heartbeats tell. A request counts in
+    /// the region of its entry VM.
+    pub fn region_loads(&self, now: Instant) -> RegionLoads {
         let view = self.tables.view();
-        let mut load: HashMap<RegionId, SlotCount> = HashMap::new();
-        let mut add = |region: &RegionId, slots: SlotCount| {
-            let sum = load.entry(region.clone()).or_default();
-            *sum = sum.saturating_add(slots);
-        };
+        let mut loads = RegionLoads::default();
         {
             let neighbours = self.tables.neighbours.lock();
             for (vm, neighbour) in neighbours.all_live(now) {
                 let Some(member) = view.member(vm) else { continue };
-                let loads = neighbour.heartbeat.loads.iter();
-                for load in loads.filter(|load| load.service == *service) {
-                    add(&member.region, load.running_slots);
+                for load in &neighbour.heartbeat.loads {
+                    let (running, waiting) = (load.running_slots, load.waiting_requests);
+                    loads.add(&load.service, &member.region, running, waiting);
                 }
             }
         }
         let targets = self.tables.targets.lock();
         let permits = self.tables.permits.lock();
-        if let Some(running) = permits.running(&targets).get(service) {
-            add(&self.place.region, *running);
+        for (service, running) in permits.running(&targets) {
+            loads.add(service, &self.place.region, running, permits.waiting(service));
         }
-        load
+        loads
     }
 
     /// Records what happened to a request at a target.
     pub fn observe(&self, service: &ServiceId, pick: &Pick, observation: Observation) {
         let now = self.clock.now();
-        let load = match observation {
-            Observation::Success => HashMap::new(),
-            _ => self.region_load(service, now),
+        let loads = match observation {
+            Observation::Success => RegionLoads::default(),
+            _ => self.region_loads(now),
         };
-        let region_load = |region: &RegionId| load.get(region).copied().unwrap_or_default();
+        let region_load = |region: &RegionId| loads.running(service, region);
         let observed = self.tables.targets.lock().observe(
             service,
             &pick.target,
@@ -187,6 +186,50 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct RegionLoad {
+    running: SlotCount,
+    waiting: RequestCount,
+}
+
+/// Load by service and region.
+#[derive(Clone, Debug, Default)]
+pub struct RegionLoads {
+    by_service: HashMap<ServiceId, HashMap<RegionId, RegionLoad>>,
+}
+
+impl RegionLoads {
+    fn add(
+        &mut self,
+        service: &ServiceId,
+        region: &RegionId,
+        running: SlotCount,
+        waiting: RequestCount,
+    ) {
+        let regions = self.by_service.entry(service.clone()).or_default();
+        let load = regions.entry(region.clone()).or_default();
+        load.running = load.running.saturating_add(running);
+        load.waiting = load.waiting.saturating_add(waiting);
+    }
+
+    fn get(&self, service: &ServiceId, region: &RegionId) -> RegionLoad {
+        let regions = self.by_service.get(service);
+        regions.and_then(|regions| regions.get(region)).copied().unwrap_or_default()
+    }
+
+    /// Returns the slots in use.
+    pub fn running(&self, service: &ServiceId, region: &RegionId) -> SlotCount {
+        self.get(service, region).running
+    }
+
+    /// Returns the slots in use and the requests that wait for one.
+    pub fn demand(&self, service: &ServiceId, region: &RegionId) -> SlotCount {
+        let RegionLoad { running, waiting } = self.get(service, region);
+        let waiting = u32::try_from(waiting.get()).unwrap_or(u32::MAX);
+        running.saturating_add(SlotCount(waiting))
+    }
+}
+
 /// Splits records into parts that fit a datagram each; there is always one part.
 fn split_records(records: Vec<TargetRecord>) -> Vec<Vec<TargetRecord>> {
     let mut parts = vec![Vec::new()];
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use celerygate_control::distribution::{first_poll_delay, poll_delay};
+use celerygate_types::VmId;
 use celerygate_types::wire::{Envelope, Heartbeat, Message};
-use celerygate_types::{ServiceId, VmId};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -139,19 +139,10 @@
 
 fn review_targets(daemon: &Daemon) {
     let now = daemon.clock.now();
-    let services: Vec<ServiceId> =
-        daemon.tables.view().configuration.services.iter().map(|s| s.service.clone()).collect();
-    let loads: Vec<_> = services
-        .iter()
-        .map(|service| (service.clone(), daemon.region_load(service, now)))
-        .collect();
+    let loads = daemon.region_loads(now);
     let mut targets = daemon.tables.targets.lock();
     let expired = targets.expire(now);
-    let load = |service: &ServiceId, region: &_| {
-        let found = loads.iter().find(|(known, _)| known == service);
-        found.and_then(|(_, load)| load.get(region)).copied().unwrap_or_default()
-    };
-    let readmitted = targets.review(load, now);
+    let readmitted = targets.review(|service, region| loads.running(service, region), now);
     drop(targets);
     for (service, target) in expired {
         log::info!(service:% = service, target:% = target; "announcement expired");
--- a/crates/daemon/src/lookup.rs
+++ b/crates/daemon/src/lookup.rs
@@ -218,12 +218,12 @@
 }
 
 fn rooms(daemon: &Daemon, view: &View, now: Instant) -> Vec<(ServiceId, Vec<RegionRoom>)> {
+    let loads = daemon.region_loads(now);
+    let targets = daemon.tables.targets.lock();
     let services = &view.configuration.services;
     services
         .iter()
         .map(|service| {
-            let load = daemon.region_load(&service.service, now);
-            let targets = daemon.tables.targets.lock();
             let known = targets.of_service(&service.service);
             let room = |region: &RegionId| {
                 let usable = known.iter().filter(|target| {
@@ -232,10 +232,9 @@
                         && !view.is_target_drained(&service.service, &target.target)
                 });
                 let slots: u32 = usable.map(|target| target.slots.get()).sum();
-                let running = load.get(region).copied().unwrap_or_default().get();
                 RegionRoom {
                     capacity_slots: slots as f32,
-                    load_slots: running as f32,
+                    load_slots: loads.demand(&service.service, region).get() as f32,
                     slots_per_answer: 0.0,
                 }
             };
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -1,4 +1,7 @@
-//! Slot permits: asking for them, handing them to waiting requests, and leasing them out.
+//! Slot permits: admitting requests with a token and a permit, in the order of the queue.
+
+mod owners;
+mod retry;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -6,16 +9,14 @@
 
 use celerygate_steering::grants::{Admission, TokenNeed};
 use celerygate_steering::queue::{Arrival, QueueDecision, Ticket};
-use celerygate_steering::slots::{SlotAnswer, SlotMessage, SlotTarget};
 use celerygate_steering::targets::{
     Choice, Pick, Target, TargetTable, TargetUse, choose, distance,
 };
-use celerygate_types::wire::{Message, SlotReply, SlotRequest};
-use celerygate_types::{
-    Incarnation, OrganisationId, RegionId, ResultCode, ServiceId, SlotCount, TargetId, VmId,
-};
+use celerygate_types::{OrganisationId, ResultCode, ServiceId, SlotCount, TargetId};
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
+
+pub use owners::{accept, answer, ask_owners, tick};
+pub use retry::take_other;
 
 use crate::daemon::Daemon;
 use crate::refusal::Refusal;
@@ -25,12 +26,6 @@
 /// Queue in which requests on open routes wait together.
 const OPEN_ROUTES: &str = "_open";
 
-/// Longest wait for a permit of another target after a failed attempt. The answer of an owner in
-/// another region takes 20 ms and a lost message is repeated after some 100 ms.
-const OTHER_PERMIT_WAIT: Duration = Duration::from_millis(250);
-/// Targets that are asked for when a request needs another one; the nearest may have no free slot.
-const OTHER_TARGETS: usize = 2;
-
 /// A request that needs a token, unless its route is open, and a slot.
 pub struct Admittee<'a> {
     /// Service that is asked for.
@@ -187,88 +182,6 @@
         && (!region_drained || target.region == daemon.place.region)
 }
 
-/// Takes a permit of a target that was not tried before, and asks the owners when this VM has none.
-///
-/// # Errors
-///
-/// When no permit of another target arrives in time.
-pub async fn take_other(
-    daemon: &Arc<Daemon>,
-    service: &ServiceId,
-    tried: &[TargetId],
-    deadline: Instant,
-) -> Result<Grant, Refusal> {
-    if let Some(grant) = take_free(daemon, service, tried) {
-        return Ok(grant);
-    }
-    let until = deadline.min(daemon.clock.now() + OTHER_PERMIT_WAIT);
-    let arrived = Arc::clone(&daemon.tables.permits.lock().arrived);
-    let _wants = RetryWants::register(daemon, service, tried)?;
-    loop {
-        let mut notified = std::pin::pin!(arrived.notified());
-        // Permits that arrive from here on are noticed.
-        notified.as_mut().enable();
-        ask_owners(daemon);
-        if let Some(grant) = take_free(daemon, service, tried) {
-            return Ok(grant);
-        }
-        if timeout_at(until.into(), notified).await.is_err() {
-            return Err(ResultCode::NoCapacity.into());
-        }
-    }
-}
-
-/// Takes a free permit of a target that was not tried before; none when this VM has no such permit.
-fn take_free(daemon: &Daemon, service: &ServiceId, tried: &[TargetId]) -> Option<Grant> {
-    let view = daemon.tables.view();
-    let now = daemon.clock.now();
-    let targets = daemon.tables.targets.lock();
-    let mut permits = daemon.tables.permits.lock();
-    let known = targets.of_service(service);
-    match pick(daemon, &view, &permits, service, known, tried, now) {
-        Choice::Use(pick) => {
-            take(&mut permits, service, &pick, now);
-            Some(Grant { pick, work: permits.expected_work(service) })
-        }
-        Choice::Wait | Choice::NoTarget => None,
-    }
-}
-
-/// The permits that a failed request wants; dropping it withdraws the wish.
-struct RetryWants<'a> {
-    daemon: &'a Daemon,
-    wants: Vec<(RegionId, SlotTarget)>,
-}
-
-impl<'a> RetryWants<'a> {
-    fn register(
-        daemon: &'a Daemon,
-        service: &ServiceId,
-        tried: &[TargetId],
-    ) -> Result<Self, Refusal> {
-        let view = daemon.tables.view();
-        let now = daemon.clock.now();
-        let targets = daemon.tables.targets.lock();
-        let usable = usable(daemon, &view, &targets, service, now);
-        let wants: Vec<_> = usable
-            .filter(|target| !tried.contains(&target.target))
-            .take(OTHER_TARGETS)
-            .map(|target| (target.region.clone(), (service.clone(), target.target.clone())))
-            .collect();
-        if wants.is_empty() {
-            return Err(ResultCode::NoCapacity.into());
-        }
-        daemon.tables.permits.lock().want_for_retry(&wants);
-        Ok(Self { daemon, wants })
-    }
-}
-
-impl Drop for RetryWants<'_> {
-    fn drop(&mut self) {
-        self.daemon.tables.permits.lock().forget_retry(&self.wants);
-    }
-}
-
 /// Returns the targets of a service that may get new work, the nearest first.
 fn usable<'a>(
     daemon: &Daemon,
@@ -366,135 +279,3 @@
     }
     true
 }
-
-/// Sends the requests for permits that are due.
-pub fn ask_owners(daemon: &Arc<Daemon>) {
-    let view = daemon.tables.view();
-    let now = daemon.clock.now();
-    let requests = {
-        let targets = daemon.tables.targets.lock();
-        let mut permits = daemon.tables.permits.lock();
-        let wanted = wanted(daemon, &view, &targets, &permits, now);
-        permits.poll(&wanted, now)
-    };
-    for (region, request) in requests {
-        let owners = &view.configuration.slot_owners;
-        match owners.iter().find(|owner| owner.region == region).map(|owner| &owner.vm) {
-            Some(owner) if *owner == daemon.own => {
-                answer(daemon, &daemon.own, daemon.incarnation, &request);
-            }
-            Some(owner) => {
-                daemon.peers.send(owner, Message::SlotRequest(request));
-            }
-            None => {}
-        }
-    }
-}
-
-/// Returns which targets the waiting requests want permits for: the nearest first, each up to its
-/// slots, and one more target's worth than there are requests, since others may hold some.
-fn wanted(
-    daemon: &Daemon,
-    view: &View,
-    targets: &TargetTable,
-    permits: &Permits,
-    now: Instant,
-) -> HashMap<RegionId, Vec<(SlotTarget, u32)>> {
-    let mut wanted: HashMap<RegionId, Vec<(SlotTarget, u32)>> = HashMap::new();
-    for (region, key) in permits.retry_wants() {
-        add_want(&mut wanted, region, key, 1);
-    }
-    for service in &view.configuration.services {
-        let service = &service.service;
-        let mut open = u32::try_from(permits.waiting(service).get()).unwrap_or(u32::MAX);
-        if open == 0 {
-            continue;
-        }
-        let mut usable: Vec<&Target> = usable(daemon, view, targets, service, now).collect();
-        usable.sort_by_key(|target| {
-            let held = permits.slot_use(service, target).held;
-            (distance(&daemon.place, target), held >= target.slots)
-        });
-        for target in usable {
-            if open == 0 {
-                break;
-            }
-            let held = permits.slot_use(service, target).held;
-            let count = target.slots.saturating_sub(held).get().min(open);
-            if count > 0 {
-                open -= count;
-                let key = (service.clone(), target.target.clone());
-                add_want(&mut wanted, &target.region, &key, count);
-            }
-        }
-    }
-    wanted
-}
-
-/// Adds to the number of permits that are wanted of a target.
-fn add_want(
-    wanted: &mut HashMap<RegionId, Vec<(SlotTarget, u32)>>,
-    region: &RegionId,
-    key: &SlotTarget,
-    count: u32,
-) {
-    let wants = wanted.entry(region.clone()).or_default();
-    match wants.iter_mut().find(|(known, _)| known == key) {
-        Some((_, sum)) => *sum += count,
-        None => wants.push((key.clone(), count)),
-    }
-}
-
-/// Answers a request for permits as the owner of a region.
-pub fn answer(daemon: &Arc<Daemon>, from: &VmId, incarnation: Incarnation, request: &SlotRequest) {
-    let now = daemon.clock.now();
-    let answered = {
-        let mut permits = daemon.tables.permits.lock();
-        let owner = permits.owner(request.epoch);
-        owner.map(|owner| owner.receive(from, incarnation, request, now))
-    };
-    match answered {
-        Some(SlotAnswer::Send(messages)) => send_replies(daemon, messages),
-        Some(SlotAnswer::Ignore(reason)) => {
-            log::debug!(peer:% = from, reason:% = reason; "request for permits ignored");
-        }
-        None => log::debug!(peer:% = from, epoch = request.epoch; "not the owner of these permits"),
-    }
-}
-
-fn send_replies(daemon: &Arc<Daemon>, messages: Vec<SlotMessage>) {
-    for SlotMessage { vm, incarnation, reply } in messages {
-        if vm == daemon.own {
-            accept(daemon, &reply);
-        } else {
-            daemon.peers.send_to_life(&vm, incarnation, Message::SlotReply(reply));
-        }
-    }
-}
-
-/// Takes a message of an owner.
-pub fn accept(daemon: &Arc<Daemon>, reply: &SlotReply) {
-    let accepted = daemon.tables.permits.lock().accept(reply, daemon.clock.now());
-    if accepted {
-        dispatch(daemon);
-    }
-}
-
-/// Keeps owners and holders in step with configuration and targets, and sends what is due.
-pub fn tick(daemon: &Arc<Daemon>) {
-    let view = daemon.tables.view();
-    let now = daemon.clock.now();
-    let fresh_until = daemon.fresh_until();
-    let messages = {
-        let targets = daemon.tables.targets.lock();
-        let mut permits = daemon.tables.permits.lock();
-        let configuration = &view.configuration;
-        let vms = configuration.members.iter().map(|member| &member.vm);
-        permits.set_owners(&daemon.own, &configuration.slot_owners, vms, fresh_until, now);
-        permits.set_targets(&targets, now);
-        permits.tick_owners(now)
-    };
-    send_replies(daemon, messages);
-    ask_owners(daemon);
-    dispatch(daemon);
-}
--- /dev/null
+++ b/crates/daemon/src/permits/retry.rs
@@ -0,0 +1,102 @@
+//! Permits for requests that have failed at one target.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_steering::slots::SlotTarget;
+use celerygate_steering::targets::Choice;
+use celerygate_types::{RegionId, ResultCode, ServiceId, TargetId};
+use tokio::time::timeout_at;
+
+use super::{ask_owners, pick, take, usable};
+use crate::daemon::Daemon;
+use crate::refusal::Refusal;
+use crate::tables::Grant;
+
+/// Longest wait for a permit of another target after a failed attempt. The answer of an owner in
+/// another region takes 20 ms and a lost message is repeated after some 100 ms.
+const OTHER_PERMIT_WAIT: Duration = Duration::from_millis(250);
+/// Targets that are asked for when a request needs another one; the nearest may have no free slot.
+const OTHER_TARGETS: usize = 2;
+
+/// Takes a permit of a target that was not tried before, and asks the owners when this VM has none.
+///
+/// # Errors
+///
+/// When no permit of another target arrives in time.
+pub async fn take_other(
+    daemon: &Arc<Daemon>,
+    service: &ServiceId,
+    tried: &[TargetId],
+    deadline: Instant,
+) -> Result<Grant, Refusal> {
+    if let Some(grant) = take_free(daemon, service, tried) {
+        return Ok(grant);
+    }
+    let until = deadline.min(daemon.clock.now() + OTHER_PERMIT_WAIT);
+    let arrived = Arc::clone(&daemon.tables.permits.lock().arrived);
+    let _wants = RetryWants::register(daemon, service, tried)?;
+    loop {
+        let mut notified = std::pin::pin!(arrived.notified());
+        // Permits that arrive from here on are noticed.
+        notified.as_mut().enable();
+        ask_owners(daemon);
+        if let Some(grant) = take_free(daemon, service, tried) {
+            return Ok(grant);
+        }
+        if timeout_at(until.into(), notified).await.is_err() {
+            return Err(ResultCode::NoCapacity.into());
+        }
+    }
+}
+
+/// Takes a free permit of a target that was not tried before; none when this VM has no such permit.
+fn take_free(daemon: &Daemon, service: &ServiceId, tried: &[TargetId]) -> Option<Grant> {
+    let view = daemon.tables.view();
+    let now = daemon.clock.now();
+    let targets = daemon.tables.targets.lock();
+    let mut permits = daemon.tables.permits.lock();
+    let known = targets.of_service(service);
+    match pick(daemon, &view, &permits, service, known, tried, now) {
+        Choice::Use(pick) => {
+            take(&mut permits, service, &pick, now);
+            Some(Grant { pick, work: permits.expected_work(service) })
+        }
+        Choice::Wait | Choice::NoTarget => None,
+    }
+}
+
+/// The permits that a failed request wants; dropping it withdraws the wish.
+struct RetryWants<'a> {
+    daemon: &'a Daemon,
+    wants: Vec<(RegionId, SlotTarget)>,
+}
+
+impl<'a> RetryWants<'a> {
+    fn register(
+        daemon: &'a Daemon,
+        service: &ServiceId,
+        tried: &[TargetId],
+    ) -> Result<Self, Refusal> {
+        let view = daemon.tables.view();
+        let now = daemon.clock.now();
+        let targets = daemon.tables.targets.lock();
+        let usable = usable(daemon, &view, &targets, service, now);
+        let wants: Vec<_> = usable
+            .filter(|target| !tried.contains(&target.target))
+            .take(OTHER_TARGETS)
+            .map(|target| (target.region.clone(), (service.clone(), target.target.clone())))
+            .collect();
+        if wants.is_empty() {
+            return Err(ResultCode::NoCapacity.into());
+        }
+        daemon.tables.permits.lock().want_for_retry(&wants);
+        Ok(Self { daemon, wants })
+    }
+}
+
+impl Drop for RetryWants<'_> {
+    fn drop(&mut self) {
+        self.daemon.tables.permits.lock().forget_retry(&self.wants);
+    }
+}
