--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 CELERYGATE_PROFILE=${CELERYGATE_PROFILE:-release}
 
-cases=(sigkill_entry sigkill_leader sigstop_leader two_lost all_restarted torn_log empty_disk
+cases=(sigkill_entry sigkill_leader sigstop_leader two_lost region_lost all_restarted torn_log empty_disk
     target_vanishes target_truncates target_stalls target_sheds key_withdrawn sigterm_downloads)
 
 if [ "${1:-}" = --list ]; then
@@ -264,6 +264,28 @@
     check "$second gets the change" wait_for 20 "$second" all_have_rate 151
 }
 
+# Loses all VMs and targets of the leader's region at once.
+run_region_lost() {
+    local region vm place lost=()
+    region=$(leader)
+    region=${region%-*}
+    start_load 26
+    sleep 3
+    for vm in "${vms[@]}"; do
+        if [[ $vm == "$region"-* ]]; then lost+=("$vm"); fi
+    done
+    for place in a b; do
+        echo "  SIGKILL to target $region-$place"
+        kill -KILL "${pid_of[target-$region-$place]}"
+    done
+    for vm in "${lost[@]}"; do kill_vm "$vm"; done
+    wait_for 10 "another leader" has_leader "$(addresses_without 2 "${lost[@]}")"
+    wait_for 10 "a change" change_rate after-loss 151 "${lost[@]}"
+    check "the change is everywhere" all_have_rate 151 "${lost[@]}"
+    for vm in "${lost[@]}"; do restart_vm "$vm"; done
+    check "the region gets the change" wait_for 20 "$region" all_have_rate 151
+}
+
 run_all_restarted() {
     local vm
     change_rate before-restart 151
