--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -75,7 +75,14 @@
     let mut background = start_workers(settings.workers, &source, run_job);
     let messages = queue.clone();
     let inbound: Inbound = Arc::new(move |envelope| {
-        messages.offer(Job::Message(Box::new(envelope)));
+        // The agreement must not wait behind requests for tokens and permits.
+        let urgent = jobs::is_urgent(&envelope.message);
+        let job = Job::Message(Box::new(envelope));
+        if urgent {
+            messages.offer_urgent(job)
+        } else {
+            messages.offer(job)
+        };
     });
     background.extend(daemon.peers.receive(peer_listener, inbound));
     background.extend(Tick::iter().map(|tick| jobs::start_timer(tick, queue.clone())));
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -64,12 +64,24 @@
     }
 }
 
+/// Returns whether a message belongs to the agreement between the control VMs, on whose timing the
+/// leader's lease depends.
+pub fn is_urgent(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::VoteRequest(_)
+            | Message::VoteReply(_)
+            | Message::AppendRequest(_)
+            | Message::AppendReply(_)
+    )
+}
+
 /// Offers a tick to the workers each time it is due, until the task is aborted.
 pub fn start_timer(tick: Tick, queue: JobQueue<Job>) -> JoinHandle<()> {
     tokio::spawn(async move {
         sleep(tick.first_delay()).await;
         loop {
-            if queue.offer(Job::Tick(tick)) == Offered::Dropped {
+            if queue.offer_urgent(Job::Tick(tick)) == Offered::Dropped {
                 log::warn!(tick:? = tick; "worker queue is full, tick dropped");
             }
             sleep(tick.interval()).await;
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -11,14 +11,18 @@
 /// their senders, so the newest is dropped when the queue is full.
 pub const QUEUE_JOBS: usize = 4_096;
 
+/// Most urgent jobs that wait; there are a few timers, each with at most a few ticks outstanding.
+const URGENT_JOBS: usize = 256;
+
 /// The sending side of the job queue.
 pub struct JobQueue<J> {
-    sender: mpsc::Sender<J>,
+    urgent: mpsc::Sender<J>,
+    regular: mpsc::Sender<J>,
 }
 
 impl<J> Clone for JobQueue<J> {
     fn clone(&self) -> Self {
-        Self { sender: self.sender.clone() }
+        Self { urgent: self.urgent.clone(), regular: self.regular.clone() }
     }
 }
 
@@ -34,22 +38,39 @@
 impl<J> JobQueue<J> {
     /// Offers a job without waiting.
     pub fn offer(&self, job: J) -> Offered {
-        match self.sender.try_send(job) {
-            Ok(()) => Offered::Queued,
-            Err(_) => Offered::Dropped,
-        }
+        offer_to(&self.regular, job)
+    }
+
+    /// Offers a job that runs before all regular ones. With one queue, a flood of token requests
+    /// dropped the leader's timer ticks too.
+    pub fn offer_urgent(&self, job: J) -> Offered {
+        offer_to(&self.urgent, job)
+    }
+}
+
+fn offer_to<J>(sender: &mpsc::Sender<J>, job: J) -> Offered {
+    match sender.try_send(job) {
+        Ok(()) => Offered::Queued,
+        Err(_) => Offered::Dropped,
     }
 }
 
+struct Receivers<J> {
+    urgent: mpsc::Receiver<J>,
+    regular: mpsc::Receiver<J>,
+}
+
 /// The receiving side of the job queue, shared by the workers.
 pub struct JobSource<J> {
-    receiver: Arc<Mutex<mpsc::Receiver<J>>>,
+    receivers: Arc<Mutex<Receivers<J>>>,
 }
 
 /// Returns both sides of a new queue.
 pub fn job_queue<J>() -> (JobQueue<J>, JobSource<J>) {
-    let (sender, receiver) = mpsc::channel(QUEUE_JOBS);
-    (JobQueue { sender }, JobSource { receiver: Arc::new(Mutex::new(receiver)) })
+    let (urgent, urgent_receiver) = mpsc::channel(URGENT_JOBS);
+    let (regular, regular_receiver) = mpsc::channel(QUEUE_JOBS);
+    let receivers = Receivers { urgent: urgent_receiver, regular: regular_receiver };
+    (JobQueue { urgent, regular }, JobSource { receivers: Arc::new(Mutex::new(receivers)) })
 }
 
 /// The future of one job.
@@ -64,9 +85,9 @@
 ) -> Vec<JoinHandle<()>> {
     (0..count.max(1))
         .map(|_| {
-            let (receiver, run) = (Arc::clone(&source.receiver), Arc::clone(&run));
+            let (receivers, run) = (Arc::clone(&source.receivers), Arc::clone(&run));
             tokio::spawn(async move {
-                while let Some(job) = next_job(&receiver).await {
+                while let Some(job) = next_job(&receivers).await {
                     run(job).await;
                 }
             })
@@ -74,6 +95,18 @@
         .collect()
 }
 
-async fn next_job<J>(receiver: &Mutex<mpsc::Receiver<J>>) -> Option<J> {
-    receiver.lock().await.recv().await
+async fn next_job<J>(receivers: &Mutex<Receivers<J>>) -> Option<J> {
+    let mut receivers = receivers.lock().await;
+    let Receivers { urgent, regular } = &mut *receivers;
+    // A closed channel yields nothing more; the other one may still hold jobs.
+    tokio::select! {
+        biased;
+        Some(job) = urgent.recv() => Some(job),
+        Some(job) = regular.recv() => Some(job),
+        else => None,
+    }
 }
+
+#[cfg(test)]
+#[path = "workers_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/workers_tests.rs
@@ -0,0 +1,51 @@
+//! Tests of the worker pool: jobs that are lost, and timers that starve behind messages.
+
+use parking_lot::Mutex as Plain;
+
+use super::*;
+
+/// Guards against timer ticks that wait behind thousands of messages.
+#[tokio::test]
+async fn next_job_urgent_first() {
+    let (queue, source) = job_queue();
+    for number in 0..10 {
+        assert_eq!(queue.offer(number), Offered::Queued);
+    }
+    assert_eq!(queue.offer_urgent(100), Offered::Queued);
+    assert_eq!(next_job(&source.receivers).await, Some(100));
+    assert_eq!(next_job(&source.receivers).await, Some(0));
+}
+
+/// Guards against a flood of messages that takes the room of timer ticks.
+#[tokio::test]
+async fn offer_full_queue() {
+    let (queue, _source) = job_queue();
+    for number in 0..QUEUE_JOBS {
+        assert_eq!(queue.offer(number), Offered::Queued);
+    }
+    assert_eq!(queue.offer(0), Offered::Dropped);
+    assert_eq!(queue.offer_urgent(0), Offered::Queued);
+}
+
+/// Guards against jobs that are lost or run twice, and against workers that never end.
+#[tokio::test]
+async fn start_workers_all_jobs_once() {
+    let (queue, source) = job_queue();
+    let done = Arc::new(Plain::new(Vec::new()));
+    let seen = Arc::clone(&done);
+    let run = Arc::new(move |number: u32| -> JobFuture {
+        let seen = Arc::clone(&seen);
+        Box::pin(async move { seen.lock().push(number) })
+    });
+    let workers = start_workers(3, &source, run);
+    for number in 0..1_000 {
+        assert_eq!(queue.offer(number), Offered::Queued);
+    }
+    drop(queue);
+    for worker in workers {
+        worker.await.unwrap();
+    }
+    let mut numbers = done.lock().clone();
+    numbers.sort_unstable();
+    assert_eq!(numbers, (0..1_000).collect::<Vec<_>>());
+}
