--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -184,6 +184,8 @@
     grep -oE '(refused|failed|cut|wrong|twice): .*' "$work/load.log" |
         sed -E 's/127\.0\.0\.1:[0-9]+/VM/g; s/[0-9]+ of [0-9]+ bytes/N bytes/' |
         cut -c 1-150 | sort | uniq -c | sort -rn | head -n 6 || true
+    # All organisations stay within their rates.
+    check "less than 0.1% is refused" [ $(($(field refused) * 1000)) -lt "$(field good)" ]
     check "no answer is wrong" [ "$(field wrong)" -eq 0 ]
     check "no request ran twice" [ "$ran_twice" -eq 0 ]
     check "no answer counts a repeat" [ "$(field twice)" -eq 0 ]
