Count a request whose deadline passed at the target as admitted

Cause: rate_limit failed once in about ten runs with 1302: a token arrived just before the deadline of 300 ms, the request was sent, and the deadline passed at the target. That is allowed; the test took every answer but 200 for a refusal. Change: such answers count against the rate bound, and the target may have seen them or not. All other codes and the bound itself are as strict as before.

--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -110,9 +110,11 @@
     let (daemon, target, _announced) = with_target(8).await;
     let start = Instant::now();
     let (admitted, refused) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let late = Arc::new(AtomicUsize::new(0));
     let tasks = (0..4).map(|_| {
         let address = daemon.callers;
         let (admitted, refused) = (Arc::clone(&admitted), Arc::clone(&refused));
+        let late = Arc::clone(&late);
         tokio::spawn(async move {
             let mut caller = support::caller::Caller::connect(address).await.unwrap();
             while start.elapsed() < Duration::from_secs(6) {
@@ -123,6 +125,13 @@
                 } else {
                     let body = reply.json();
                     let code = body["code"].as_u64().unwrap();
+                    // A token may arrive so late that the deadline passes at the target. Such a
+                    // request was admitted and counts against the rate.
+                    if code == 1302 {
+                        assert_eq!(body["outcome"], "unknown");
+                        late.fetch_add(1, Ordering::SeqCst);
+                        continue;
+                    }
                     assert!([1200, 1202, 1305].contains(&code), "{body}");
                     assert_eq!(body["outcome"], "not-run");
                     refused.fetch_add(1, Ordering::SeqCst);
@@ -135,10 +144,14 @@
     }
     let time = start.elapsed().as_secs_f64();
     let (admitted, refused) = (admitted.load(Ordering::SeqCst), refused.load(Ordering::SeqCst));
-    println!("admitted {admitted}, refused {refused} in {time} s");
-    assert!(admitted as f64 <= 5.0 + 5.0 * time, "{admitted} admitted in {time} s");
+    let late = late.load(Ordering::SeqCst);
+    println!("admitted {admitted}, late {late}, refused {refused} in {time} s");
+    let bound = 5.0 + 5.0 * time;
+    assert!((admitted + late) as f64 <= bound, "{admitted} and {late} late in {time} s");
     assert!(admitted >= 5 && refused > 0, "admitted {admitted}, refused {refused}");
-    assert_eq!(target.seen().len(), admitted, "a refused request reached the target");
+    let seen = target.seen().len();
+    let possible = admitted..=admitted + late;
+    assert!(possible.contains(&seen), "{seen} at the target, {admitted} and {late} late admitted");
 }
 
 /// Guards against a hold that runs twice because the caller sent it again.
