--- a/crates/daemon/src/settings_tests.rs
+++ b/crates/daemon/src/settings_tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the settings: a fault that is not reported starts a daemon that cannot work.
+
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
