Replicate a versioned document of named items, and evacuations

The users' platform sends whole configurations and changes of single items under versions of its own. The control group had no state for them.

Change: commands that compare and set the version of a document, remember the last 256 accepted changes so that a repeated one is acknowledged again, and start or end the evacuation of a data centre. A group size from the number of disks that may be lost; a learner takes the place of a lost voter instead of enlarging the group.

--- a/crates/control/src/log_tests.rs
+++ b/crates/control/src/log_tests.rs
@@ -30,9 +30,7 @@
 }
 
 fn snapshot(index: u64, term: u64) -> SnapshotRecord {
-    let text = r#"{"revision":0,"organisations":[],"services":[],"regions":[],"members":[],
-        "links":[],"client_blocks":[],"routes":[],"drains":[],"intents":[],"slot_owners":[]}"#;
-    let configuration: Configuration = serde_json::from_str(text).unwrap();
+    let configuration = crate::state::empty_configuration();
     SnapshotRecord { configuration, last_index: LogIndex(index), last_term: Term(term) }
 }
 
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -4,6 +4,8 @@
 //! member that happens to have the same address: it becomes a learner, receives the log, and is
 //! promoted once it holds everything that is committed.
 
+use std::time::Duration;
+
 use celerygate_types::VmId;
 use celerygate_types::wire::{Command, Member, MemberRole, MembershipChange};
 use thiserror::Error;
@@ -173,6 +175,54 @@
     candidates.into_iter().find(|change| check_change(members, change, &progress).is_ok())
 }
 
+/// Time without a reply after which a voter gives up its place to a member that has caught up.
+/// Longer than an election and a restart of the process, which a voter should outlast.
+pub const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// The number of voters that a group keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupSize {
+    lost_disks_max: usize,
+}
+
+impl GroupSize {
+    /// Returns the size of a group that keeps what it accepted when this many disks are lost.
+    pub fn for_lost_disks(lost_disks_max: usize) -> Self {
+        Self { lost_disks_max }
+    }
+
+    /// Returns the number of voters.
+    pub fn voters(self) -> usize {
+        2 * self.lost_disks_max + 1
+    }
+
+    /// Returns whether a quorum of the members is larger than the loss.
+    pub fn keeps_accepted(self, members: &[Member]) -> bool {
+        quorum(members) > self.lost_disks_max
+    }
+
+    /// Returns the next change: as long as there are enough voters, a learner waits until one of
+    /// them is lost, and takes its place.
+    pub fn next_change(
+        self,
+        members: &[Member],
+        proposed: Option<MembershipChange>,
+        unheard_for: impl Fn(&VmId) -> Option<Duration>,
+    ) -> Option<MembershipChange> {
+        let is_full = voters(members).count() >= self.voters();
+        match proposed {
+            Some(MembershipChange::Promote(_)) if is_full => {
+                let unheard = |voter: &&Member| {
+                    unheard_for(&voter.vm).is_some_and(|time| time >= REPLACE_AFTER)
+                };
+                let lost = voters(members).find(unheard)?;
+                Some(MembershipChange::Remove(lost.vm.clone()))
+            }
+            other => other,
+        }
+    }
+}
+
 #[cfg(test)]
 #[path = "membership_tests.rs"]
 mod tests;
--- a/crates/control/src/membership_tests.rs
+++ b/crates/control/src/membership_tests.rs
@@ -84,3 +84,29 @@
     assert_eq!(next_change(&members, &caught_up), Some(MembershipChange::Promote(vm(3))));
     assert_eq!(quorum(&members), 2);
 }
+
+/// Guards against a group that grows beyond its size, and against a voter that is removed while it
+/// only restarts.
+#[test]
+fn group_size_learner_takes_place_of_lost_voter() {
+    let size = GroupSize::for_lost_disks(1);
+    let members = three_and_learner();
+    let promote = || Some(MembershipChange::Promote(vm(4)));
+    let silent_for = |time: Duration| move |id: &VmId| (*id == vm(2)).then_some(time);
+    let next = |time| size.next_change(&members, promote(), silent_for(time));
+    assert_eq!(next(Duration::from_secs(1)), None);
+    assert_eq!(next(REPLACE_AFTER), Some(MembershipChange::Remove(vm(2))));
+    let two: Vec<Member> = members.iter().filter(|member| member.vm != vm(2)).cloned().collect();
+    assert_eq!(size.next_change(&two, promote(), silent_for(REPLACE_AFTER)), promote());
+}
+
+/// Guards against an accepted change that the allowed loss of disks would take with it.
+#[test]
+fn group_size_keeps_accepted_needs_quorum_above_loss() {
+    let size = GroupSize::for_lost_disks(2);
+    let voters = |count: u64| -> Vec<Member> {
+        (1..=count).map(|number| member(number, MemberRole::Voter)).collect()
+    };
+    let kept: Vec<bool> = (1..=6).map(|count| size.keeps_accepted(&voters(count))).collect();
+    assert_eq!(kept, [false, false, false, true, true, true]);
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -336,6 +336,15 @@
         membership::next_change(&self.members, |vm| self.member_progress(leadership, vm, now))
     }
 
+    /// Returns for how long a leader has heard nothing of another member; none for the leader
+    /// itself and on other VMs.
+    pub fn unheard_for(&self, vm: &VmId, now: Instant) -> Option<Duration> {
+        let Role::Leader(leadership) = &self.role else { return None };
+        let progress = leadership.peers.get(vm)?;
+        let since = progress.heard_at.unwrap_or(leadership.elected_at);
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Forgets entries up to a snapshot except for [`RETAINED_ENTRIES`].
     pub fn compact(&mut self, snapshot_index: LogIndex) {
         let through =
--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -34,6 +34,8 @@
         routes: vec![],
         services: vec![],
         slot_owners: vec![],
+        document: celerygate_types::wire::Document { version: 0, items: vec![], accepted: vec![] },
+        evacuated: vec![],
     };
     LogEntry { command: Command::Bootstrap(configuration), index: LogIndex(1), term: Term(1) }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,6 +5,7 @@
 
 mod changes;
 mod digest;
+mod document;
 mod members;
 mod retention;
 
@@ -18,6 +19,7 @@
 
 pub use changes::check_change;
 pub use digest::{BlocksHash, blocks_hash, digest, digest_with};
+pub use document::{REMEMBERED_CHANGES, accepted_version, changed_items, empty_document};
 pub use members::MAX_VOTERS;
 pub use retention::{MAX_RETAINED, RETENTION_MS};
 
@@ -51,6 +53,13 @@
     MembersChanged,
     /// A region's slot permits have another owner.
     SlotOwnerChanged,
+    /// The document has this version since the change was first accepted.
+    DocumentChanged {
+        /// Version made by the change.
+        version: u64,
+    },
+    /// The evacuation of a data centre is as the command asks.
+    EvacuationSet,
     /// Nothing changed, for this reason.
     Refused(ResultCode),
 }
@@ -59,7 +68,9 @@
 pub fn empty_configuration() -> Configuration {
     Configuration {
         client_blocks: Vec::new(),
+        document: empty_document(),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         intents: Vec::new(),
         links: Vec::new(),
         members: Vec::new(),
@@ -86,6 +97,8 @@
         Command::Hold(command) => hold(configuration, command),
         Command::Membership(change) => members::change_members(configuration, change),
         Command::SlotOwner(command) => name_slot_owner(configuration, command),
+        Command::Document(command) => document::change_document(configuration, command),
+        Command::Evacuate(command) => Ok(document::evacuate(configuration, command)),
     };
     applied.unwrap_or_else(Applied::Refused)
 }
--- a/crates/control/src/state/digest.rs
+++ b/crates/control/src/state/digest.rs
@@ -3,16 +3,18 @@
 use std::io::BufWriter;
 
 use celerygate_types::wire::{
-    Configuration, DrainSubject, IntentRecord, Link, Member, Organisation, Route, Service,
+    Configuration, Document, DrainSubject, IntentRecord, Link, Member, Organisation, Route, Service,
 };
-use celerygate_types::{RegionId, Revision};
+use celerygate_types::{DataCentreId, RegionId, Revision};
 use serde::Serialize;
 
 /// The parts of a configuration that are the same wherever its revision is the same.
 #[derive(Serialize)]
 struct DigestView<'a> {
     blocks: BlocksHash,
+    document: &'a Document,
     drains: &'a [DrainSubject],
+    evacuated: &'a [DataCentreId],
     intents: Vec<&'a IntentRecord>,
     links: &'a [Link],
     members: &'a [Member],
@@ -46,7 +48,9 @@
     let confirmed = |record: &&IntentRecord| record.confirmed_revision.is_some();
     let view = DigestView {
         blocks: *blocks,
+        document: &configuration.document,
         drains: &configuration.drains,
+        evacuated: &configuration.evacuated,
         intents: configuration.intents.iter().filter(confirmed).collect(),
         links: &configuration.links,
         members: &configuration.members,
--- /dev/null
+++ b/crates/control/src/state/document.rs
@@ -0,0 +1,87 @@
+//! The deployment's document: named items that change as a whole version.
+//!
+//! The agreement compares and sets versions and does not read the items; the front end that an
+//! operator speaks to encodes and checks them.
+
+use celerygate_types::ResultCode;
+use celerygate_types::wire::{
+    AcceptedChange, Configuration, Document, DocumentCommand, DocumentItem, EvacuateCommand,
+};
+
+use super::{Applied, raise_revision};
+
+/// Accepted changes that are remembered, so that an operator who lost the answer may send the
+/// change again. An operator has at most eight changes under way.
+pub const REMEMBERED_CHANGES: usize = 256;
+
+/// Returns the document before the first change.
+pub fn empty_document() -> Document {
+    Document { version: 0, items: Vec::new(), accepted: Vec::new() }
+}
+
+/// Returns the version that a change got when it was accepted.
+pub fn accepted_version(document: &Document, digest: &str) -> Option<u64> {
+    let accepted = document.accepted.iter().find(|accepted| accepted.digest == digest);
+    accepted.map(|accepted| accepted.version)
+}
+
+/// Returns the items after a change.
+pub fn changed_items(document: &Document, command: &DocumentCommand) -> Vec<DocumentItem> {
+    let mut items = if command.replaces_all { Vec::new() } else { document.items.clone() };
+    items.retain(|item| {
+        !command.remove.iter().any(|gone| gone.section == item.section && gone.name == item.name)
+    });
+    for changed in &command.upsert {
+        let same =
+            |item: &&mut DocumentItem| item.section == changed.section && item.name == changed.name;
+        match items.iter_mut().find(same) {
+            Some(item) => item.clone_from(changed),
+            None => items.push(changed.clone()),
+        }
+    }
+    items
+}
+
+/// Applies a change if the document still has the version that it builds on.
+pub(super) fn change_document(
+    configuration: &mut Configuration,
+    command: &DocumentCommand,
+) -> Result<Applied, ResultCode> {
+    let document = &configuration.document;
+    if let Some(version) = accepted_version(document, &command.digest) {
+        return Ok(Applied::DocumentChanged { version });
+    }
+    if command.based_on != document.version || command.version <= document.version {
+        return Err(ResultCode::RevisionConflict);
+    }
+    let items = changed_items(document, command);
+    let document = &mut configuration.document;
+    document.items = items;
+    document.version = command.version;
+    document
+        .accepted
+        .push(AcceptedChange { digest: command.digest.clone(), version: command.version });
+    let surplus = document.accepted.len().saturating_sub(REMEMBERED_CHANGES);
+    document.accepted.drain(..surplus);
+    raise_revision(configuration);
+    Ok(Applied::DocumentChanged { version: command.version })
+}
+
+/// Starts or ends the evacuation of a data centre.
+pub(super) fn evacuate(configuration: &mut Configuration, command: &EvacuateCommand) -> Applied {
+    let evacuated = &mut configuration.evacuated;
+    let before = evacuated.len();
+    evacuated.retain(|data_centre| *data_centre != command.data_centre);
+    let was_active = evacuated.len() < before;
+    if command.active {
+        evacuated.push(command.data_centre.clone());
+    }
+    if was_active != command.active {
+        raise_revision(configuration);
+    }
+    Applied::EvacuationSet
+}
+
+#[cfg(test)]
+#[path = "document_tests.rs"]
+mod tests;
--- a/crates/control/tests/support/state.rs
+++ b/crates/control/tests/support/state.rs
@@ -40,6 +40,8 @@
         routes: vec![],
         services: vec![],
         slot_owners: vec![],
+        document: celerygate_types::wire::Document { version: 0, items: vec![], accepted: vec![] },
+        evacuated: vec![],
     }
 }
 
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -89,6 +89,8 @@
         Command::Hold(command) => ("hold", command.intent.as_str()),
         Command::Membership(_) => ("membership", ""),
         Command::SlotOwner(_) => ("slot-owner", ""),
+        Command::Document(command) => ("document", command.digest.as_str()),
+        Command::Evacuate(command) => ("evacuate", command.data_centre.as_str()),
     }
 }
 
--- a/crates/steering/src/moves_tests.rs
+++ b/crates/steering/src/moves_tests.rs
@@ -38,6 +38,12 @@
         routes: Vec::new(),
         services: Vec::new(),
         slot_owners: Vec::new(),
+        document: celerygate_types::wire::Document {
+            version: 0,
+            items: Vec::new(),
+            accepted: Vec::new(),
+        },
+        evacuated: Vec::new(),
     };
     let mut measurements = Measurements::default();
     for (name, ..) in services {
--- a/crates/types/tests/generated.rs
+++ b/crates/types/tests/generated.rs
@@ -13,7 +13,7 @@
 use serde_json::{Map, Value, json};
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
-const SCHEMAS: [&str; 5] = ["core", "state", "messages", "settings", "api"];
+const SCHEMAS: [&str; 6] = ["core", "state", "messages", "settings", "api", "fleet"];
 const TEXT_IDS: [&str; 10] = [
     "VmId",
     "RegionId",
