Add routing table, target lives, placement by object, and frames for other meshes

Routes with host, prefix, weights, homes and limits; lives of targets ordered by start and sequence; placement that keeps an object on its targets while they have room; paced requests to cold targets; a retry budget with limits from settings.

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -25,6 +25,8 @@
 /// Connections with data that is not acknowledged for this long are closed. Without it, a
 /// connection across a healed partition would wait for the kernel's back-off of up to minutes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for connecting; between regions a round trip takes 40 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a failed connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -49,7 +51,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    match timeout(FRAME_TIMEOUT, TcpStream::connect(address)).await {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
             let socket = socket2::SockRef::from(&stream);
             let configured = stream
@@ -82,16 +84,34 @@
     }
 }
 
+/// Handles one frame; an error closes the connection that it came on.
+pub type FrameHandler = Arc<dyn Fn(&[u8]) -> Result<()> + Send + Sync>;
+
 /// Accepts connections from peers until the task is aborted.
 pub async fn accept(listener: TcpListener, peers: Arc<Peers>, inbound: Inbound) {
+    let handle: FrameHandler = Arc::new(move |frame| match peers.open_frame(frame) {
+        Ok(envelope) => {
+            inbound(envelope);
+            Ok(())
+        }
+        Err(error) => {
+            peers.count_dropped(error);
+            bail!(error)
+        }
+    });
+    accept_frames(listener, MAX_FRAME_BYTES, handle).await;
+}
+
+/// Accepts connections and hands their frames on until the task is aborted.
+pub async fn accept_frames(listener: TcpListener, max_frame_bytes: usize, handle: FrameHandler) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, address)) => {
-                let (peers, inbound) = (Arc::clone(&peers), Arc::clone(&inbound));
+                let handle = Arc::clone(&handle);
                 tokio::spawn(async move {
-                    if let Err(error) = receive(stream, &peers, &inbound).await {
+                    if let Err(error) = receive(stream, max_frame_bytes, &handle).await {
                         log::debug!(peer:% = address, error:% = error; "peer connection closed");
                     }
                     drop(permit);
@@ -106,26 +126,28 @@
     }
 }
 
-async fn receive(mut stream: TcpStream, peers: &Peers, inbound: &Inbound) -> Result<()> {
+async fn receive(
+    mut stream: TcpStream,
+    max_frame_bytes: usize,
+    handle: &FrameHandler,
+) -> Result<()> {
     let mut length = [0; 4];
     timeout(FRAME_TIMEOUT, stream.read_exact(&mut length)).await.context("no first frame")??;
     loop {
-        let frame = read_frame(&mut stream, u32::from_be_bytes(length)).await?;
-        match peers.open_frame(&frame) {
-            Ok(envelope) => inbound(envelope),
-            Err(error) => {
-                peers.count_dropped(error);
-                bail!(error);
-            }
-        }
+        let length_bytes = usize::try_from(u32::from_be_bytes(length))?;
+        let frame = read_frame(&mut stream, length_bytes, max_frame_bytes).await?;
+        handle(&frame)?;
         stream.read_exact(&mut length).await?;
     }
 }
 
-async fn read_frame(stream: &mut (impl AsyncRead + Unpin), length: u32) -> Result<Vec<u8>> {
-    let length = usize::try_from(length)?;
-    if length > MAX_FRAME_BYTES {
-        bail!("frame of {length} bytes exceeds {MAX_FRAME_BYTES}");
+async fn read_frame(
+    stream: &mut (impl AsyncRead + Unpin),
+    length: usize,
+    max_frame_bytes: usize,
+) -> Result<Vec<u8>> {
+    if length > max_frame_bytes {
+        bail!("frame of {length} bytes exceeds {max_frame_bytes}");
     }
     // Grows with the bytes that arrive, so that a bare length claims no memory.
     let mut frame = Vec::new();
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -173,6 +173,11 @@
 }
 
 impl RelayedBody {
+    /// Closes the connection, whose next bytes may belong to another response.
+    pub fn discard(mut self) {
+        self.release = None;
+    }
+
     fn release(&mut self) {
         if let Some((pool, address, sender)) = self.release.take() {
             pool.put(address, sender);
--- /dev/null
+++ b/crates/steering/src/instances_tests.rs
@@ -0,0 +1,96 @@
+//! Guards against requests to targets that have left, and against ended lives that return.
+
+use super::*;
+
+fn record(born: u64, sequence: u64, state: InstanceState) -> InstanceRecord {
+    InstanceRecord {
+        instance: "i-1".parse().expect("valid id"),
+        born_unix_ms: born,
+        sequence,
+        service: "lists".parse().expect("valid id"),
+        address: "10.0.0.9:80".into(),
+        data_centre: "east-1".parse().expect("valid id"),
+        slots: 4.into(),
+        state,
+        cold_ms: 0,
+    }
+}
+
+fn state(table: &InstanceTable) -> InstanceState {
+    table.iter().next().expect("one target").record.state
+}
+
+#[test]
+fn report_late_keeps_draining() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 4, InstanceState::Ready), now);
+    assert_eq!(table.report(record(1, 6, InstanceState::Draining), now), Reported::Changed);
+    assert_eq!(table.report(record(1, 5, InstanceState::Ready), now), Reported::Outdated);
+    assert_eq!(table.report(record(1, 7, InstanceState::Ready), now), Reported::Renewed);
+    assert_eq!(state(&table), InstanceState::Draining);
+}
+
+#[test]
+fn report_after_end_not_revived() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 4, InstanceState::Ready), now);
+    table.end(&"i-1".parse().expect("valid id"), None, now);
+    assert_eq!(table.report(record(1, 9, InstanceState::Ready), now), Reported::Outdated);
+    assert_eq!(state(&table), InstanceState::Gone);
+}
+
+#[test]
+fn report_new_life_same_id() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 40, InstanceState::Draining), now);
+    assert_eq!(table.report(record(2, 0, InstanceState::Ready), now), Reported::Changed);
+    assert_eq!(table.report(record(1, 41, InstanceState::Draining), now), Reported::Outdated);
+    assert_eq!(state(&table), InstanceState::Ready);
+    // The end of the earlier life arrives late and names its start.
+    assert!(table.end(&"i-1".parse().expect("valid id"), Some(1), now).is_none());
+    assert_eq!(state(&table), InstanceState::Ready);
+}
+
+#[test]
+fn changed_since_only_differences() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), now);
+    let seen = table.change();
+    table.report(record(1, 2, InstanceState::Ready), now);
+    assert_eq!(table.changed_since(seen).count(), 0);
+    let cold = InstanceRecord { cold_ms: 3_000, ..record(1, 3, InstanceState::Ready) };
+    table.report(cold, now);
+    assert_eq!(table.changed_since(seen).count(), 1);
+}
+
+#[test]
+fn is_address_reused_by_later_start() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 9, InstanceState::Ready), now);
+    let next = InstanceRecord {
+        instance: "i-2".parse().expect("valid id"),
+        ..record(5, 0, InstanceState::Ready)
+    };
+    table.report(next, now);
+    let reused: Vec<_> = table
+        .iter()
+        .filter(|instance| table.is_address_reused(instance))
+        .map(|instance| instance.record.born_unix_ms)
+        .collect();
+    assert_eq!(reused, [1]);
+}
+
+#[test]
+fn silent_after_missed_heartbeats() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), now);
+    let heartbeat = Duration::from_millis(1_500);
+    assert_eq!(table.silent(heartbeat, now + Duration::from_millis(4_400)).count(), 0);
+    assert_eq!(table.silent(heartbeat, now + Duration::from_millis(4_600)).count(), 1);
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,13 +2,16 @@
 
 pub mod grants;
 pub mod headers;
+pub mod instances;
 pub mod keys;
 pub mod links;
 pub mod lookup;
 pub mod moves;
 pub mod once;
 pub mod outcome;
+pub mod placement;
 pub mod queue;
+pub mod routing;
 pub mod shares;
 pub mod slots;
 pub mod targets;
--- a/crates/steering/src/outcome.rs
+++ b/crates/steering/src/outcome.rs
@@ -118,10 +118,28 @@
 
 const BUCKETS: usize = 10;
 
+/// How many retries a budget allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Retries per request within the window.
+    pub share: f64,
+    /// Retries within the window that are allowed however few requests there were.
+    pub min_retries: u64,
+    /// Time over which requests and retries are counted.
+    pub window: Duration,
+}
+
+impl Default for RetryLimits {
+    fn default() -> Self {
+        Self { share: RETRY_PERCENT as f64 / 100.0, min_retries: MIN_RETRIES, window: RETRY_WINDOW }
+    }
+}
+
 /// Limits retries to a share of the recent requests, so that retries cannot multiply the load of
 /// failing targets.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    limits: RetryLimits,
     start: Instant,
     /// Sequence number of the newest bucket.
     newest: u64,
@@ -132,7 +150,12 @@
 impl RetryBudget {
     /// Returns a budget without requests.
     pub fn new(now: Instant) -> Self {
-        Self { start: now, newest: 0, requests: [0; BUCKETS], retries: [0; BUCKETS] }
+        Self::with_limits(RetryLimits::default(), now)
+    }
+
+    /// Returns a budget without requests that has its own limits.
+    pub fn with_limits(limits: RetryLimits, now: Instant) -> Self {
+        Self { limits, start: now, newest: 0, requests: [0; BUCKETS], retries: [0; BUCKETS] }
     }
 
     /// Counts a request that was sent for the first time.
@@ -146,7 +169,8 @@
         let bucket = self.advance(now);
         let requests: u64 = self.requests.iter().sum();
         let retries: u64 = self.retries.iter().sum();
-        let allowed = retries < MIN_RETRIES.max(requests * RETRY_PERCENT / 100);
+        let shared = (requests as f64 * self.limits.share) as u64;
+        let allowed = retries < self.limits.min_retries.max(shared);
         if allowed {
             self.retries[bucket] += 1;
         }
@@ -155,7 +179,7 @@
 
     /// Clears the buckets that have left the window and returns the index of the newest.
     fn advance(&mut self, now: Instant) -> usize {
-        let width_ms = RETRY_WINDOW.as_millis() / BUCKETS as u128;
+        let width_ms = self.limits.window.as_millis() / BUCKETS as u128;
         let elapsed_ms = now.saturating_duration_since(self.start).as_millis();
         let newest = u64::try_from(elapsed_ms / width_ms).unwrap_or(u64::MAX).max(self.newest);
         for sequence in (self.newest + 1..=newest).take(BUCKETS) {
--- /dev/null
+++ b/crates/steering/src/routing_tests.rs
@@ -0,0 +1,117 @@
+//! Guards against requests that reach the wrong service or run for the wrong organisation.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use celerygate_types::ServiceId;
+use smallvec::smallvec;
+
+use super::*;
+
+fn service(name: &str) -> ServiceId {
+    name.parse().expect("valid id")
+}
+
+fn route(name: &str, prefix: &str, parts: &[(&str, f64)]) -> Route {
+    let part = |(name, weight): &(&str, f64)| Part { service: service(name), weight: *weight };
+    Route {
+        name: name.into(),
+        host: "lists.example".into(),
+        path_prefix: prefix.into(),
+        repeatable: Repeatable::Always,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(200),
+        priority: 1,
+        parts: parts.iter().map(part).collect(),
+        attempts_max: 2,
+        is_open: false,
+        has_affinity: true,
+        home_regions: smallvec![],
+    }
+}
+
+fn services() -> HashMap<ServiceId, ServiceRule> {
+    let rule = ServiceRule { connections: 10, cold_requests_per_s: 4.0 };
+    ["old", "new"].into_iter().map(|name| (service(name), rule.clone())).collect()
+}
+
+fn organisation(name: &str, key: &str) -> OrganisationEntry {
+    OrganisationEntry {
+        organisation: name.parse().expect("valid id"),
+        keys: vec![blake3::hash(key.as_bytes())],
+        rule: OrganisationRule { limit: None, home_regions: smallvec![] },
+    }
+}
+
+fn fault(routes: Vec<Route>) -> String {
+    let built = RoutingTable::build(routes, services(), Vec::new());
+    built.expect_err("the routes are faulty").to_string()
+}
+
+#[test]
+fn route_longest_prefix() {
+    let routes = vec![
+        route("all", "/", &[("old", 1.0)]),
+        route("long", "/a/b/", &[("old", 1.0)]),
+        route("short", "/a/", &[("old", 1.0)]),
+    ];
+    let table = RoutingTable::build(routes, services(), Vec::new()).expect("valid routes");
+    let name = |path| table.route("lists.example", path).map(|route| route.name.as_str());
+    assert_eq!(name("/a/b/c"), Some("long"));
+    assert_eq!(name("/a/bc"), Some("short"));
+    assert_eq!(name("/x"), Some("all"));
+    assert!(table.route("other.example", "/a/b/c").is_none());
+}
+
+#[test]
+fn build_faulty_refused() {
+    let good = || route("good", "/a/", &[("old", 1.0)]);
+    expect_test::expect!["routes good and twin have the same host and prefix"]
+        .assert_eq(&fault(vec![good(), Route { name: "twin".into(), ..good() }]));
+    expect_test::expect!["route good has no host"]
+        .assert_eq(&fault(vec![Route { host: "".into(), ..good() }]));
+    expect_test::expect!["route good names the unknown service lost"]
+        .assert_eq(&fault(vec![route("good", "/a/", &[("lost", 1.0)])]));
+    expect_test::expect!["route good has no service with a weight"].assert_eq(&fault(vec![route(
+        "good",
+        "/a/",
+        &[("old", 0.0)],
+    )]));
+    expect_test::expect!["the target latency of route good is a minute or more above its timeout"]
+        .assert_eq(&fault(vec![Route { target_latency: Duration::from_secs(61), ..good() }]));
+}
+
+#[test]
+fn build_shared_key_refused() {
+    let organisations = vec![organisation("one", "key"), organisation("two", "key")];
+    assert!(RoutingTable::build(Vec::new(), services(), organisations).is_err());
+}
+
+#[test]
+fn holder_by_whole_key() {
+    let organisations = vec![organisation("one", "key-1"), organisation("two", "key-2")];
+    let table = RoutingTable::build(Vec::new(), services(), organisations).expect("valid");
+    assert_eq!(table.holder(b"key-2").map(OrganisationId::as_str), Some("two"));
+    assert_eq!(table.holder(b"key-"), None);
+}
+
+#[test]
+fn part_for_keeps_weights() {
+    let route = route("split", "/", &[("old", 90.0), ("new", 10.0)]);
+    // The platform allows a tenth of difference in steady state.
+    for length in [20_u64, 300, 5_000] {
+        let new = (0..length).filter(|number| *part_for(&route, *number) == service("new")).count();
+        let share = new as f64 / length as f64;
+        assert!((share - 0.1).abs() < 0.1, "{new} of {length}");
+    }
+}
+
+#[test]
+fn allows_region_both_bind() {
+    let region = |name: &str| name.parse::<RegionId>().expect("valid id");
+    let (east, west) = (region("east"), region("west"));
+    assert!(allows_region(&[], &[], &east));
+    assert!(allows_region(&[east.clone()], &[], &east));
+    assert!(!allows_region(&[east.clone()], &[west.clone()], &east));
+    assert!(!allows_region(&[east], &[], &west));
+}
