--- /dev/null
+++ b/crates/fleet/src/clock.rs
@@ -0,0 +1,24 @@
+//! The clock of a daemon on a VM that may be suspended.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use celerygate_types::Clock;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Returns a clock whose monotonic time also counts the time for which the VM was suspended, so
+/// that leases, grants and ages end during a suspension.
+pub fn suspend_aware() -> Clock {
+    let (start, booted) = (Instant::now(), since_boot());
+    Clock {
+        monotonic: Arc::new(move || start + since_boot().saturating_sub(booted)),
+        wall: Arc::new(SystemTime::now),
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,73 @@
+//! What the parts of a daemon share.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_daemon::telemetry::Metrics;
+use celerygate_daemon::upstream::Pool;
+use celerygate_types::wire::{DaemonRecord, DaemonRole, FleetSettings};
+use celerygate_types::{Clock, DataCentreId, Incarnation, RegionId};
+
+use crate::dialect::Dialect;
+use crate::group::Group;
+use crate::mesh::Mesh;
+use crate::tables::Tables;
+
+/// A daemon of a fleet.
+pub struct Fleet {
+    /// Settings of this VM.
+    pub settings: FleetSettings,
+    /// Clock that counts suspensions.
+    pub clock: Clock,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// Shared tables.
+    pub tables: Arc<Tables>,
+    /// Connections to the other daemons.
+    pub mesh: Mesh,
+    /// The control group, on a control VM.
+    pub group: Option<Group>,
+    /// Functions of the front end.
+    pub dialect: Dialect,
+    /// Connections to targets.
+    pub pool: Arc<Pool>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+}
+
+impl Fleet {
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns what this daemon tells others of itself.
+    pub fn own_record(&self) -> DaemonRecord {
+        DaemonRecord {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            role: self.role(),
+            region: self.settings.region.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            callers_address: self.settings.listeners.callers.clone(),
+            state: self.tables.state(),
+        }
+    }
+
+    /// Returns what this daemon does.
+    pub fn role(&self) -> DaemonRole {
+        if self.settings.data_folder.is_some() { DaemonRole::Control } else { DaemonRole::Entry }
+    }
+
+    /// Returns the region of a data centre.
+    pub fn region_of(&self, data_centre: &DataCentreId) -> Option<&RegionId> {
+        let places = &self.settings.data_centres;
+        let place = places.iter().find(|place| place.data_centre == *data_centre);
+        place.map(|place| &place.region)
+    }
+
+    /// Returns the time between two heartbeats of a target.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.settings.heartbeat_ms)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/forward.rs
@@ -0,0 +1,456 @@
+//! A caller's request on its way to a target and back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_daemon::upstream::{RelayedBody, RequestBody, SendError};
+use celerygate_steering::headers::{HeaderFilter, target_reveals_key};
+use celerygate_steering::lookup::rendezvous;
+use celerygate_steering::outcome::{RetryBudget, RetryLimits};
+use celerygate_steering::placement::{AttemptEnd, ReportedLoad};
+use celerygate_steering::routing::{Repeatable, Route, part_for};
+use celerygate_types::wire::{Outcome, VmState};
+use celerygate_types::{OrganisationId, RegionId, ResultCode, ServiceId, TargetId};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::http::{request, response};
+use hyper::{Request, Response, StatusCode};
+use smallvec::SmallVec;
+use tokio::time::{Instant as TokioInstant, timeout_at};
+
+use crate::dialect::{ForwardFacts, Refusal, RequestFacts};
+use crate::fleet::Fleet;
+use crate::quota;
+use crate::tables::Content;
+use crate::targets::{self, AtTarget, Choice, Chosen, Wanted};
+
+/// Body of a response to a caller.
+pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
+
+/// Largest request body; larger ones are refused before they reach a target.
+const MAX_REQUEST_BYTES: usize = 64 * 1_024 * 1_024;
+/// Response bodies up to this size are read whole before the caller gets the first byte, so that a
+/// response that breaks off can be replaced by another target's.
+const WHOLE_RESPONSE_BYTES: u64 = 1_024 * 1_024;
+/// Share of a route's target latency after which a refused caller should come back; drawn between
+/// these so that the returns of many callers spread.
+const RETURN_AFTER: std::ops::Range<f64> = 0.25..0.75;
+/// VMs beside the known ones that the retry budget allows for, as entry VMs are added at any time.
+const SPARE_VMS: usize = 2;
+
+/// A request that was identified and admitted.
+struct Admitted<'a> {
+    facts: &'a RequestFacts,
+    route: &'a Route,
+    service: &'a ServiceId,
+    organisation: Option<&'a OrganisationId>,
+    organisation_homes: &'a [RegionId],
+    object: Option<u64>,
+    deadline: Instant,
+}
+
+/// How a request ended.
+enum Ended {
+    Response(Response<ResponseBody>),
+    Refused(Refusal),
+}
+
+/// How one attempt at a target ended.
+enum Attempt {
+    /// The response for the caller.
+    Response(Response<ResponseBody>),
+    /// The target has not run the request.
+    NotRun(ResultCode),
+    /// The target may have run the request.
+    Failed(ResultCode),
+}
+
+/// Serves one request of a caller.
+pub async fn serve(fleet: Arc<Fleet>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let _running = fleet.tables.begin_request();
+    let arrived = fleet.now();
+    let (parts, body) = request.into_parts();
+    let facts = match (fleet.dialect.read_request)(&parts) {
+        Ok(facts) => facts,
+        Err(code) => {
+            log::info!(code = code.number(); "request not understood");
+            return finish(&fleet, refusal_response(&fleet, &Refusal { code, retry_after: None }));
+        }
+    };
+    let response = match handle(&fleet, &parts, body, &facts, arrived).await {
+        Ended::Response(response) => response,
+        Ended::Refused(refusal) => {
+            let elapsed = fleet.now().saturating_duration_since(arrived);
+            log::info!(request = facts.request.as_str(), code = refusal.code.number(),
+                reason:% = refusal.code, elapsed_ms = elapsed.as_millis() as u64,
+                retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64);
+                "request refused");
+            fleet.metrics.count_request("refused", refusal.code.number(), elapsed.as_secs_f64());
+            refusal_response(&fleet, &refusal)
+        }
+    };
+    finish(&fleet, response)
+}
+
+/// Asks the caller to leave the connection while the daemon leaves.
+fn finish(fleet: &Fleet, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+    if fleet.tables.state() == VmState::Leaving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn refusal_response(fleet: &Fleet, refusal: &Refusal) -> Response<ResponseBody> {
+    let mut headers = HeaderMap::new();
+    let status = (fleet.dialect.write_refusal)(refusal, &mut headers);
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn whole(bytes: Bytes) -> ResponseBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+fn refused(code: ResultCode) -> Ended {
+    Ended::Refused(Refusal { code, retry_after: None })
+}
+
+/// Returns a refusal with a time to come back that spreads the returns.
+fn refused_for_now(code: ResultCode, route: &Route) -> Ended {
+    let share = rand::random_range(RETURN_AFTER);
+    Ended::Refused(Refusal { code, retry_after: Some(route.target_latency.mul_f64(share)) })
+}
+
+async fn handle(
+    fleet: &Arc<Fleet>,
+    parts: &request::Parts,
+    body: Incoming,
+    facts: &RequestFacts,
+    arrived: Instant,
+) -> Ended {
+    let Some(content) = fleet.tables.content() else {
+        return refused(ResultCode::ConfigurationStale);
+    };
+    let Some(route) = content.routing.route(&facts.host, parts.uri.path()) else {
+        return refused(ResultCode::UnknownPath);
+    };
+    let organisation = match identify(&content, route, facts) {
+        Ok(organisation) => organisation,
+        Err(code) => return refused(code),
+    };
+    let reveals_key = |key: &smol_str::SmolStr| {
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        target_reveals_key(path, key.as_bytes())
+    };
+    if facts.key.as_ref().is_some_and(reveals_key) {
+        return refused(ResultCode::BadRequest);
+    }
+    let waits = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = arrived + waits;
+    let rule = organisation.and_then(|organisation| content.routing.organisation(organisation));
+    if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit))
+        && let Err(refusal) = quota::admit(fleet, organisation, limit, deadline).await
+    {
+        return Ended::Refused(refusal);
+    }
+    let body = match Limited::new(body, MAX_REQUEST_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!(request = facts.request.as_str(), error:% = error; "request body not read");
+            return refused(ResultCode::BodyTooLarge);
+        }
+    };
+    let service = if route.parts.len() > 1 {
+        part_for(route, fleet.tables.next_split_number(&route.name))
+    } else {
+        &route.parts[0].service
+    };
+    let object = facts.object.as_ref().filter(|_| route.has_affinity);
+    let admitted = Admitted {
+        facts,
+        route,
+        service,
+        organisation,
+        organisation_homes: rule.map_or(&[], |rule| &rule.home_regions),
+        object: object.map(|object| rendezvous::id_hash(object)),
+        deadline,
+    };
+    count_request(fleet, service);
+    attempts(fleet, &content, parts, &body, &admitted, arrived).await
+}
+
+fn identify<'a>(
+    content: &'a Content,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<Option<&'a OrganisationId>, ResultCode> {
+    if route.is_open || !content.routing.needs_keys() {
+        return Ok(None);
+    }
+    let key = facts.key.as_ref().ok_or(ResultCode::KeyMissing)?;
+    content.routing.holder(key.as_bytes()).map(Some).ok_or(ResultCode::KeyRefused)
+}
+
+async fn attempts(
+    fleet: &Arc<Fleet>,
+    content: &Content,
+    parts: &request::Parts,
+    body: &Bytes,
+    admitted: &Admitted<'_>,
+    arrived: Instant,
+) -> Ended {
+    let route = admitted.route;
+    let mut tried: SmallVec<[TargetId; 4]> = SmallVec::new();
+    let mut may_have_run = false;
+    let mut last = ResultCode::NoCapacity;
+    loop {
+        let now = fleet.now();
+        if now >= admitted.deadline {
+            let code = if may_have_run {
+                ResultCode::DeadlinePassed
+            } else {
+                ResultCode::DeadlinePassedWaiting
+            };
+            return refused(code);
+        }
+        let is_repeat = !tried.is_empty();
+        if is_repeat
+            && (tried.len() >= route.attempts_max.max(1) as usize
+                || !take_retry(fleet, admitted.service, now))
+        {
+            break;
+        }
+        let wanted = Wanted {
+            service: admitted.service,
+            route,
+            organisation_homes: admitted.organisation_homes,
+            object: admitted.object,
+            tried: &tried,
+        };
+        let chosen = match targets::choose(fleet, content, &wanted, now) {
+            Choice::Use(chosen) => chosen,
+            Choice::Full | Choice::NoTarget => break,
+        };
+        tried.push(chosen.instance.clone());
+        match attempt(fleet, parts, body, admitted, &chosen, arrived).await {
+            Attempt::Response(response) => return Ended::Response(response),
+            Attempt::NotRun(code) => last = code,
+            Attempt::Failed(code) => {
+                may_have_run = true;
+                last = code;
+                if route.repeatable == Repeatable::OnlyIfNotRun {
+                    break;
+                }
+            }
+        }
+    }
+    if may_have_run {
+        let unknown = last.outcome() == Outcome::Unknown;
+        return refused(if unknown { last } else { ResultCode::TargetFailed });
+    }
+    refused_for_now(ResultCode::NoCapacity, route)
+}
+
+async fn attempt(
+    fleet: &Arc<Fleet>,
+    parts: &request::Parts,
+    body: &Bytes,
+    admitted: &Admitted<'_>,
+    chosen: &Chosen,
+    arrived: Instant,
+) -> Attempt {
+    let at_target = AtTarget::new(fleet, chosen.instance.clone());
+    let started = fleet.now();
+    let Ok(address) = chosen.address.parse::<SocketAddr>() else {
+        log::error!(target_id = chosen.instance.as_str(), address = chosen.address.as_str();
+            "the target's address cannot be read");
+        at_target.end_unreachable();
+        return Attempt::NotRun(ResultCode::TargetUnreachable);
+    };
+    let request = forwarded_request(fleet, parts, body, admitted, &chosen.instance, started);
+    let deadline = TokioInstant::now() + admitted.deadline.saturating_duration_since(started);
+    let outcome = timeout_at(deadline, fleet.pool.send(address, chosen.reach, request)).await;
+    let (attempt, end) = match outcome {
+        Err(_) => (Attempt::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
+        Ok(Err(SendError::NotConnected { reason, .. } | SendError::NotSent { reason, .. })) => {
+            log::info!(request = admitted.facts.request.as_str(), reason = reason.as_str(),
+                target_id = chosen.instance.as_str(); "target not reached");
+            at_target.end_unreachable();
+            log_attempt(fleet, admitted, chosen, arrived, "not-reached");
+            return Attempt::NotRun(ResultCode::TargetUnreachable);
+        }
+        Ok(Err(SendError::NoResponse(error))) => {
+            log::info!(request = admitted.facts.request.as_str(), error:% = error,
+                target_id = chosen.instance.as_str(); "no response from the target");
+            at_target.end(AttemptEnd::Failed, None);
+            log_attempt(fleet, admitted, chosen, arrived, "no-response");
+            return Attempt::Failed(ResultCode::TargetFailed);
+        }
+        Ok(Ok(response)) => {
+            let read = timeout_at(deadline, read_response(fleet, admitted, response)).await;
+            match read {
+                Err(_) => (Attempt::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
+                Ok(Read { attempt, end, load, outcome }) => {
+                    at_target.end(end, load);
+                    log_attempt(fleet, admitted, chosen, arrived, outcome);
+                    return attempt;
+                }
+            }
+        }
+    };
+    at_target.end(AttemptEnd::Abandoned, None);
+    log_attempt(fleet, admitted, chosen, arrived, end);
+    attempt
+}
+
+fn log_attempt(
+    fleet: &Fleet,
+    admitted: &Admitted<'_>,
+    chosen: &Chosen,
+    arrived: Instant,
+    outcome: &'static str,
+) {
+    let elapsed = fleet.now().saturating_duration_since(arrived);
+    log::info!(request = admitted.facts.request.as_str(), route = admitted.route.name.as_str(),
+        target_id = chosen.instance.as_str(), reason:% = chosen.reason, load = chosen.load,
+        considered = chosen.considered, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
+        "request placed");
+    let code = if outcome == "answered" { 0 } else { ResultCode::TargetFailed.number() };
+    fleet.metrics.count_request(admitted.service.as_str(), code, elapsed.as_secs_f64());
+}
+
+fn forwarded_request(
+    fleet: &Fleet,
+    parts: &request::Parts,
+    body: &Bytes,
+    admitted: &Admitted<'_>,
+    instance: &TargetId,
+    now: Instant,
+) -> Request<RequestBody> {
+    let all = || parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let filter = HeaderFilter::for_request(all());
+    let mut headers = HeaderMap::with_capacity(parts.headers.len() + 3);
+    for (name, value) in &parts.headers {
+        if filter.keeps(name.as_str(), value.as_bytes())
+            && !(fleet.dialect.is_own_header)(name.as_str())
+        {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let forward = ForwardFacts {
+        remaining: admitted.deadline.saturating_duration_since(now),
+        instance,
+        organisation: admitted.organisation,
+    };
+    (fleet.dialect.write_request)(admitted.facts, &forward, &mut headers);
+    let body = Full::new(body.clone()).map_err(|never| match never {}).boxed_unsync();
+    let mut request = Request::new(body);
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = parts.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// A response as far as it concerns the attempt.
+struct Read {
+    attempt: Attempt,
+    end: AttemptEnd,
+    load: Option<ReportedLoad>,
+    outcome: &'static str,
+}
+
+async fn read_response(
+    fleet: &Fleet,
+    admitted: &Admitted<'_>,
+    response: Response<RelayedBody>,
+) -> Read {
+    let (parts, body) = response.into_parts();
+    let facts = (fleet.dialect.read_response)(&parts);
+    if facts.request.as_ref() != Some(&admitted.facts.request) {
+        // A surplus response of an earlier request; the own one may follow on the connection.
+        body.discard();
+        let load = None;
+        let attempt = Attempt::Failed(ResultCode::TargetFailed);
+        return Read { attempt, end: AttemptEnd::Failed, load, outcome: "foreign-response" };
+    }
+    let load = facts.load;
+    if facts.is_not_run {
+        if body.collect().await.is_err() {
+            log::debug!(request = admitted.facts.request.as_str(); "rejection broke off");
+        }
+        let attempt = Attempt::NotRun(ResultCode::NoCapacity);
+        return Read { attempt, end: AttemptEnd::Rejected, load, outcome: "rejected" };
+    }
+    let is_failure = !facts.is_signed || parts.status.is_server_error();
+    if is_failure && (!facts.is_signed || admitted.route.repeatable == Repeatable::Always) {
+        drop(body);
+        let attempt = Attempt::Failed(ResultCode::TargetFailed);
+        return Read { attempt, end: AttemptEnd::Failed, load, outcome: "target-error" };
+    }
+    let headers = response_headers(&parts);
+    match read_body(body).await {
+        Ok(body) => {
+            let mut response = Response::new(body);
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = headers;
+            let end = if is_failure { AttemptEnd::Failed } else { AttemptEnd::Answered };
+            Read { attempt: Attempt::Response(response), end, load, outcome: "answered" }
+        }
+        Err(error) => {
+            log::info!(request = admitted.facts.request.as_str(), error:% = error;
+                "response of the target broke off");
+            let attempt = Attempt::Failed(ResultCode::TargetFailed);
+            Read { attempt, end: AttemptEnd::Failed, load, outcome: "broken-response" }
+        }
+    }
+}
+
+fn response_headers(parts: &response::Parts) -> HeaderMap {
+    let all = || parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let filter = HeaderFilter::for_response(all());
+    let mut headers = HeaderMap::with_capacity(parts.headers.len());
+    for (name, value) in &parts.headers {
+        if filter.keeps(name.as_str(), value.as_bytes()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers
+}
+
+/// Reads a body of bounded size whole; a larger one is relayed as it arrives.
+async fn read_body(body: RelayedBody) -> Result<ResponseBody, hyper::Error> {
+    let is_bounded = body.size_hint().upper().is_none_or(|bytes| bytes <= WHOLE_RESPONSE_BYTES);
+    if is_bounded {
+        return Ok(whole(body.collect().await?.to_bytes()));
+    }
+    Ok(body.boxed_unsync())
+}
+
+fn count_request(fleet: &Fleet, service: &ServiceId) {
+    let now = fleet.now();
+    let limits = retry_limits(fleet);
+    let mut retries = fleet.tables.retries.lock();
+    let budget =
+        retries.entry(service.clone()).or_insert_with(|| RetryBudget::with_limits(limits, now));
+    budget.count_request(now);
+}
+
+fn take_retry(fleet: &Fleet, service: &ServiceId, now: Instant) -> bool {
+    fleet.tables.retries.lock().get_mut(service).is_some_and(|budget| budget.take_retry(now))
+}
+
+/// Returns this VM's part of the fleet's budget.
+fn retry_limits(fleet: &Fleet) -> RetryLimits {
+    let bounds = &fleet.settings.bounds;
+    let vms = fleet.tables.daemons.lock().known.len() + 1 + SPARE_VMS;
+    RetryLimits {
+        share: bounds.retry_share,
+        min_retries: bounds.retry_slack_requests / vms as u64,
+        window: Duration::from_millis(bounds.retry_window_ms),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/group.rs
@@ -0,0 +1,556 @@
+//! The control group's member on this VM: a thread that owns the replica and its data folder.
+//!
+//! Writes to the disk block, for seconds when the disk stalls, so they happen on a thread of their
+//! own. Everything that concerns the agreement reaches it through one queue.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use celerygate_control::membership::{self, GroupSize};
+use celerygate_control::node::{Node, Output};
+use celerygate_control::replica::{Input, LEASE};
+use celerygate_control::state::{self, Applied};
+use celerygate_control::storage::open_folder;
+use celerygate_steering::grants::{GrantAnswer, GrantOwner};
+use celerygate_types::wire::{
+    ChangeNotice, Command, Configuration, DaemonRecord, FleetContent, FleetMessage, FleetSettings,
+    GrantRequest, Member, MemberRole, MembershipChange, Message,
+};
+use celerygate_types::{Clock, Incarnation, LogIndex, Term, VmId};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::dialect::Dialect;
+use crate::tables::{Content, Leader, Tables};
+
+/// Time between two steps without input; a fraction of the leader's heartbeat interval.
+const TICK: Duration = Duration::from_millis(50);
+/// Pause before the data folder is opened again after a failed write.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
+/// How a change or a read ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GroupAnswer {
+    /// The command was applied.
+    Applied(Applied),
+    /// The state that was confirmed after the question arrived.
+    Content(Option<Arc<FleetContent>>),
+    /// Another VM leads; none when it is not known.
+    NotLeader(Option<VmId>),
+    /// The command may or may not be applied later.
+    Unknown,
+    /// The group has too few members to keep an accepted change through the losses that it has to
+    /// survive.
+    TooSmall,
+}
+
+/// What the thread is asked.
+pub enum GroupInput {
+    /// A message of the agreement.
+    Message {
+        /// The sender.
+        from: VmId,
+        /// Life of the sender.
+        incarnation: Incarnation,
+        /// The message.
+        message: Message,
+    },
+    /// A command to append.
+    Propose {
+        /// The command.
+        command: Command,
+        /// Told about the outcome.
+        answer: oneshot::Sender<GroupAnswer>,
+    },
+    /// A read of the newest state.
+    Read {
+        /// Told about the state.
+        answer: oneshot::Sender<GroupAnswer>,
+    },
+    /// A control VM that is perhaps no member yet.
+    Join {
+        /// The VM.
+        record: DaemonRecord,
+        /// Identity of its data folder.
+        store_id: u64,
+    },
+}
+
+/// Access to the thread.
+pub struct Group {
+    inputs: Sender<GroupInput>,
+    published: Arc<Mutex<Published>>,
+}
+
+/// What the thread tells other tasks of itself.
+#[derive(Debug, Default)]
+struct Published {
+    store_id: Option<u64>,
+    voters: Vec<VmId>,
+}
+
+impl Group {
+    /// Hands an input to the thread.
+    pub fn send(&self, input: GroupInput) {
+        if self.inputs.send(input).is_err() {
+            log::error!("the thread of the control group has ended");
+        }
+    }
+
+    /// Asks the thread and returns the receiver of the answer.
+    pub fn propose(&self, command: Command) -> oneshot::Receiver<GroupAnswer> {
+        let (answer, receiver) = oneshot::channel();
+        self.send(GroupInput::Propose { command, answer });
+        receiver
+    }
+
+    /// Asks for the newest state.
+    pub fn read(&self) -> oneshot::Receiver<GroupAnswer> {
+        let (answer, receiver) = oneshot::channel();
+        self.send(GroupInput::Read { answer });
+        receiver
+    }
+
+    /// Returns the identity of the data folder, once it is open.
+    pub fn store_id(&self) -> Option<u64> {
+        self.published.lock().store_id
+    }
+
+    /// Returns the voters of the group as this member knows them.
+    pub fn voters(&self) -> Vec<VmId> {
+        self.published.lock().voters.clone()
+    }
+}
+
+/// Functions through which the thread acts on the rest of the daemon.
+pub struct Effects {
+    /// Sends a message to a VM.
+    pub send: Box<dyn Fn(&VmId, FleetMessage) + Send>,
+    /// Returns the VMs that use tokens or content.
+    pub daemons: Box<dyn Fn() -> Vec<VmId> + Send>,
+}
+
+/// What the thread works with.
+pub struct GroupStart {
+    /// Settings of the VM.
+    pub settings: FleetSettings,
+    /// Clock.
+    pub clock: Clock,
+    /// Shared tables.
+    pub tables: Arc<Tables>,
+    /// Functions of the front end.
+    pub dialect: Dialect,
+}
+
+/// Starts the thread; `effects` may use the returned group.
+pub fn start(start: GroupStart, folder: PathBuf) -> (Group, impl FnOnce(Effects) -> Result<()>) {
+    let (inputs, queue) = channel();
+    let published = Arc::new(Mutex::new(Published::default()));
+    let group = Group { inputs, published: Arc::clone(&published) };
+    let run = move |effects: Effects| {
+        thread::Builder::new()
+            .name("group".to_owned())
+            .spawn(move || run(&start, &effects, &folder, &queue, &published))
+            .context("start the thread of the control group")?;
+        Ok(())
+    };
+    (group, run)
+}
+
+fn run(
+    start: &GroupStart,
+    effects: &Effects,
+    folder: &Path,
+    queue: &Receiver<GroupInput>,
+    published: &Mutex<Published>,
+) {
+    loop {
+        let ended = match Driver::open(start, effects, folder) {
+            Ok(mut driver) => {
+                published.lock().store_id = Some(driver.node.store_id());
+                driver.run(queue, published)
+            }
+            Err(error) => Err(error),
+        };
+        match ended {
+            Ok(()) => return,
+            // The disk is full or failed. What the replica holds in memory may differ from what is
+            // stored, so it starts again from the disk.
+            Err(error) => {
+                log::error!(error:% = format!("{error:#}"); "control group stopped, opening the data folder again");
+            }
+        }
+        thread::sleep(REOPEN_PAUSE);
+        while queue.try_recv().is_ok() {}
+    }
+}
+
+struct Pending {
+    term: Term,
+    answer: oneshot::Sender<GroupAnswer>,
+}
+
+struct WaitingRead {
+    arrived: Instant,
+    answer: oneshot::Sender<GroupAnswer>,
+}
+
+struct Driver<'a> {
+    start: &'a GroupStart,
+    effects: &'a Effects,
+    node: Node,
+    configuration: Configuration,
+    proposed: BTreeMap<LogIndex, Pending>,
+    /// Where the command that is being proposed reports.
+    proposing: Option<oneshot::Sender<GroupAnswer>>,
+    reads: Vec<WaitingRead>,
+    grants: Option<GrantOwner>,
+    joining: BTreeMap<VmId, Member>,
+}
+
+impl<'a> Driver<'a> {
+    fn open(start: &'a GroupStart, effects: &'a Effects, folder: &Path) -> Result<Self> {
+        let storage = open_folder(folder)
+            .with_context(|| format!("open the data folder {}", folder.display()))?;
+        let (settings, now) = (&start.settings, start.clock.now());
+        let opened = Node::open(storage, &settings.vm, rand::random(), rand::random(), now)?;
+        let snapshot = opened.snapshot.map(|record| record.configuration);
+        let mut driver = Self {
+            start,
+            effects,
+            node: opened.node,
+            configuration: snapshot.unwrap_or_else(state::empty_configuration),
+            proposed: BTreeMap::new(),
+            proposing: None,
+            reads: Vec::new(),
+            grants: None,
+            joining: BTreeMap::new(),
+        };
+        log::info!(store = driver.node.store_id(), commit = driver.node.replica().commit_index().0;
+            "data folder opened");
+        if settings.found_group && settings.seeds.iter().min() == Some(&settings.vm) {
+            let configuration = Box::new(first_configuration(settings));
+            driver.handle(Input::Found { configuration })?;
+        }
+        Ok(driver)
+    }
+
+    fn run(&mut self, queue: &Receiver<GroupInput>, published: &Mutex<Published>) -> Result<()> {
+        let mut ticked = self.start.clock.now();
+        loop {
+            match queue.recv_timeout(TICK) {
+                Ok(input) => self.take(input)?,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            let now = self.start.clock.now();
+            if now.saturating_duration_since(ticked) >= TICK {
+                ticked = now;
+                self.handle(Input::Tick { random: rand::random() })?;
+                self.change_members()?;
+                self.publish_leader();
+                let voters = membership::voters(self.node.replica().members());
+                published.lock().voters = voters.map(|voter| voter.vm.clone()).collect();
+            }
+            self.answer_reads();
+        }
+    }
+
+    fn take(&mut self, input: GroupInput) -> Result<()> {
+        match input {
+            GroupInput::Message { from, incarnation, message: Message::GrantRequest(request) } => {
+                self.grant(&from, incarnation, &request);
+                Ok(())
+            }
+            GroupInput::Message { from, message, .. } => {
+                self.handle(Input::Message { from, message })
+            }
+            GroupInput::Propose { command, answer } => self.propose(command, answer),
+            GroupInput::Read { answer } => {
+                if self.node.replica().is_leader() {
+                    let arrived = self.start.clock.now();
+                    self.reads.push(WaitingRead { arrived, answer });
+                } else {
+                    self.refuse(answer);
+                }
+                Ok(())
+            }
+            GroupInput::Join { record, store_id } => {
+                self.join(record, store_id);
+                Ok(())
+            }
+        }
+    }
+
+    fn refuse(&self, answer: oneshot::Sender<GroupAnswer>) {
+        let leader = self.node.replica().leader().filter(|vm| **vm != self.start.settings.vm);
+        // The asker may have given up, then nobody needs the answer.
+        let _ = answer.send(GroupAnswer::NotLeader(leader.cloned()));
+    }
+
+    fn propose(&mut self, command: Command, answer: oneshot::Sender<GroupAnswer>) -> Result<()> {
+        let replica = self.node.replica();
+        if !replica.is_leader() || !replica.has_lease(self.start.clock.now()) {
+            self.refuse(answer);
+            return Ok(());
+        }
+        let size = GroupSize::for_lost_disks(self.start.settings.lost_disks_max as usize);
+        if !size.keeps_accepted(replica.members()) {
+            let _ = answer.send(GroupAnswer::TooSmall);
+            return Ok(());
+        }
+        self.proposing = Some(answer);
+        self.handle(Input::Propose(command))
+    }
+
+    fn handle(&mut self, input: Input) -> Result<()> {
+        let outputs = self.node.handle(input, self.start.clock.now())?;
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    (self.effects.send)(&to, FleetMessage::Agreement(*message));
+                }
+                Output::Apply(entries) => {
+                    for entry in entries {
+                        self.apply(entry.index, entry.term, &entry.command);
+                    }
+                }
+                Output::Install(snapshot) => {
+                    self.configuration = snapshot.configuration;
+                    self.publish_content();
+                }
+                Output::Proposed { index, term } => {
+                    if let Some(answer) = self.proposing.take() {
+                        self.proposed.insert(index, Pending { term, answer });
+                    }
+                }
+                Output::Refused(refusal) => {
+                    log::info!(reason:% = refusal; "command not proposed");
+                    if let Some(answer) = self.proposing.take() {
+                        self.refuse(answer);
+                    }
+                }
+                Output::BecameLeader(term) => {
+                    log::info!(term = term.0; "leads the control group");
+                    self.grants = None;
+                }
+                Output::SteppedDown(term) => {
+                    log::info!(term = term.0; "no longer leads the control group");
+                    self.grants = None;
+                    for read in std::mem::take(&mut self.reads) {
+                        self.refuse(read.answer);
+                    }
+                }
+            }
+        }
+        if self.node.is_snapshot_due() {
+            self.node.store_snapshot(self.configuration.clone())?;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, index: LogIndex, term: Term, command: &Command) {
+        let before = self.configuration.revision;
+        let applied = state::apply(&mut self.configuration, command);
+        if matches!(command, Command::Document(_) | Command::Evacuate(_)) {
+            log::info!(index = index.0, term = term.0, revision = self.configuration.revision.0,
+                version = self.configuration.document.version, outcome:? = applied; "change applied");
+        }
+        if self.configuration.revision != before {
+            self.publish_content();
+        }
+        // Entries that another leader has put in place of proposed ones end these.
+        while let Some(entry) = self.proposed.first_entry() {
+            if *entry.key() > index {
+                break;
+            }
+            let (at, pending) = entry.remove_entry();
+            let is_own = at == index && pending.term == term;
+            let answer =
+                if is_own { GroupAnswer::Applied(applied.clone()) } else { GroupAnswer::Unknown };
+            let _ = pending.answer.send(answer);
+        }
+    }
+
+    fn content(&self) -> FleetContent {
+        FleetContent {
+            revision: self.configuration.revision,
+            document: self.configuration.document.clone(),
+            evacuated: self.configuration.evacuated.clone(),
+        }
+    }
+
+    fn publish_content(&mut self) {
+        let content = self.content();
+        if content.document.version == 0 {
+            return;
+        }
+        if put_in_force(&self.start.tables, &self.start.dialect, content.clone()) {
+            self.grants_follow(&content);
+            if self.node.replica().is_leader() {
+                let notice = ChangeNotice { revision: content.revision };
+                for vm in (self.effects.daemons)() {
+                    (self.effects.send)(&vm, FleetMessage::ChangeNotice(notice.clone()));
+                }
+            }
+        }
+    }
+
+    fn grants_follow(&mut self, _content: &FleetContent) {
+        let Some(grants) = &mut self.grants else { return };
+        if let Some(content) = self.start.tables.content() {
+            grants.configure(content.routing.limits(), self.start.clock.now());
+        }
+    }
+
+    fn grant(&mut self, vm: &VmId, incarnation: Incarnation, request: &GrantRequest) {
+        let now = self.start.clock.now();
+        let replica = self.node.replica();
+        let Some(lease_end) = replica.lease_end().filter(|end| now < *end) else { return };
+        let Some(content) = self.start.tables.content() else { return };
+        let term = replica.term();
+        let is_current = self.grants.as_ref().is_some_and(|grants| grants.term() == term);
+        if !is_current {
+            let vms = (self.effects.daemons)();
+            let limits = content.routing.limits();
+            self.grants = Some(GrantOwner::new(term, &vms, limits, lease_end, now));
+        }
+        let Some(grants) = &mut self.grants else { return };
+        grants.extend_lease(lease_end);
+        match grants.answer(vm, incarnation, request, now) {
+            GrantAnswer::Reply(reply) => {
+                (self.effects.send)(vm, FleetMessage::Agreement(Message::GrantReply(reply)));
+            }
+            GrantAnswer::Ignore(reason) => {
+                log::debug!(vm = vm.as_str(), reason:% = reason; "token request not answered");
+            }
+        }
+    }
+
+    fn join(&mut self, record: DaemonRecord, store_id: u64) {
+        let recorded = membership::find(self.node.replica().members(), &record.vm);
+        if self.node.replica().is_leader() && recorded.is_none() {
+            self.joining.insert(record.vm.clone(), member(&record, store_id));
+        }
+    }
+
+    fn change_members(&mut self) -> Result<()> {
+        if !self.node.replica().is_leader() {
+            self.joining.clear();
+            return Ok(());
+        }
+        let now = self.start.clock.now();
+        let size = GroupSize::for_lost_disks(self.start.settings.lost_disks_max as usize);
+        let replica = self.node.replica();
+        let next = size.next_change(replica.members(), replica.next_membership_change(now), |vm| {
+            replica.unheard_for(vm, now)
+        });
+        let change = match (next, self.joining.pop_first()) {
+            (Some(change), _) => change,
+            (None, Some((_, member))) => MembershipChange::AddLearner(member),
+            (None, None) => return Ok(()),
+        };
+        log::info!(change:? = change; "changing the control group");
+        self.proposing = None;
+        self.handle(Input::Propose(Command::Membership(change)))
+    }
+
+    /// Answers the reads that a quorum has confirmed after their arrival.
+    fn answer_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let confirmed = self.node.replica().lease_end().and_then(|end| end.checked_sub(LEASE));
+        let Some(confirmed) = confirmed else { return };
+        let (ready, waiting) =
+            std::mem::take(&mut self.reads).into_iter().partition(|read| read.arrived <= confirmed);
+        self.reads = waiting;
+        let ready: Vec<WaitingRead> = ready;
+        if ready.is_empty() {
+            return;
+        }
+        let content = self.content();
+        let content = (content.document.version > 0).then(|| Arc::new(content));
+        for read in ready {
+            let _ = read.answer.send(GroupAnswer::Content(content.clone()));
+        }
+    }
+
+    fn publish_leader(&self) {
+        let replica = self.node.replica();
+        note_leader(&self.start.tables, replica.term(), replica.leader().cloned());
+    }
+}
+
+/// Decodes a content and puts it in force; returns whether it is newer than the one before.
+pub fn put_in_force(tables: &Tables, dialect: &Dialect, replicated: FleetContent) -> bool {
+    if tables.revision() >= replicated.revision {
+        return false;
+    }
+    let (revision, version) = (replicated.revision, replicated.document.version);
+    match (dialect.read_document)(&replicated.document.items) {
+        Ok(routing) => {
+            let evacuated = replicated.evacuated.len();
+            let changed = tables.put_in_force(Content { replicated, routing });
+            if changed {
+                log::info!(revision = revision.0, version = version, evacuated = evacuated;
+                    "configuration in force");
+            }
+            changed
+        }
+        Err(error) => {
+            log::error!(revision = revision.0, version = version, error:% = format!("{error:#}");
+                "the replicated document cannot be read");
+            false
+        }
+    }
+}
+
+/// Records the leader of a term that is not earlier than the known one.
+pub fn note_leader(tables: &Tables, term: Term, vm: Option<VmId>) {
+    let mut leader = tables.leader.lock();
+    let is_news = term > leader.term || (term == leader.term && leader.vm.is_none());
+    if !is_news || (term == leader.term && vm.is_none()) {
+        return;
+    }
+    *leader = Leader { term, vm };
+    if let Some(vm) = &leader.vm {
+        log::info!(leader = vm.as_str(), term = term.0; "leader of the control group known");
+    }
+}
+
+/// Returns the configuration with which the seeds found the group.
+fn first_configuration(settings: &FleetSettings) -> Configuration {
+    let mut configuration = state::empty_configuration();
+    for seed in &settings.seeds {
+        configuration.members.push(Member {
+            vm: seed.clone(),
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+            role: MemberRole::Learner,
+            store_id: None,
+            callers_address: Default::default(),
+            operators_address: Default::default(),
+            peer_address: Default::default(),
+        });
+    }
+    configuration
+}
+
+fn member(record: &DaemonRecord, store_id: u64) -> Member {
+    Member {
+        vm: record.vm.clone(),
+        region: record.region.clone(),
+        data_centre: record.data_centre.clone(),
+        role: MemberRole::Learner,
+        store_id: Some(store_id),
+        callers_address: Default::default(),
+        operators_address: Default::default(),
+        peer_address: Default::default(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/logging.rs
@@ -0,0 +1,80 @@
+//! Structured log lines on standard output.
+//!
+//! Lines pass through a bounded queue to a thread of their own. When the reader of the output is
+//! slow, lines are dropped and counted, and no request waits.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+
+use anyhow::{Context, Result};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, Logger, LoggerHandle, json_format};
+use log::Record;
+
+/// Lines that wait to be written. At 200 bytes a line they take about 1 MB.
+const QUEUED_LINES: usize = 4_096;
+
+struct QueueWriter {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogWriter for QueueWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        json_format(&mut line, now, record)?;
+        line.push(b'\n');
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging at a level, for example `info`.
+///
+/// # Errors
+///
+/// When the level is invalid or a logger is already set.
+pub fn start(level: &str) -> Result<LoggerHandle> {
+    let (lines, queue) = sync_channel(QUEUED_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&dropped);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&queue, &counter))
+        .context("start the log thread")?;
+    Logger::try_with_str(level)
+        .with_context(|| format!("log level {level:?}"))?
+        .log_to_writer(Box::new(QueueWriter { lines, dropped }))
+        .start()
+        .context("start logging")
+}
+
+fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut output = io::stdout().lock();
+    while let Ok(line) = queue.recv() {
+        let mut batch = line;
+        while let Ok(line) = queue.try_recv() {
+            batch.extend_from_slice(&line);
+            if batch.len() > 64 * 1_024 {
+                break;
+            }
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let note =
+                format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"lines\":{lost}}}\n");
+            batch.extend_from_slice(note.as_bytes());
+        }
+        // Without a reader there is nobody to tell about the failure.
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/mesh.rs
@@ -0,0 +1,108 @@
+//! Messages between the daemons of a fleet: `postcard` frames on TCP connections.
+//!
+//! A VM is reached at its id, which is its IP address, on the peer port that all VMs share. Messages
+//! may be lost; every protocol above repeats what was not answered. The messages carry no secret:
+//! the network between the VMs has to keep strangers out.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use anyhow::{Context, Result, bail, ensure};
+use celerygate_daemon::peers::tcp::{FrameHandler, OUTBOUND_FRAMES, accept_frames, send_frames};
+use celerygate_types::wire::{FleetEnvelope, FleetMessage};
+use celerygate_types::{Incarnation, VmId};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Version of the messages.
+const VERSION: u16 = 1;
+/// Largest frame: a snapshot with some thousand routes.
+pub const MAX_FRAME_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Takes a message and the VM that sent it.
+pub type Inbound = Arc<dyn Fn(VmId, Incarnation, FleetMessage) + Send + Sync>;
+
+/// Connections to the other daemons.
+pub struct Mesh {
+    vm: VmId,
+    incarnation: Incarnation,
+    peer_port: u16,
+    runtime: tokio::runtime::Handle,
+    outbound: Mutex<HashMap<VmId, mpsc::Sender<Vec<u8>>>>,
+}
+
+impl Mesh {
+    /// Returns a mesh without connections; they are made when there is something to send.
+    pub fn new(vm: VmId, incarnation: Incarnation, peer_port: u16) -> Self {
+        let runtime = tokio::runtime::Handle::current();
+        Self { vm, incarnation, peer_port, runtime, outbound: Mutex::default() }
+    }
+
+    /// Sends a message; it is lost when the receiver cannot be reached.
+    pub fn send(&self, to: &VmId, message: FleetMessage) {
+        let envelope = FleetEnvelope {
+            version: VERSION,
+            sender: self.vm.clone(),
+            incarnation: self.incarnation,
+            message,
+        };
+        let frame = match postcard::to_stdvec(&envelope) {
+            Ok(frame) if frame.len() <= MAX_FRAME_BYTES => frame,
+            Ok(frame) => {
+                log::error!(peer = to.as_str(), bytes = frame.len(); "message too large to send");
+                return;
+            }
+            Err(error) => {
+                log::error!(peer = to.as_str(), error:% = error; "message not encoded");
+                return;
+            }
+        };
+        let mut outbound = self.outbound.lock();
+        if !outbound.contains_key(to) {
+            let Some(address) = self.address(to) else {
+                log::error!(peer = to.as_str(); "the id of the VM is no address");
+                return;
+            };
+            let (sender, frames) = mpsc::channel(OUTBOUND_FRAMES);
+            self.runtime.spawn(send_frames(address, frames));
+            outbound.insert(to.clone(), sender);
+        }
+        if let Some(sender) = outbound.get(to)
+            && sender.try_send(frame).is_err()
+        {
+            log::debug!(peer = to.as_str(); "message dropped: the queue to the peer is full");
+        }
+    }
+
+    fn address(&self, vm: &VmId) -> Option<SocketAddr> {
+        let ip: IpAddr = vm.as_str().parse().ok()?;
+        Some(SocketAddr::new(ip, self.peer_port))
+    }
+
+    /// Receives messages until the task is aborted.
+    ///
+    /// # Errors
+    ///
+    /// When the peer port cannot be listened on.
+    pub async fn receive(&self, inbound: Inbound) -> Result<()> {
+        let address = self.address(&self.vm).context("the id of this VM is no address")?;
+        let listener = TcpListener::bind(address)
+            .await
+            .with_context(|| format!("listen for daemons on {address}"))?;
+        let handle: FrameHandler = Arc::new(move |frame| {
+            let envelope = decode(frame)?;
+            inbound(envelope.sender, envelope.incarnation, envelope.message);
+            Ok(())
+        });
+        accept_frames(listener, MAX_FRAME_BYTES, handle).await;
+        bail!("the listener for daemons ended")
+    }
+}
+
+fn decode(frame: &[u8]) -> Result<FleetEnvelope> {
+    let envelope: FleetEnvelope = postcard::from_bytes(frame).context("decode a message")?;
+    ensure!(envelope.version == VERSION, "message of version {}", envelope.version);
+    Ok(envelope)
+}
--- /dev/null
+++ b/crates/fleet/src/quota.rs
@@ -0,0 +1,148 @@
+//! Tokens of organisations at an entry VM.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_steering::grants::{Admission, Limit, TokenNeed};
+use celerygate_steering::placement::TokenBucket;
+use celerygate_types::wire::{DaemonRole, FleetMessage, Message};
+use celerygate_types::{OrganisationId, ResultCode};
+use tokio::time::{sleep, timeout};
+
+use crate::dialect::Refusal;
+use crate::fleet::Fleet;
+
+/// Time between two looks whether tokens are to be asked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without an answer of the leader after which this VM uses its own allowance.
+const UNLED_AFTER: Duration = Duration::from_millis(600);
+/// Share of the rate that all VMs together use without a leader. The rest keeps the fleet within
+/// the rate while some VMs still hold tokens of the leader.
+const UNLED_SHARE: f64 = 0.8;
+/// Seconds of that allowance that may be used at once.
+const UNLED_BURST_S: f64 = 1.0;
+/// Longest wait for tokens before the decision is made again.
+const RECHECK: Duration = Duration::from_millis(100);
+
+/// Asks the leader for tokens until the task is aborted.
+pub async fn poll(fleet: Arc<Fleet>) {
+    loop {
+        sleep(POLL_INTERVAL).await;
+        let leader = fleet.tables.leader.lock().clone();
+        let Some(vm) = leader.vm else { continue };
+        let now = fleet.now();
+        let request = {
+            let mut quota = fleet.tables.quota.lock();
+            quota.holder.set_term(leader.term);
+            let quota = &mut *quota;
+            let waiting = &quota.waiting;
+            quota.holder.poll(|id| waiting.get(id).copied().unwrap_or(0), now)
+        };
+        if let Some(request) = request {
+            fleet.mesh.send(&vm, FleetMessage::Agreement(Message::GrantRequest(request)));
+        }
+    }
+}
+
+/// A request that waits for a token, until it is dropped.
+struct Waiting<'a> {
+    fleet: &'a Fleet,
+    organisation: &'a OrganisationId,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(fleet: &'a Fleet, organisation: &'a OrganisationId) -> Self {
+        *fleet.tables.quota.lock().waiting.entry(organisation.clone()).or_default() += 1;
+        Self { fleet, organisation }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.fleet.tables.quota.lock().waiting.get_mut(self.organisation) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+enum Next {
+    Admit,
+    Wait,
+    Refuse(Duration),
+}
+
+/// Takes a token of an organisation, waiting for one if the leader is about to send some.
+///
+/// # Errors
+///
+/// When the organisation has used its rate.
+pub async fn admit(
+    fleet: &Fleet,
+    organisation: &OrganisationId,
+    limit: Limit,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let arrived = fleet.now();
+    let mut waiting = None;
+    loop {
+        let arriving = fleet.tables.tokens_arrived.notified();
+        match decide(fleet, organisation, limit, arrived, deadline, waiting.is_some()) {
+            Next::Admit => return Ok(()),
+            Next::Refuse(retry_after) => {
+                return Err(Refusal {
+                    code: ResultCode::RateExceeded,
+                    retry_after: Some(retry_after),
+                });
+            }
+            Next::Wait => {
+                waiting.get_or_insert_with(|| Waiting::begin(fleet, organisation));
+                // Whether tokens have arrived is decided again in either case.
+                let _ = timeout(RECHECK, arriving).await;
+            }
+        }
+    }
+}
+
+fn decide(
+    fleet: &Fleet,
+    organisation: &OrganisationId,
+    limit: Limit,
+    arrived: Instant,
+    deadline: Instant,
+    is_waiting: bool,
+) -> Next {
+    let now = fleet.now();
+    let entries =
+        fleet.tables.daemons.lock().known.values().fold(0_usize, |count, known| {
+            count + usize::from(known.record.role == DaemonRole::Entry)
+        });
+    let mut quota = fleet.tables.quota.lock();
+    let need = TokenNeed { arrived, deadline, ahead: 0 };
+    let admission = if is_waiting {
+        quota.holder.recheck(organisation, &need, now)
+    } else {
+        quota.holder.admit(organisation, &need, now)
+    };
+    let answered = quota.answered_at;
+    let is_led = answered.is_some_and(|at| now.saturating_duration_since(at) < UNLED_AFTER);
+    match admission {
+        Admission::Admit => Next::Admit,
+        Admission::Refuse { retry_after } if is_led => Next::Refuse(retry_after),
+        Admission::WaitForTokens { recheck_at } if is_led && now < recheck_at => Next::Wait,
+        Admission::WaitForTokens { .. }
+            if !is_led && now.saturating_duration_since(arrived) < RECHECK =>
+        {
+            Next::Wait
+        }
+        Admission::Refuse { .. } | Admission::WaitForTokens { .. } => {
+            let rate = limit.rate.get() as f64 * UNLED_SHARE / (entries + 1) as f64;
+            let bucket =
+                quota.unled.entry(organisation.clone()).or_insert_with(|| TokenBucket::new(now));
+            if !is_led && bucket.take(rate, rate * UNLED_BURST_S, now) {
+                Next::Admit
+            } else {
+                Next::Refuse(Duration::from_secs_f64(1.0 / rate.max(1.0)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,209 @@
+//! Start and stop of a daemon.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use celerygate_daemon::telemetry::Metrics;
+use celerygate_daemon::upstream::Pool;
+use celerygate_types::Incarnation;
+use celerygate_types::wire::{DaemonRole, FleetMessage, FleetSettings, VmState};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Request, Response};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant as TokioInstant, sleep};
+
+use crate::dialect::Dialect;
+use crate::fleet::Fleet;
+use crate::group::{self, Effects, GroupStart};
+use crate::mesh::{Inbound, Mesh};
+use crate::sync::{self, Spread};
+use crate::{clock, forward, listen, quota, targets};
+
+/// Time between two looks whether the last request has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Part of the time until the kill for which a leaving entry VM still accepts connections: callers
+/// hold lookup answers that name it.
+const ACCEPT_SHARE: f64 = 0.6;
+/// Time before the kill at which the process ends by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time for which a leaving control VM still answers.
+const CONTROL_LINGER: Duration = Duration::from_millis(300);
+/// Time between two clean-ups of the tables.
+const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A running daemon, for its front end.
+#[derive(Clone)]
+pub struct Daemon {
+    /// What the parts share.
+    pub fleet: Arc<Fleet>,
+    /// State of the spread.
+    pub spread: Arc<Spread>,
+    /// Becomes true when connections are to be ended.
+    pub closing: watch::Receiver<bool>,
+}
+
+/// Starts a daemon, lets the front end serve, and returns once it was asked to stop.
+///
+/// # Errors
+///
+/// When a listener or the data folder cannot be opened.
+pub async fn run(
+    settings: FleetSettings,
+    dialect: Dialect,
+    serve_front_end: impl FnOnce(Daemon) -> Result<()>,
+) -> Result<()> {
+    let clock = clock::suspend_aware();
+    let incarnation = Incarnation(clock.unix_ms());
+    let tables = Arc::new(crate::tables::Tables::new());
+    let mesh = Mesh::new(settings.vm.clone(), incarnation, settings.peer_port);
+    let (group, start_group) = match &settings.data_folder {
+        Some(folder) => {
+            let start = GroupStart {
+                settings: settings.clone(),
+                clock: clock.clone(),
+                tables: Arc::clone(&tables),
+                dialect,
+            };
+            let (group, run) = group::start(start, PathBuf::from(folder.as_str()));
+            (Some(group), Some(run))
+        }
+        None => (None, None),
+    };
+    log::info!(vm = settings.vm.as_str(), region = settings.region.as_str(),
+        data_centre = settings.data_centre.as_str(), incarnation = incarnation.0,
+        control = settings.data_folder.is_some(), founds_group = settings.found_group,
+        version = env!("CARGO_PKG_VERSION"); "daemon starts");
+    let fleet = Arc::new(Fleet {
+        settings,
+        clock,
+        incarnation,
+        tables,
+        mesh,
+        group,
+        dialect,
+        pool: Arc::new(Pool::default()),
+        metrics: Metrics::new()?,
+    });
+    if let Some(start_group) = start_group {
+        start_group(effects(&fleet))?;
+        fleet.tables.set_state(VmState::Serving);
+    }
+    let spread = Arc::new(Spread::default());
+    let (close, closing) = watch::channel(false);
+    spawn_tasks(&fleet, &spread);
+    serve_metrics(&fleet, closing.clone())?;
+    let daemon = Daemon { fleet: Arc::clone(&fleet), spread, closing: closing.clone() };
+    if let Some(address) = &fleet.settings.listeners.callers {
+        let listener = listen::bind(address)?;
+        let fleet = Arc::clone(&fleet);
+        tokio::spawn(listen::serve(listener, closing, move |request| {
+            forward::serve(Arc::clone(&fleet), request)
+        }));
+    }
+    serve_front_end(daemon)?;
+    stop_on_signal(&fleet, &close).await
+}
+
+fn effects(fleet: &Arc<Fleet>) -> Effects {
+    let (sender, lister) = (Arc::clone(fleet), Arc::clone(fleet));
+    Effects {
+        send: Box::new(move |vm, message: FleetMessage| sender.mesh.send(vm, message)),
+        daemons: Box::new(move || {
+            let now = lister.now();
+            let daemons = lister.tables.daemons.lock();
+            let entries = daemons.running(DaemonRole::Entry, now);
+            entries.map(|record| record.vm.clone()).collect()
+        }),
+    }
+}
+
+fn spawn_tasks(fleet: &Arc<Fleet>, spread: &Arc<Spread>) {
+    let inbound: Inbound = {
+        let (fleet, spread) = (Arc::clone(fleet), Arc::clone(spread));
+        Arc::new(move |from, incarnation, message| {
+            sync::receive(&fleet, &spread, from, incarnation, message);
+        })
+    };
+    let receiver = Arc::clone(fleet);
+    tokio::spawn(async move {
+        if let Err(error) = receiver.mesh.receive(inbound).await {
+            log::error!(error:% = format!("{error:#}"); "no messages from daemons");
+            std::process::exit(1);
+        }
+    });
+    tokio::spawn(sync::ask(Arc::clone(fleet), Arc::clone(spread)));
+    if fleet.group.is_some() {
+        tokio::spawn(sync::relay(Arc::clone(fleet), Arc::clone(spread)));
+    } else {
+        tokio::spawn(quota::poll(Arc::clone(fleet)));
+        tokio::spawn(clean_up(Arc::clone(fleet)));
+    }
+}
+
+async fn clean_up(fleet: Arc<Fleet>) {
+    loop {
+        sleep(CLEAN_UP_INTERVAL).await;
+        targets::forget_unknown(&fleet, fleet.now());
+    }
+}
+
+fn serve_metrics(fleet: &Arc<Fleet>, closing: watch::Receiver<bool>) -> Result<()> {
+    let Some(address) = &fleet.settings.listeners.metrics else { return Ok(()) };
+    let listener = listen::bind(address).context("metrics")?;
+    let fleet = Arc::clone(fleet);
+    tokio::spawn(listen::serve(listener, closing, move |_: Request<_>| {
+        let scraped = fleet.metrics.scrape();
+        async move {
+            match scraped {
+                Ok(text) => Response::new(Full::new(Bytes::from(text))),
+                Err(error) => {
+                    log::error!(error:% = format!("{error:#}"); "metrics not encoded");
+                    let mut response = Response::new(Full::default());
+                    *response.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+                    response
+                }
+            }
+        }
+    }));
+    Ok(())
+}
+
+async fn stop_on_signal(fleet: &Fleet, close: &watch::Sender<bool>) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("wait for SIGINT")?;
+    let mut reload = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => {
+                // The addresses and bounds of a running process stay; seeds only matter at a start.
+                log::info!("settings changed, they hold from the next start");
+            }
+        }
+    }
+    let asked_at = TokioInstant::now();
+    let grace = Duration::from_millis(fleet.settings.bounds.grace_ms);
+    fleet.tables.set_state(VmState::Leaving);
+    fleet.tables.sync_now.notify_one();
+    log::info!(running = fleet.tables.requests_running(), grace_ms = grace.as_millis() as u64;
+        "daemon leaves");
+    let accepts_for = match fleet.role() {
+        DaemonRole::Entry => grace.mul_f64(ACCEPT_SHARE),
+        DaemonRole::Control => CONTROL_LINGER,
+    };
+    sleep(accepts_for).await;
+    // The receivers end with the process.
+    let _ = close.send(true);
+    let exit_at = asked_at + grace.saturating_sub(EXIT_MARGIN);
+    while fleet.tables.requests_running() > 0 && TokioInstant::now() < exit_at {
+        sleep(DRAIN_POLL).await;
+    }
+    sleep(DRAIN_POLL).await;
+    log::info!(running = fleet.tables.requests_running(); "daemon stops");
+    Ok(())
+}
--- /dev/null
+++ b/crates/fleet/src/sync.rs
@@ -0,0 +1,404 @@
+//! Spread of configuration, targets and daemons: every daemon asks every control VM for what has
+//! changed since its last answer, and control VMs pass on what targets report to them.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use celerygate_steering::instances::Reported;
+use celerygate_types::wire::{
+    ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
+    SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck,
+};
+use celerygate_types::{Incarnation, TargetId, VmId};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio::time::{Instant as TokioInstant, sleep, timeout_at};
+
+use crate::fleet::Fleet;
+use crate::group::{GroupInput, note_leader, put_in_force};
+
+/// Time between two questions to a control VM. The shortest bound on the spread of a change is 2 s,
+/// and three lost questions must not exceed it.
+pub const SYNC_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two messages with the heartbeats that a control VM has received.
+const RELAY_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for the confirmation that other control VMs know of a leaving target; targets wait
+/// one second for the answer.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a daemon that is not heard is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// What this daemon has received of one control VM.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cursor {
+    targets_epoch: u64,
+    targets_change: u64,
+    daemons_digest: u64,
+}
+
+/// State of the spread that only this module uses.
+#[derive(Default)]
+pub struct Spread {
+    cursors: Mutex<HashMap<VmId, Cursor>>,
+    /// Reports that were received here and not yet passed on.
+    unrelayed: Mutex<HashMap<TargetId, InstanceRecord>>,
+    confirmations: Mutex<Confirmations>,
+}
+
+#[derive(Default)]
+struct Confirmations {
+    latest: u64,
+    waiting: HashMap<u64, mpsc::UnboundedSender<VmId>>,
+}
+
+/// Asks the control VMs until the task is aborted.
+pub async fn ask(fleet: Arc<Fleet>, spread: Arc<Spread>) {
+    loop {
+        for vm in control_vms(&fleet) {
+            ask_vm(&fleet, &spread, &vm);
+        }
+        let next = TokioInstant::now() + SYNC_INTERVAL;
+        // A notice ends the pause, and an expired pause is the usual case.
+        let _ = timeout_at(next, fleet.tables.sync_now.notified()).await;
+        let now = fleet.now();
+        fleet.tables.daemons.lock().forget_unheard(FORGET_AFTER, now);
+        fleet.tables.instances.write().forget_old(now);
+    }
+}
+
+fn ask_vm(fleet: &Fleet, spread: &Spread, vm: &VmId) {
+    let cursor = spread.cursors.lock().get(vm).copied().unwrap_or_default();
+    let request = SyncRequest {
+        daemon: fleet.own_record(),
+        store_id: fleet.group.as_ref().and_then(|group| group.store_id()),
+        revision: fleet.tables.revision(),
+        targets_epoch: cursor.targets_epoch,
+        targets_change: cursor.targets_change,
+        daemons_digest: cursor.daemons_digest,
+    };
+    fleet.mesh.send(vm, FleetMessage::SyncRequest(request));
+}
+
+/// Returns the control VMs other than this one: the seeds and those that were named since.
+pub fn control_vms(fleet: &Fleet) -> BTreeSet<VmId> {
+    let daemons = fleet.tables.daemons.lock();
+    let named = daemons.known.values().filter(|known| known.record.role == DaemonRole::Control);
+    let named = named.map(|known| known.record.vm.clone());
+    let mut vms: BTreeSet<VmId> = fleet.settings.seeds.iter().cloned().chain(named).collect();
+    vms.remove(&fleet.settings.vm);
+    vms
+}
+
+/// Handles a message from another daemon.
+pub fn receive(
+    fleet: &Arc<Fleet>,
+    spread: &Spread,
+    from: VmId,
+    incarnation: Incarnation,
+    message: FleetMessage,
+) {
+    match message {
+        FleetMessage::Agreement(Message::GrantReply(reply)) => {
+            let now = fleet.now();
+            let mut quota = fleet.tables.quota.lock();
+            if quota.holder.accept(&reply, now) {
+                quota.answered_at = Some(now);
+                fleet.tables.tokens_arrived.notify_waiters();
+            }
+        }
+        FleetMessage::Agreement(message) => {
+            if let Some(group) = &fleet.group {
+                group.send(GroupInput::Message { from, incarnation, message });
+            }
+        }
+        FleetMessage::SyncRequest(request) => answer(fleet, &from, request),
+        FleetMessage::SyncReply(reply) => take_reply(fleet, spread, from, reply),
+        FleetMessage::TargetUpdate(update) => {
+            let now = fleet.now();
+            let changed = {
+                let mut instances = fleet.tables.instances.write();
+                let mut changed = false;
+                for record in update.records {
+                    changed |= instances.report(record, now) == Reported::Changed;
+                }
+                changed
+            };
+            let ack = TargetUpdateAck { sequence: update.sequence };
+            fleet.mesh.send(&from, FleetMessage::TargetUpdateAck(ack));
+            if changed && update.sequence > 0 {
+                notify_entries(fleet);
+            }
+        }
+        FleetMessage::TargetUpdateAck(ack) => {
+            let confirmations = spread.confirmations.lock();
+            if let Some(waiting) = confirmations.waiting.get(&ack.sequence) {
+                // The waiting task may have enough confirmations already.
+                let _ = waiting.send(from);
+            }
+        }
+        FleetMessage::ChangeNotice(_) => ask_vm(fleet, spread, &from),
+    }
+}
+
+fn answer(fleet: &Fleet, from: &VmId, request: SyncRequest) {
+    let now = fleet.now();
+    let is_control = request.daemon.role == DaemonRole::Control;
+    if is_control && let (Some(group), Some(store_id)) = (&fleet.group, request.store_id) {
+        group.send(GroupInput::Join { record: request.daemon.clone(), store_id });
+    }
+    note_daemon(fleet, request.daemon, now);
+    let running = running_daemons(fleet, now);
+    let digest = daemons_digest(&running);
+    let content = fleet.tables.content().filter(|own| own.replicated.revision > request.revision);
+    let instances = fleet.tables.instances.read();
+    let epoch = fleet.incarnation.0;
+    let since = if request.targets_epoch == epoch { request.targets_change } else { 0 };
+    let targets =
+        instances.changed_since(since).map(|instance| instance.current_record(now)).collect();
+    let silent = instances.silent(fleet.heartbeat(), now).cloned().collect();
+    let leader = fleet.tables.leader.lock().clone();
+    let reply = SyncReply {
+        content: content.map(|content| content.replicated.clone()),
+        daemons: if digest == request.daemons_digest { Vec::new() } else { running },
+        daemons_digest: digest,
+        leader: leader.vm,
+        silent,
+        targets,
+        targets_change: instances.change(),
+        targets_epoch: epoch,
+        term: leader.term,
+    };
+    drop(instances);
+    fleet.mesh.send(from, FleetMessage::SyncReply(reply));
+}
+
+fn note_daemon(fleet: &Fleet, record: DaemonRecord, now: std::time::Instant) {
+    let mut daemons = fleet.tables.daemons.lock();
+    let before = daemons.known.get(&record.vm).map(|known| {
+        let is_running = known
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < crate::tables::DAEMON_LEASE);
+        (known.record.incarnation, known.record.state, is_running)
+    });
+    if before != Some((record.incarnation, record.state, true)) {
+        log::info!(daemon = record.vm.as_str(), incarnation = record.incarnation.0,
+            state:% = record.state, role:% = record.role, known:? = before; "daemon heard");
+    }
+    daemons.take(record, Some(now));
+}
+
+/// Returns the daemons that run, with this one.
+fn running_daemons(fleet: &Fleet, now: std::time::Instant) -> Vec<DaemonRecord> {
+    let daemons = fleet.tables.daemons.lock();
+    let mut running: Vec<DaemonRecord> = daemons
+        .running(DaemonRole::Entry, now)
+        .chain(daemons.running(DaemonRole::Control, now))
+        .cloned()
+        .collect();
+    drop(daemons);
+    running.push(fleet.own_record());
+    running
+}
+
+fn daemons_digest(daemons: &[DaemonRecord]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for record in daemons {
+        (record.vm.as_str(), record.incarnation.0, record.state as u8).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+fn take_reply(fleet: &Fleet, spread: &Spread, from: VmId, reply: SyncReply) {
+    let now = fleet.now();
+    if let Some(content) = reply.content {
+        let before = fleet.tables.content();
+        if put_in_force(&fleet.tables, &fleet.dialect, content) {
+            note_resumed(fleet, before.as_deref(), now);
+            fleet.tables.set_state(celerygate_types::wire::VmState::Serving);
+        }
+    }
+    note_leader(&fleet.tables, reply.term, reply.leader);
+    {
+        let mut daemons = fleet.tables.daemons.lock();
+        if let Some(known) = daemons.known.get_mut(&from) {
+            known.heard_at = Some(now);
+        }
+        if fleet.role() == DaemonRole::Entry && !reply.daemons.is_empty() {
+            // Entry VMs do not hear each other; the control VM lists those that run.
+            daemons.known.retain(|vm, known| {
+                known.record.role == DaemonRole::Control
+                    || reply.daemons.iter().any(|record| record.vm == *vm)
+            });
+        }
+        for record in reply.daemons {
+            if record.vm == fleet.settings.vm {
+                continue;
+            }
+            let heard = (record.vm == from).then_some(now);
+            daemons.take(record, heard);
+        }
+    }
+    let mut changed = 0_usize;
+    {
+        let mut instances = fleet.tables.instances.write();
+        for record in reply.targets {
+            log_target(&record, &from);
+            changed += usize::from(instances.report(record, now) == Reported::Changed);
+        }
+    }
+    if changed > 0 {
+        log::info!(control = from.as_str(), targets = changed, change = reply.targets_change;
+            "targets changed");
+    }
+    let silent: HashSet<TargetId> = reply.silent.into_iter().collect();
+    fleet.tables.targets.lock().silent.insert(from.clone(), (silent, now));
+    let cursor = Cursor {
+        targets_epoch: reply.targets_epoch,
+        targets_change: reply.targets_change,
+        daemons_digest: reply.daemons_digest,
+    };
+    spread.cursors.lock().insert(from, cursor);
+}
+
+fn log_target(record: &InstanceRecord, from: &VmId) {
+    log::debug!(target_id = record.instance.as_str(), address = record.address.as_str(),
+        state:% = record.state, sequence = record.sequence, control = from.as_str(); "target reported");
+}
+
+/// Treats targets as cold for a time after their data centre's evacuation has ended: they may have
+/// restarted, and their next heartbeat tells.
+fn note_resumed(fleet: &Fleet, before: Option<&crate::tables::Content>, now: std::time::Instant) {
+    let (Some(before), Some(after)) = (before, fleet.tables.content()) else { return };
+    let mut targets = fleet.tables.targets.lock();
+    for data_centre in &before.replicated.evacuated {
+        if !after.replicated.evacuated.contains(data_centre) {
+            let until = now + fleet.heartbeat() * 2;
+            targets.resumed_until.insert(data_centre.clone(), until);
+        }
+    }
+}
+
+/// Tells the entry VMs to ask at once.
+fn notify_entries(fleet: &Fleet) {
+    let now = fleet.now();
+    let notice = ChangeNotice { revision: fleet.tables.revision() };
+    let entries: Vec<VmId> = {
+        let daemons = fleet.tables.daemons.lock();
+        daemons.running(DaemonRole::Entry, now).map(|record| record.vm.clone()).collect()
+    };
+    for vm in entries {
+        fleet.mesh.send(&vm, FleetMessage::ChangeNotice(notice.clone()));
+    }
+}
+
+/// Passes on the reports of targets until the task is aborted.
+pub async fn relay(fleet: Arc<Fleet>, spread: Arc<Spread>) {
+    loop {
+        sleep(RELAY_INTERVAL).await;
+        let records: Vec<InstanceRecord> = {
+            let mut unrelayed = spread.unrelayed.lock();
+            unrelayed.drain().map(|(_, record)| record).collect()
+        };
+        if records.is_empty() {
+            continue;
+        }
+        for vm in control_vms(&fleet) {
+            let update = TargetUpdate { sequence: 0, records: records.clone() };
+            fleet.mesh.send(&vm, FleetMessage::TargetUpdate(update));
+        }
+    }
+}
+
+/// How a target's report was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// The report holds everywhere that it has to.
+    Acknowledged,
+    /// Too few control VMs know that the target leaves; another one should be told.
+    Unconfirmed,
+}
+
+/// Takes the heartbeat of a target. That a target leaves is acknowledged only once most control VMs
+/// know it, so that every entry VM that reaches most of them learns of it.
+pub async fn report_target(
+    fleet: &Arc<Fleet>,
+    spread: &Spread,
+    record: InstanceRecord,
+) -> ReportOutcome {
+    let reported = fleet.tables.instances.write().report(record.clone(), fleet.now());
+    if reported == Reported::Changed {
+        log::info!(target_id = record.instance.as_str(), address = record.address.as_str(),
+            service = record.service.as_str(), state:% = record.state, born = record.born_unix_ms,
+            sequence = record.sequence, cold_ms = record.cold_ms; "target reported");
+    }
+    if record.state == InstanceState::Ready {
+        spread.unrelayed.lock().insert(record.instance.clone(), record);
+        if reported == Reported::Changed {
+            notify_entries(fleet);
+        }
+        return ReportOutcome::Acknowledged;
+    }
+    confirm_leaving(fleet, spread, record).await
+}
+
+/// Takes the departure of a target; one that is not known has nothing to be told about.
+pub async fn end_target(
+    fleet: &Arc<Fleet>,
+    spread: &Spread,
+    instance: &TargetId,
+    born_unix_ms: Option<u64>,
+) -> ReportOutcome {
+    let ended = fleet.tables.instances.write().end(instance, born_unix_ms, fleet.now());
+    match ended {
+        Some(record) => confirm_leaving(fleet, spread, record).await,
+        None => {
+            log::info!(target_id = instance.as_str(), born:? = born_unix_ms;
+                "departure of an unknown target or life");
+            ReportOutcome::Acknowledged
+        }
+    }
+}
+
+async fn confirm_leaving(
+    fleet: &Arc<Fleet>,
+    spread: &Spread,
+    record: InstanceRecord,
+) -> ReportOutcome {
+    let instance = record.instance.clone();
+    let (sequence, mut confirmed) = {
+        let mut confirmations = spread.confirmations.lock();
+        confirmations.latest += 1;
+        let sequence = confirmations.latest;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        confirmations.waiting.insert(sequence, sender);
+        (sequence, receiver)
+    };
+    let members = fleet.group.as_ref().map(|group| group.voters()).unwrap_or_default();
+    let others: Vec<VmId> =
+        members.iter().filter(|vm| **vm != fleet.settings.vm).cloned().collect();
+    for vm in control_vms(fleet) {
+        let update = TargetUpdate { sequence, records: vec![record.clone()] };
+        fleet.mesh.send(&vm, FleetMessage::TargetUpdate(update));
+    }
+    notify_entries(fleet);
+    let own = usize::from(members.contains(&fleet.settings.vm));
+    let needed = members.len() / 2 + 1;
+    let mut knowing = HashSet::new();
+    let deadline = TokioInstant::now() + CONFIRM_TIMEOUT;
+    while knowing.len() + own < needed {
+        match timeout_at(deadline, confirmed.recv()).await {
+            Ok(Some(vm)) if others.contains(&vm) => {
+                knowing.insert(vm);
+            }
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => break,
+        }
+    }
+    spread.confirmations.lock().waiting.remove(&sequence);
+    let is_confirmed = !members.is_empty() && knowing.len() + own >= needed;
+    log::info!(target_id = instance.as_str(), confirmed = knowing.len() + own, needed = needed;
+        "target leaves");
+    if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
+}
--- /dev/null
+++ b/crates/fleet/src/tables.rs
@@ -0,0 +1,242 @@
+//! Tables that the tasks of a daemon share.
+//!
+//! Lock order: `content`, `daemons`, `instances`, `targets`, `quota`, `retries`. A task that holds a
+//! lock takes only later ones, and no lock is held across an await.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use celerygate_steering::grants::GrantHolder;
+use celerygate_steering::instances::InstanceTable;
+use celerygate_steering::outcome::RetryBudget;
+use celerygate_steering::placement::{ColdPace, Observed, TokenBucket};
+use celerygate_steering::routing::RoutingTable;
+use celerygate_types::wire::{DaemonRecord, DaemonRole, FleetContent, VmState};
+use celerygate_types::{DataCentreId, OrganisationId, Revision, ServiceId, TargetId, Term, VmId};
+use parking_lot::{Mutex, RwLock};
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+/// Time after its last message for which a daemon counts as running: three times the interval of
+/// its messages.
+pub const DAEMON_LEASE: Duration = Duration::from_millis(1_200);
+
+/// The replicated configuration that is in force here.
+#[derive(Debug)]
+pub struct Content {
+    /// As it is replicated.
+    pub replicated: FleetContent,
+    /// Routes, services and organisations in it.
+    pub routing: RoutingTable,
+}
+
+/// A daemon and when it was heard.
+#[derive(Clone, Debug)]
+pub struct KnownDaemon {
+    /// What it says of itself.
+    pub record: DaemonRecord,
+    /// When its latest message arrived; none for a daemon that only others have named.
+    pub heard_at: Option<Instant>,
+}
+
+/// The other daemons.
+#[derive(Debug, Default)]
+pub struct Daemons {
+    /// By id.
+    pub known: BTreeMap<VmId, KnownDaemon>,
+}
+
+impl Daemons {
+    /// Takes a record that came from the daemon itself or, without a time, from another one.
+    pub fn take(&mut self, record: DaemonRecord, heard_at: Option<Instant>) {
+        match self.known.get_mut(&record.vm) {
+            Some(known) if record.incarnation < known.record.incarnation => {}
+            Some(known) => {
+                if heard_at.is_some() || record.incarnation > known.record.incarnation {
+                    known.record = record;
+                    known.heard_at = heard_at.or(known.heard_at);
+                }
+            }
+            None => {
+                self.known.insert(record.vm.clone(), KnownDaemon { record, heard_at });
+            }
+        }
+    }
+
+    /// Returns the daemons of a role that were heard recently.
+    pub fn running(&self, role: DaemonRole, now: Instant) -> impl Iterator<Item = &DaemonRecord> {
+        let is_running = move |known: &&KnownDaemon| {
+            known.record.role == role
+                && known.heard_at.is_some_and(|at| now.saturating_duration_since(at) < DAEMON_LEASE)
+        };
+        self.known.values().filter(is_running).map(|known| &known.record)
+    }
+
+    /// Forgets daemons that were not heard for a time; a VM that returns names itself again.
+    pub fn forget_unheard(&mut self, after: Duration, now: Instant) {
+        self.known.retain(|_, known| {
+            known.heard_at.is_none_or(|at| now.saturating_duration_since(at) < after)
+        });
+    }
+}
+
+/// What this VM knows of the targets beside their reports.
+#[derive(Debug, Default)]
+pub struct TargetViews {
+    /// Own observations.
+    pub observed: HashMap<TargetId, Observed>,
+    /// Targets that a control VM calls silent, with the VM and the time of its message.
+    pub silent: HashMap<VmId, (HashSet<TargetId>, Instant)>,
+    /// Until when a target may have been restarted unnoticed and is treated as cold.
+    pub suspected_cold_until: HashMap<TargetId, Instant>,
+    /// Until when the targets of a data centre are treated as cold after its evacuation.
+    pub resumed_until: HashMap<DataCentreId, Instant>,
+    /// Requests to cold targets.
+    pub cold_pace: ColdPace,
+}
+
+/// Tokens of the organisations.
+#[derive(Debug)]
+pub struct Quota {
+    /// Tokens that the leader has granted.
+    pub holder: GrantHolder,
+    /// Requests that wait for tokens.
+    pub waiting: HashMap<OrganisationId, u64>,
+    /// When the leader last answered.
+    pub answered_at: Option<Instant>,
+    /// Allowance while the leader does not answer.
+    pub unled: HashMap<OrganisationId, TokenBucket>,
+}
+
+/// The leader of the control group as far as it is known here.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Leader {
+    /// Its term.
+    pub term: Term,
+    /// The VM, when it is known.
+    pub vm: Option<VmId>,
+}
+
+/// All shared tables.
+pub struct Tables {
+    content: RwLock<Option<Arc<Content>>>,
+    /// Other daemons.
+    pub daemons: Mutex<Daemons>,
+    /// Reports of the targets.
+    pub instances: RwLock<InstanceTable>,
+    /// Own knowledge of the targets.
+    pub targets: Mutex<TargetViews>,
+    /// Tokens.
+    pub quota: Mutex<Quota>,
+    /// Budgets of repeats by service.
+    pub retries: Mutex<HashMap<ServiceId, RetryBudget>>,
+    /// The leader; taken last and for a moment only.
+    pub leader: Mutex<Leader>,
+    /// Numbers of the requests on split routes.
+    split_numbers: Mutex<HashMap<SmolStr, u64>>,
+    /// Told when tokens arrive.
+    pub tokens_arrived: Notify,
+    /// Told when something is to be fetched from the control VMs at once.
+    pub sync_now: Notify,
+    /// State of this daemon as other daemons are told.
+    state: Mutex<VmState>,
+    requests_running: AtomicU64,
+}
+
+impl Tables {
+    /// Returns empty tables.
+    pub fn new() -> Self {
+        Self {
+            content: RwLock::default(),
+            daemons: Mutex::default(),
+            instances: RwLock::default(),
+            targets: Mutex::default(),
+            quota: Mutex::new(Quota {
+                holder: GrantHolder::new(Term::ZERO),
+                waiting: HashMap::new(),
+                answered_at: None,
+                unled: HashMap::new(),
+            }),
+            retries: Mutex::default(),
+            leader: Mutex::default(),
+            split_numbers: Mutex::default(),
+            tokens_arrived: Notify::new(),
+            sync_now: Notify::new(),
+            state: Mutex::new(VmState::Starting),
+            requests_running: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the configuration in force; none before the first.
+    pub fn content(&self) -> Option<Arc<Content>> {
+        self.content.read().clone()
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.content.read().as_ref().map_or(Revision::ZERO, |content| content.replicated.revision)
+    }
+
+    /// Puts a configuration in force unless one of the same or a later revision is.
+    pub fn put_in_force(&self, content: Content) -> bool {
+        let mut current = self.content.write();
+        let revision = content.replicated.revision;
+        if current.as_ref().is_some_and(|own| own.replicated.revision >= revision) {
+            return false;
+        }
+        *current = Some(Arc::new(content));
+        true
+    }
+
+    /// Returns the state of this daemon.
+    pub fn state(&self) -> VmState {
+        *self.state.lock()
+    }
+
+    /// Changes the state of this daemon; a daemon that leaves does not return.
+    pub fn set_state(&self, state: VmState) -> bool {
+        let mut own = self.state.lock();
+        let changes = *own != state && *own != VmState::Leaving;
+        if changes {
+            *own = state;
+        }
+        changes
+    }
+
+    /// Returns the number of the next request on a split route.
+    pub fn next_split_number(&self, route: &SmolStr) -> u64 {
+        let mut numbers = self.split_numbers.lock();
+        let number =
+            numbers.entry(route.clone()).or_insert_with(|| u64::from(rand::random::<u16>()));
+        *number += 1;
+        *number
+    }
+
+    /// Counts a running request until the returned guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> RunningRequest {
+        self.requests_running.fetch_add(1, Ordering::AcqRel);
+        RunningRequest(Arc::clone(self))
+    }
+
+    /// Returns the number of running requests.
+    pub fn requests_running(&self) -> u64 {
+        self.requests_running.load(Ordering::Acquire)
+    }
+}
+
+impl Default for Tables {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Marks a request as running.
+pub struct RunningRequest(Arc<Tables>);
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.0.requests_running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/targets.rs
@@ -0,0 +1,260 @@
+//! Targets for a request: what is known of each, put together for the decision.
+
+use std::time::{Duration, Instant};
+
+use celerygate_daemon::upstream::Reach;
+use celerygate_steering::lookup::rendezvous;
+use celerygate_steering::placement::{
+    AttemptEnd, Candidate, Observed, Placement, PlacementReason, ReportedLoad, place,
+};
+use celerygate_steering::routing::{Route, allows_region};
+use celerygate_steering::targets::Distance;
+use celerygate_types::wire::{DaemonRole, InstanceState};
+use celerygate_types::{DataCentreId, RegionId, ServiceId, TargetId};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use crate::fleet::Fleet;
+use crate::tables::{Content, TargetViews};
+
+/// Entry VMs that send to one cold target. Each may send one request at once beside its share of
+/// the target's rate, so few of them stay within the slack of the smallest deployments.
+const COLD_SENDERS: usize = 4;
+/// Age up to which a control VM's list of silent targets counts.
+const SILENT_LIST_AGE_MAX: Duration = Duration::from_secs(2);
+/// Time beside two heartbeats after which a target that could not be reached and has not announced
+/// a new life counts as warm: a heartbeat may be on its way for so long.
+const RESTART_NEWS_DELAY: Duration = Duration::from_millis(500);
+
+/// A target that a request is sent to.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// Id.
+    pub instance: TargetId,
+    /// Socket address.
+    pub address: SmolStr,
+    /// Whether the way to it crosses regions.
+    pub reach: Reach,
+    /// Why it was chosen.
+    pub reason: PlacementReason,
+    /// Requests at it when it was chosen.
+    pub load: f64,
+    /// Number of targets that were considered.
+    pub considered: usize,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Debug)]
+pub enum Choice {
+    /// Send the request to this target.
+    Use(Chosen),
+    /// No target has room.
+    Full,
+    /// There is no target.
+    NoTarget,
+}
+
+/// What a request asks of a target.
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Route.
+    pub route: &'a Route,
+    /// Homes of the organisation.
+    pub organisation_homes: &'a [RegionId],
+    /// Hash of the object.
+    pub object: Option<u64>,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetId],
+}
+
+/// Chooses a target and counts the request as being there.
+pub fn choose(fleet: &Fleet, content: &Content, wanted: &Wanted<'_>, now: Instant) -> Choice {
+    let senders = cold_senders(fleet, now);
+    let instances = fleet.tables.instances.read();
+    let mut views = fleet.tables.targets.lock();
+    let mut warm: Vec<Candidate> = Vec::new();
+    let mut cold: Vec<Candidate> = Vec::new();
+    for instance in instances.iter() {
+        let record = &instance.record;
+        let is_usable = record.service == *wanted.service
+            && record.state == InstanceState::Ready
+            && !content.replicated.evacuated.contains(&record.data_centre)
+            && !wanted.tried.contains(&record.instance)
+            && !instances.is_address_reused(instance);
+        if !is_usable {
+            continue;
+        }
+        let Some(region) = fleet.region_of(&record.data_centre) else { continue };
+        if !allows_region(&wanted.route.home_regions, wanted.organisation_homes, region) {
+            continue;
+        }
+        let observed = views.observed.get(&record.instance);
+        let candidate = Candidate {
+            instance: record.instance.clone(),
+            hash: rendezvous::id_hash(record.instance.as_str()),
+            distance: distance(fleet, region, &record.data_centre),
+            slots: record.slots,
+            load: observed.map_or(0.0, |observed| observed.load(now)),
+            is_avoided: observed.is_some_and(|observed| observed.is_avoided(now))
+                || is_silent(&views, &record.instance, now),
+        };
+        let is_cold = instance.warm_at > now
+            || may_be_cold(&views, &record.instance, &record.data_centre, now);
+        if is_cold { cold.push(candidate) } else { warm.push(candidate) }
+    }
+    let considered = warm.len() + cold.len();
+    let mut placement = place(wanted.object, &warm);
+    let mut from = &warm;
+    if !matches!(placement, Placement::Send { .. }) && !cold.is_empty() {
+        let rate =
+            content.routing.service(wanted.service).map_or(0.0, |rule| rule.cold_requests_per_s);
+        cold.retain(|candidate| {
+            !candidate.is_avoided
+                && is_sender(fleet, &senders, &candidate.instance)
+                && views.cold_pace.take(
+                    &candidate.instance,
+                    rate,
+                    COLD_SENDERS.min(senders.len()),
+                    now,
+                )
+        });
+        let on_cold = place(None, &cold);
+        if matches!(on_cold, Placement::Send { .. }) {
+            placement = on_cold;
+            from = &cold;
+        }
+    }
+    let (index, reason) = match placement {
+        Placement::Send { index, reason } => (index, reason),
+        Placement::Full => return Choice::Full,
+        Placement::NoTarget if considered > 0 => return Choice::Full,
+        Placement::NoTarget => return Choice::NoTarget,
+    };
+    let candidate = &from[index];
+    views.observed.entry(candidate.instance.clone()).or_default().in_flight += 1;
+    let reach = match candidate.distance {
+        Distance::Remote => Reach::OtherRegion,
+        Distance::DataCentre | Distance::Region => Reach::SameRegion,
+    };
+    let address = instances.address(&candidate.instance).cloned().unwrap_or_default();
+    Choice::Use(Chosen {
+        instance: candidate.instance.clone(),
+        address,
+        reach,
+        reason,
+        load: candidate.load,
+        considered,
+    })
+}
+
+fn distance(fleet: &Fleet, region: &RegionId, data_centre: &DataCentreId) -> Distance {
+    if *data_centre == fleet.settings.data_centre {
+        Distance::DataCentre
+    } else if *region == fleet.settings.region {
+        Distance::Region
+    } else {
+        Distance::Remote
+    }
+}
+
+fn is_silent(views: &TargetViews, instance: &TargetId, now: Instant) -> bool {
+    let recent = |at: Instant| now.saturating_duration_since(at) < SILENT_LIST_AGE_MAX;
+    // A control VM that is cut off from the others calls many targets silent; one that hears the
+    // target is right.
+    let mut lists = views.silent.values().filter(|(_, at)| recent(*at)).peekable();
+    lists.peek().is_some() && lists.all(|(silent, _)| silent.contains(instance))
+}
+
+fn may_be_cold(
+    views: &TargetViews,
+    instance: &TargetId,
+    data_centre: &DataCentreId,
+    now: Instant,
+) -> bool {
+    let later = |until: Option<&Instant>| until.is_some_and(|until| *until > now);
+    later(views.suspected_cold_until.get(instance)) || later(views.resumed_until.get(data_centre))
+}
+
+/// Returns the hashes of the entry VMs, this one included.
+fn cold_senders(fleet: &Fleet, _now: Instant) -> SmallVec<[u64; 32]> {
+    let daemons = fleet.tables.daemons.lock();
+    let others = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
+    let mut senders: SmallVec<[u64; 32]> =
+        others.map(|known| rendezvous::id_hash(known.record.vm.as_str())).collect();
+    senders.push(rendezvous::id_hash(fleet.settings.vm.as_str()));
+    senders.sort_unstable();
+    senders.dedup();
+    senders
+}
+
+/// Returns whether this VM is one of those that send to a cold target.
+fn is_sender(fleet: &Fleet, senders: &[u64], instance: &TargetId) -> bool {
+    let own = rendezvous::id_hash(fleet.settings.vm.as_str());
+    let subject = rendezvous::id_hash(instance.as_str());
+    let own_score = rendezvous::score(subject, own, 1.0);
+    let ahead = senders
+        .iter()
+        .filter(|sender| **sender != own && rendezvous::score(subject, **sender, 1.0) > own_score);
+    ahead.count() < COLD_SENDERS
+}
+
+/// A request at a target; dropping it counts the attempt as abandoned.
+pub struct AtTarget<'a> {
+    fleet: &'a Fleet,
+    instance: TargetId,
+    ended: bool,
+}
+
+impl<'a> AtTarget<'a> {
+    /// Takes over the request that [`choose`] has counted.
+    pub fn new(fleet: &'a Fleet, instance: TargetId) -> Self {
+        Self { fleet, instance, ended: false }
+    }
+
+    /// Counts the end of the attempt with the load that the target reported.
+    pub fn end(mut self, end: AttemptEnd, load: Option<ReportedLoad>) {
+        self.ended = true;
+        self.record(end, load);
+    }
+
+    /// Counts that no connection could be made: the target may be restarting, and then it is cold
+    /// when it returns.
+    pub fn end_unreachable(mut self) {
+        self.ended = true;
+        self.record(AttemptEnd::Failed, None);
+        let now = self.fleet.now();
+        let until = now + self.fleet.heartbeat() * 2 + RESTART_NEWS_DELAY;
+        let mut views = self.fleet.tables.targets.lock();
+        views.suspected_cold_until.insert(self.instance.clone(), until);
+    }
+
+    fn record(&self, end: AttemptEnd, load: Option<ReportedLoad>) {
+        let now = self.fleet.now();
+        let mut views = self.fleet.tables.targets.lock();
+        let observed: &mut Observed = views.observed.entry(self.instance.clone()).or_default();
+        observed.end(end, now);
+        if let Some(load) = load {
+            observed.report(load, now);
+        }
+    }
+}
+
+impl Drop for AtTarget<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.record(AttemptEnd::Abandoned, None);
+        }
+    }
+}
+
+/// Forgets what was observed of targets that are no longer known.
+pub fn forget_unknown(fleet: &Fleet, now: Instant) {
+    let instances = fleet.tables.instances.read();
+    let mut views = fleet.tables.targets.lock();
+    views.observed.retain(|id, observed| observed.in_flight > 0 || instances.get(id).is_some());
+    views.suspected_cold_until.retain(|_, until| *until > now);
+    views.resumed_until.retain(|_, until| *until > now);
+    views.cold_pace.retain(|id| instances.get(id).is_some());
+    views.silent.retain(|_, (_, at)| now.saturating_duration_since(*at) < SILENT_LIST_AGE_MAX);
+}
