Run the requests of one connection side by side

Ruled out: slow admission (the log shows 0 to 2 ms from start to placement).

Change: the daemon reads ahead, parses heads with httparse, runs safe requests side by side and writes responses in order; tokens are waited for 200 ms at most.

--- /dev/null
+++ b/crates/fleet/src/callers.rs
@@ -0,0 +1,251 @@
+//! Connections of callers: requests are read ahead and run side by side, and their responses leave
+//! in the order in which the requests came.
+//!
+//! Only requests of safe methods run beside earlier ones. Another one waits until the responses
+//! before it are written, because a connection that closes before its response was written makes
+//! the caller send it again.
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Body, Bytes};
+use hyper::http::request::Parts;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use crate::forward::ResponseBody;
+use crate::http1::{self, Fault, Parsed, Received};
+use crate::listen;
+
+/// Requests of one connection that run at the same time.
+const MAX_AHEAD: usize = 32;
+/// First size of the read buffer; most requests fit.
+const READ_BUFFER_BYTES: usize = 2 * 1_024;
+/// Largest request body.
+const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+/// Longest time for which a caller may keep a connection without a request. Above the limits that
+/// deployments state, because a caller may use a connection that is idle for less.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Longest time for a caller to take a part of a response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause when no connection could be accepted, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves connections until `closing` becomes true, then ends idle ones and those whose requests
+/// are answered.
+pub async fn serve<F, R>(listener: TcpListener, closing: watch::Receiver<bool>, handle: F)
+where
+    F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    let handle = Arc::new(handle);
+    let mut until = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = listen::closed(&mut until) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, closing.clone(), Arc::clone(&handle)));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// A request whose response is not written; dropping it cancels the request.
+struct Running {
+    response: JoinHandle<Response<ResponseBody>>,
+    keeps_connection: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.response.abort();
+    }
+}
+
+/// Bytes of a caller that were read and not yet taken.
+struct Input {
+    reader: OwnedReadHalf,
+    buffer: Vec<u8>,
+    has_ended: bool,
+}
+
+/// What to do next with a connection.
+enum Step {
+    Start(Box<Received>),
+    Refuse(Fault),
+    SendContinue,
+    Read,
+}
+
+impl Input {
+    /// Reads more bytes. Pending forever once the caller has closed its side.
+    async fn read(&mut self) {
+        self.buffer.reserve(READ_BUFFER_BYTES);
+        match self.reader.read_buf(&mut self.buffer).await {
+            Ok(bytes) if bytes > 0 => {}
+            Ok(_) => self.has_ended = true,
+            Err(error) => {
+                log::debug!(error:% = error; "caller's connection failed");
+                self.has_ended = true;
+            }
+        }
+    }
+
+    fn next(&mut self, running: &VecDeque<Running>, told_to_continue: bool) -> Step {
+        if self.buffer.is_empty() || running.len() >= MAX_AHEAD {
+            return Step::Read;
+        }
+        if running.back().is_some_and(|last| !last.keeps_connection) {
+            return Step::Read;
+        }
+        match http1::parse(&self.buffer, MAX_BODY_BYTES) {
+            Parsed::Whole(received, used) => {
+                if !running.is_empty() && !received.parts.method.is_safe() {
+                    return Step::Read;
+                }
+                self.buffer.drain(..used);
+                Step::Start(received)
+            }
+            Parsed::Partial { expects_continue } => {
+                let may_send = expects_continue && running.is_empty() && !told_to_continue;
+                if may_send { Step::SendContinue } else { Step::Read }
+            }
+            Parsed::Faulty(fault) if running.is_empty() => Step::Refuse(fault),
+            Parsed::Faulty(_) => Step::Read,
+        }
+    }
+}
+
+async fn connection<F, R>(stream: TcpStream, mut closing: watch::Receiver<bool>, handle: Arc<F>)
+where
+    F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "connection without nodelay");
+    }
+    let (reader, mut writer) = stream.into_split();
+    let mut input = Input { reader, buffer: Vec::new(), has_ended: false };
+    let mut running: VecDeque<Running> = VecDeque::new();
+    let mut told_to_continue = false;
+    let mut idle_until = Instant::now() + IDLE_TIMEOUT;
+    loop {
+        match input.next(&running, told_to_continue) {
+            Step::Start(received) => {
+                told_to_continue = false;
+                let Received { parts, body, keeps_connection } = *received;
+                let response = tokio::spawn(handle(parts, body));
+                running.push_back(Running { response, keeps_connection });
+                continue;
+            }
+            Step::Refuse(fault) => {
+                log::info!(reason:% = fault; "caller's bytes are no request");
+                refuse(&mut writer, fault).await;
+                return;
+            }
+            Step::SendContinue => {
+                told_to_continue = true;
+                if write(&mut writer, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                    return;
+                }
+            }
+            Step::Read => {}
+        }
+        if input.has_ended {
+            // Nobody reads the responses; dropping the requests cancels them at their targets.
+            return;
+        }
+        let Some(first) = running.front_mut() else {
+            if *closing.borrow() && input.buffer.is_empty() {
+                return;
+            }
+            tokio::select! {
+                read = timeout_at(idle_until, input.read()) => if read.is_err() { return },
+                () = listen::closed(&mut closing), if !*closing.borrow() => {}
+            }
+            continue;
+        };
+        let response = tokio::select! {
+            biased;
+            response = &mut first.response => response,
+            () = input.read() => continue,
+        };
+        let Ok(response) = response else {
+            log::error!("a request's task failed");
+            return;
+        };
+        // A response that ends the connection makes the caller send the requests behind it again,
+        // so the connection stays while others run.
+        let is_last = running.len() == 1;
+        let asks_close = response.headers().contains_key(hyper::header::CONNECTION);
+        let keeps = running.front().is_none_or(|first| first.keeps_connection);
+        let closes = !keeps || (is_last && (asks_close || *closing.borrow()));
+        if write_response(&mut writer, response, closes).await.is_err() || closes {
+            return;
+        }
+        running.pop_front();
+        idle_until = Instant::now() + IDLE_TIMEOUT;
+    }
+}
+
+async fn refuse(writer: &mut OwnedWriteHalf, fault: Fault) {
+    let status =
+        hyper::StatusCode::from_u16(fault.status()).unwrap_or(hyper::StatusCode::BAD_REQUEST);
+    let mut head = Vec::new();
+    http1::write_head(&mut head, status, &hyper::HeaderMap::new(), Some(0), true);
+    if write(writer, &head).await.is_err() {
+        log::debug!("the caller of a faulty request is gone");
+    }
+}
+
+async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8]) -> std::io::Result<()> {
+    match timeout(WRITE_TIMEOUT, writer.write_all(bytes)).await {
+        Ok(written) => written,
+        Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Writes a response. After an error the connection must end, so that a response that broke off
+/// does not look complete.
+async fn write_response(
+    writer: &mut OwnedWriteHalf,
+    response: Response<ResponseBody>,
+    closes: bool,
+) -> std::io::Result<()> {
+    let (parts, mut body) = response.into_parts();
+    let length = body.size_hint().exact();
+    let mut buffer = Vec::with_capacity(512 + length.unwrap_or_default().min(1 << 20) as usize);
+    http1::write_head(&mut buffer, parts.status, &parts.headers, length, closes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(std::io::Error::other)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if length.is_none() {
+            buffer.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        }
+        buffer.extend_from_slice(&data);
+        if length.is_none() {
+            buffer.extend_from_slice(b"\r\n");
+        }
+        write(writer, &buffer).await?;
+        buffer.clear();
+    }
+    if length.is_none() {
+        buffer.extend_from_slice(b"0\r\n\r\n");
+    }
+    write(writer, &buffer).await
+}
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -13,8 +13,8 @@
 use celerygate_types::wire::{Outcome, VmState};
 use celerygate_types::{OrganisationId, RegionId, ResultCode, ServiceId, TargetId};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode};
@@ -30,8 +30,6 @@
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
 
-/// Largest request body; larger ones are refused before they reach a target.
-const MAX_REQUEST_BYTES: usize = 64 * 1_024 * 1_024;
 /// Response bodies up to this size are read whole before the caller gets the first byte, so that a
 /// response that breaks off can be replaced by another target's.
 const WHOLE_RESPONSE_BYTES: u64 = 1_024 * 1_024;
@@ -69,10 +67,13 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(fleet: Arc<Fleet>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn serve(
+    fleet: Arc<Fleet>,
+    parts: request::Parts,
+    body: Bytes,
+) -> Response<ResponseBody> {
     let _running = fleet.tables.begin_request();
     let arrived = fleet.now();
-    let (parts, body) = request.into_parts();
     let facts = match (fleet.dialect.read_request)(&parts) {
         Ok(facts) => facts,
         Err(code) => {
@@ -80,12 +81,12 @@
             return finish(&fleet, refusal_response(&fleet, &Refusal { code, retry_after: None }));
         }
     };
-    let response = match handle(&fleet, &parts, body, &facts, arrived).await {
+    let response = match handle(&fleet, &parts, &body, &facts, arrived).await {
         Ended::Response(response) => response,
         Ended::Refused(refusal) => {
             let elapsed = fleet.now().saturating_duration_since(arrived);
-            log::info!(request = facts.request.as_str(), code = refusal.code.number(),
-                reason:% = refusal.code, elapsed_ms = elapsed.as_millis() as u64,
+            log::info!(request = facts.request.as_str(), host = facts.host.as_str(),
+                code = refusal.code.number(), reason:% = refusal.code, elapsed_ms = elapsed.as_millis() as u64,
                 retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64);
                 "request refused");
             fleet.metrics.count_request("refused", refusal.code.number(), elapsed.as_secs_f64());
@@ -129,7 +130,7 @@
 async fn handle(
     fleet: &Arc<Fleet>,
     parts: &request::Parts,
-    body: Incoming,
+    body: &Bytes,
     facts: &RequestFacts,
     arrived: Instant,
 ) -> Ended {
@@ -158,13 +159,6 @@
     {
         return Ended::Refused(refusal);
     }
-    let body = match Limited::new(body, MAX_REQUEST_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            log::info!(request = facts.request.as_str(), error:% = error; "request body not read");
-            return refused(ResultCode::BodyTooLarge);
-        }
-    };
     let service = if route.parts.len() > 1 {
         part_for(route, fleet.tables.next_split_number(&route.name))
     } else {
@@ -181,7 +175,7 @@
         deadline,
     };
     count_request(fleet, service);
-    attempts(fleet, &content, parts, &body, &admitted, arrived).await
+    attempts(fleet, &content, parts, body, &admitted, arrived).await
 }
 
 fn identify<'a>(
--- /dev/null
+++ b/crates/fleet/src/http1.rs
@@ -0,0 +1,240 @@
+//! HTTP/1.1 messages of callers: heads are parsed by `httparse`; bodies are framed here.
+//!
+//! A server of the usual library runs one request of a connection at a time. Callers send further
+//! requests before the first one is answered, so the daemon reads ahead and frames by itself.
+
+use hyper::body::Bytes;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Uri, Version};
+
+/// Largest head of a request.
+pub const MAX_HEAD_BYTES: usize = 32 * 1_024;
+/// Most headers in a head.
+const MAX_HEADERS: usize = 128;
+/// Longest line with the size of a chunk.
+const MAX_CHUNK_LINE_BYTES: usize = 256;
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub struct Received {
+    /// Head.
+    pub parts: Parts,
+    /// Body without its framing.
+    pub body: Bytes,
+    /// Whether the caller keeps the connection after it.
+    pub keeps_connection: bool,
+}
+
+/// What the bytes at the start of a buffer are.
+#[derive(Debug)]
+pub enum Parsed {
+    /// A request; it takes this many bytes.
+    Whole(Box<Received>, usize),
+    /// The start of a request; more bytes are needed.
+    Partial {
+        /// Whether the caller waits for a sign before it sends the body.
+        expects_continue: bool,
+    },
+    /// No request that can be served.
+    Faulty(Fault),
+}
+
+/// Why bytes are not taken as a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Fault {
+    /// The head or the framing of the body is malformed or ambiguous.
+    Malformed,
+    /// The head is too large.
+    HeadTooLarge,
+    /// The body is too large.
+    BodyTooLarge,
+}
+
+impl Fault {
+    /// Returns the status of the response.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::HeadTooLarge => 431,
+            Self::BodyTooLarge => 413,
+        }
+    }
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+}
+
+/// Parses the request at the start of a buffer.
+pub fn parse(buffer: &[u8], max_body_bytes: usize) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let head_bytes = match head.parse(buffer) {
+        Ok(httparse::Status::Complete(bytes)) if bytes <= MAX_HEAD_BYTES => bytes,
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD_BYTES => {
+            return Parsed::Partial { expects_continue: false };
+        }
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Faulty(Fault::HeadTooLarge),
+        Err(_) => return Parsed::Faulty(Fault::Malformed),
+    };
+    let Some(parts) = read_head(&head) else { return Parsed::Faulty(Fault::Malformed) };
+    let Some(framing) = framing(&parts.headers) else { return Parsed::Faulty(Fault::Malformed) };
+    let rest = &buffer[head_bytes..];
+    let body = match framing {
+        Framing::Length(length) if length > max_body_bytes => {
+            return Parsed::Faulty(Fault::BodyTooLarge);
+        }
+        Framing::Length(length) if rest.len() >= length => {
+            Ok(Some((Bytes::copy_from_slice(&rest[..length]), length)))
+        }
+        Framing::Length(_) => Ok(None),
+        Framing::Chunked => read_chunks(rest, max_body_bytes),
+    };
+    match body {
+        Ok(Some((body, body_bytes))) => {
+            let keeps_connection = keeps_connection(&parts);
+            let received = Received { parts, body, keeps_connection };
+            Parsed::Whole(Box::new(received), head_bytes + body_bytes)
+        }
+        Ok(None) => {
+            let expects_continue = rest.is_empty() && parts.headers.contains_key(EXPECT);
+            Parsed::Partial { expects_continue }
+        }
+        Err(fault) => Parsed::Faulty(fault),
+    }
+}
+
+fn read_head(head: &httparse::Request<'_, '_>) -> Option<Parts> {
+    let mut headers = HeaderMap::with_capacity(head.headers.len());
+    for header in head.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+    }
+    let mut request = Request::new(());
+    *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
+    *request.uri_mut() = head.path?.parse::<Uri>().ok()?;
+    *request.version_mut() = if head.version? == 0 { Version::HTTP_10 } else { Version::HTTP_11 };
+    *request.headers_mut() = headers;
+    Some(request.into_parts().0)
+}
+
+/// Returns how the body is framed; none when the headers contradict each other, since two readers
+/// could then disagree on where the next request begins.
+fn framing(headers: &HeaderMap) -> Option<Framing> {
+    let lengths: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
+    let encodings: Vec<&HeaderValue> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    match (lengths[..].first(), encodings[..].first()) {
+        (None, None) => Some(Framing::Length(0)),
+        (Some(length), None) if lengths.len() == 1 => {
+            let digits = length.to_str().ok()?;
+            let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+            is_number.then(|| digits.parse().ok()).flatten().map(Framing::Length)
+        }
+        (None, Some(encoding)) if encodings.len() == 1 => {
+            encoding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(Framing::Chunked)
+        }
+        _ => None,
+    }
+}
+
+fn keeps_connection(parts: &Parts) -> bool {
+    let named = |token: &str| {
+        let values =
+            parts.headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+        let mut tokens = values.flat_map(|value| value.split(','));
+        tokens.any(|own| own.trim().eq_ignore_ascii_case(token))
+    };
+    if parts.version == Version::HTTP_10 { named("keep-alive") } else { !named("close") }
+}
+
+/// Reads a chunked body; none when it is not complete.
+fn read_chunks(bytes: &[u8], max_bytes: usize) -> Result<Option<(Bytes, usize)>, Fault> {
+    let mut body = Vec::new();
+    let mut at = 0;
+    loop {
+        let Some((line, next)) = line(&bytes[at..])? else { return Ok(None) };
+        let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+        let size = std::str::from_utf8(digits).ok().filter(|digits| {
+            !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit())
+        });
+        let size = size.and_then(|digits| usize::from_str_radix(digits, 16).ok());
+        let size = size.ok_or(Fault::Malformed)?;
+        at += next;
+        if size == 0 {
+            return Ok(end_of_trailers(&bytes[at..])?.map(|end| (Bytes::from(body), at + end)));
+        }
+        if body.len().saturating_add(size) > max_bytes {
+            return Err(Fault::BodyTooLarge);
+        }
+        let Some(chunk) = bytes.get(at..at + size + 2) else { return Ok(None) };
+        if !chunk.ends_with(b"\r\n") {
+            return Err(Fault::Malformed);
+        }
+        body.extend_from_slice(&chunk[..size]);
+        at += size + 2;
+    }
+}
+
+/// Returns a line without its end and the bytes that it takes.
+fn line(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, Fault> {
+    match bytes.windows(2).position(|pair| pair == b"\r\n") {
+        Some(end) if end <= MAX_CHUNK_LINE_BYTES => Ok(Some((&bytes[..end], end + 2))),
+        None if bytes.len() <= MAX_CHUNK_LINE_BYTES => Ok(None),
+        _ => Err(Fault::Malformed),
+    }
+}
+
+/// Returns the bytes that the trailers and the empty line after them take; trailers are not kept.
+fn end_of_trailers(bytes: &[u8]) -> Result<Option<usize>, Fault> {
+    let mut at = 0;
+    while let Some((trailer, next)) = line(&bytes[at..])? {
+        at += next;
+        if trailer.is_empty() {
+            return Ok(Some(at));
+        }
+        if at > MAX_HEAD_BYTES {
+            return Err(Fault::HeadTooLarge);
+        }
+    }
+    Ok(None)
+}
+
+/// Writes the head of a response. `length` is the size of the body, none when it is sent in chunks.
+pub fn write_head(
+    buffer: &mut Vec<u8>,
+    status: hyper::StatusCode,
+    headers: &HeaderMap,
+    length: Option<u64>,
+    closes: bool,
+) {
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    buffer.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
+    for (name, value) in headers {
+        if name == CONTENT_LENGTH || name == TRANSFER_ENCODING || name == CONNECTION {
+            continue;
+        }
+        buffer.extend_from_slice(name.as_str().as_bytes());
+        buffer.extend_from_slice(b": ");
+        buffer.extend_from_slice(value.as_bytes());
+        buffer.extend_from_slice(b"\r\n");
+    }
+    match length {
+        Some(length) => {
+            buffer.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
+        }
+        None => buffer.extend_from_slice(b"transfer-encoding: chunked\r\n"),
+    }
+    if closes {
+        buffer.extend_from_slice(b"connection: close\r\n");
+    }
+    buffer.extend_from_slice(b"\r\n");
+}
+
+#[cfg(test)]
+#[path = "http1_tests.rs"]
+mod tests;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,11 +4,13 @@
 //! A front end supplies a [`dialect::Dialect`], serves its own calls from [`run::Daemon`], and is
 //! the only part that knows how callers, targets and operators write their messages.
 
+pub mod callers;
 pub mod clock;
 pub mod dialect;
 pub mod fleet;
 pub mod forward;
 pub mod group;
+pub mod http1;
 pub mod listen;
 pub mod logging;
 pub mod lookup;
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -68,7 +68,7 @@
 }
 
 /// Returns once connections are to be ended, also when the process that ends them has stopped.
-async fn closed(closing: &mut watch::Receiver<bool>) {
+pub(crate) async fn closed(closing: &mut watch::Receiver<bool>) {
     let _ = closing.wait_for(|closing| *closing).await;
 }
 
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -21,6 +21,9 @@
 const UNLED_SHARE: f64 = 0.8;
 /// Seconds of that allowance that may be used at once.
 const UNLED_BURST_S: f64 = 1.0;
+/// Longest wait for a token. A caller that is refused at once comes back sooner than one that is
+/// kept waiting and refused then; the reply of a leader in another region takes 150 ms at most.
+const TOKEN_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for tokens before the decision is made again.
 const RECHECK: Duration = Duration::from_millis(100);
 
@@ -83,6 +86,7 @@
     deadline: Instant,
 ) -> Result<(), Refusal> {
     let arrived = fleet.now();
+    let deadline = deadline.min(arrived + TOKEN_WAIT);
     let mut waiting = None;
     loop {
         let arriving = fleet.tables.tokens_arrived.notified();
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -21,7 +21,7 @@
 use crate::group::{self, Effects, GroupStart};
 use crate::mesh::{Inbound, Mesh};
 use crate::sync::{self, Spread};
-use crate::{clock, forward, listen, quota, targets};
+use crate::{callers, clock, forward, listen, quota, targets};
 
 /// Time between two looks whether the last request has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -100,8 +100,8 @@
     if let Some(address) = &fleet.settings.listeners.callers {
         let listener = listen::bind(address)?;
         let fleet = Arc::clone(&fleet);
-        tokio::spawn(listen::serve(listener, closing, move |request| {
-            forward::serve(Arc::clone(&fleet), request)
+        tokio::spawn(callers::serve(listener, closing, move |parts, body| {
+            forward::serve(Arc::clone(&fleet), parts, body)
         }));
     }
     serve_front_end(daemon)?;
