Keep objects at their targets and refuse what these cannot take

Cause: with all targets full, requests went to any free slot. Ruled out: too little capacity (65 slots suffice when objects are known), processor time (entry VMs used 0.04 cores).

Change: two targets an object, requests wait only where they still answer in time, near targets get the share of objects that their slots allow, shares follow the load slowly.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -25,7 +25,7 @@
 use crate::fleet::Fleet;
 use crate::quota;
 use crate::tables::Content;
-use crate::targets::{self, AtTarget, Choice, Chosen, Wanted};
+use crate::targets::{self, AtTarget, Choice, Chosen, Observation, Wanted};
 
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
@@ -290,6 +290,17 @@
             match read {
                 Err(_) => (Attempt::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
                 Ok(Read { attempt, end, load, outcome }) => {
+                    if end == AttemptEnd::Answered {
+                        at_target.observe_time(
+                            chosen,
+                            &Observation {
+                                service: admitted.service,
+                                object: admitted.object,
+                                target_latency: admitted.route.target_latency,
+                                time: fleet.now().saturating_duration_since(started),
+                            },
+                        );
+                    }
                     at_target.end(end, load);
                     log_attempt(fleet, admitted, chosen, arrived, outcome);
                     return attempt;
@@ -312,7 +323,7 @@
     let elapsed = fleet.now().saturating_duration_since(arrived);
     log::info!(request = admitted.facts.request.as_str(), route = admitted.route.name.as_str(),
         target_id = chosen.instance.as_str(), reason:% = chosen.reason, load = chosen.load,
-        considered = chosen.considered, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
+        considered = chosen.considered, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
         "request placed");
     let code = if outcome == "answered" { 0 } else { ResultCode::TargetFailed.number() };
     fleet.metrics.count_request(admitted.service.as_str(), code, elapsed.as_secs_f64());
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -11,7 +11,7 @@
 use celerygate_steering::grants::GrantHolder;
 use celerygate_steering::instances::InstanceTable;
 use celerygate_steering::outcome::RetryBudget;
-use celerygate_steering::placement::{ColdPace, Observed, TokenBucket};
+use celerygate_steering::placement::{ColdPace, ObjectShares, Observed, TokenBucket, WorkTimes};
 use celerygate_steering::routing::RoutingTable;
 use celerygate_types::wire::{DaemonRecord, DaemonRole, FleetContent, VmState};
 use celerygate_types::{DataCentreId, OrganisationId, Revision, ServiceId, TargetId, Term, VmId};
@@ -93,6 +93,10 @@
     pub suspected_cold_until: HashMap<TargetId, Instant>,
     /// Until when the targets of a data centre are treated as cold after its evacuation.
     pub resumed_until: HashMap<DataCentreId, Instant>,
+    /// Times of the requests of each service.
+    pub times: HashMap<ServiceId, WorkTimes>,
+    /// Shares of each service's objects that near targets handle.
+    pub shares: HashMap<ServiceId, ObjectShares>,
     /// Requests to cold targets.
     pub cold_pace: ColdPace,
 }
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -5,7 +5,8 @@
 use celerygate_daemon::upstream::Reach;
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::placement::{
-    AttemptEnd, Candidate, Observed, Placement, PlacementReason, ReportedLoad, place,
+    AttemptEnd, Candidate, Need, ObjectShares, Observed, Placement, PlacementReason, ReportedLoad,
+    WorkTimes, place,
 };
 use celerygate_steering::routing::{Route, allows_region};
 use celerygate_steering::targets::Distance;
@@ -41,6 +42,10 @@
     pub load: f64,
     /// Number of targets that were considered.
     pub considered: usize,
+    /// Whether the target has handled the object before.
+    pub knows_object: bool,
+    /// Whether it had a free slot.
+    pub had_free_slot: bool,
 }
 
 /// The outcome of a choice.
@@ -98,28 +103,39 @@
             load: observed.map_or(0.0, |observed| observed.load(now)),
             is_avoided: observed.is_some_and(|observed| observed.is_avoided(now))
                 || is_silent(&views, &record.instance, now),
+            knows_object: wanted
+                .object
+                .zip(observed)
+                .is_some_and(|(object, observed)| observed.knows(object)),
         };
         let is_cold = instance.warm_at > now
             || may_be_cold(&views, &record.instance, &record.data_centre, now);
         if is_cold { cold.push(candidate) } else { warm.push(candidate) }
     }
     let considered = warm.len() + cold.len();
-    let mut placement = place(wanted.object, &warm);
+    let target_latency = wanted.route.target_latency;
+    let times = views.times.get(wanted.service).copied();
+    let times = times.unwrap_or_else(|| WorkTimes::guess(target_latency));
+    let data_centres = fleet.settings.data_centres.len();
+    let shares = views
+        .shares
+        .entry(wanted.service.clone())
+        .or_insert_with(|| ObjectShares::even(&warm, data_centres, now));
+    shares.follow(&warm, now);
+    let shares = *shares;
+    let need = Need { object: wanted.object, target_latency };
+    let mut placement = place(&need, &warm, &times, &shares);
     let mut from = &warm;
     if !matches!(placement, Placement::Send { .. }) && !cold.is_empty() {
         let rate =
             content.routing.service(wanted.service).map_or(0.0, |rule| rule.cold_requests_per_s);
+        let senders_max = COLD_SENDERS.min(senders.len());
         cold.retain(|candidate| {
             !candidate.is_avoided
                 && is_sender(fleet, &senders, &candidate.instance)
-                && views.cold_pace.take(
-                    &candidate.instance,
-                    rate,
-                    COLD_SENDERS.min(senders.len()),
-                    now,
-                )
+                && views.cold_pace.take(&candidate.instance, rate, senders_max, now)
         });
-        let on_cold = place(None, &cold);
+        let on_cold = place(&Need { object: None, ..need }, &cold, &times, &shares);
         if matches!(on_cold, Placement::Send { .. }) {
             placement = on_cold;
             from = &cold;
@@ -145,6 +161,8 @@
         reason,
         load: candidate.load,
         considered,
+        knows_object: candidate.knows_object,
+        had_free_slot: candidate.load < f64::from(candidate.slots.get()),
     })
 }
 
@@ -199,6 +217,18 @@
     ahead.count() < COLD_SENDERS
 }
 
+/// An answered request, for the averages.
+pub struct Observation<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Hash of the object.
+    pub object: Option<u64>,
+    /// Target latency of the route.
+    pub target_latency: Duration,
+    /// Time from the sending of the request to the end of the answer.
+    pub time: Duration,
+}
+
 /// A request at a target; dropping it counts the attempt as abandoned.
 pub struct AtTarget<'a> {
     fleet: &'a Fleet,
@@ -218,6 +248,23 @@
         self.record(end, load);
     }
 
+    /// Takes the time of an answered request.
+    pub fn observe_time(&self, chosen: &Chosen, wanted: &Observation<'_>) {
+        let mut views = self.fleet.tables.targets.lock();
+        if let Some(object) = wanted.object {
+            views.observed.entry(self.instance.clone()).or_default().note_object(object);
+        }
+        if !chosen.had_free_slot {
+            return;
+        }
+        if !views.times.contains_key(wanted.service) {
+            views.times.insert(wanted.service.clone(), WorkTimes::guess(wanted.target_latency));
+        }
+        if let Some(times) = views.times.get_mut(wanted.service) {
+            times.observe(wanted.time, chosen.knows_object);
+        }
+    }
+
     /// Counts that no connection could be made: the target may be restarting, and then it is cold
     /// when it returns.
     pub fn end_unreachable(mut self) {
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -5,23 +5,46 @@
 //! without any message about it. A target above its bound passes the object on to the next one in
 //! the order, and a data centre without room to the next nearest one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use celerygate_types::{SlotCount, TargetId};
+use smallvec::SmallVec;
 
 use crate::lookup::rendezvous;
 use crate::targets::Distance;
 
 /// Targets of an object's order that are tried in each group of equally distant targets.
 const TARGETS_PER_OBJECT: usize = 2;
-/// Requests per slot up to which an object stays with a target that knows it. Such a target takes a
-/// part of the time, so a short wait there is shorter than the work elsewhere.
-const FILL_FOR_OBJECT: f64 = 1.25;
-/// Requests per slot up to which a target takes any request.
-const FILL_FOR_ANY: f64 = 1.0;
-/// Requests per slot up to which requests wait at a target when no slot is free anywhere.
-const FILL_WITH_QUEUE: f64 = 1.5;
+/// Requests per slot up to which a request that is expected to be quick waits at a target.
+const FILL_MAX: f64 = 2.0;
+/// Requests per slot up to which a target takes requests of objects that belong to other targets.
+/// Each of them displaces an object that the target knows, so only targets with room take them.
+const FILL_FOR_OTHERS: f64 = 0.7;
+/// Requests per slot above which a group of targets gets fewer objects.
+const FILL_SHARE_FALLS: f64 = 0.8;
+/// Requests per slot below which a group of targets gets more objects.
+const FILL_SHARE_RISES: f64 = 0.55;
+/// Change of a share at once. Objects that move are unknown to their new targets, and a region's
+/// traffic may move by 15% in two seconds.
+const SHARE_FALLS_BY: f64 = 0.035;
+/// See [`SHARE_FALLS_BY`]; a share returns more slowly than it falls.
+const SHARE_RISES_BY: f64 = 0.02;
+/// Smallest share, so that a group that has room again is noticed.
+const SHARE_MIN: f64 = 0.05;
+/// Factor of the first share over an even spread of the demand; targets that know their objects
+/// take more than the average.
+const SHARE_OVER_EVEN: f64 = 1.5;
+/// Time between two changes of the shares.
+pub const SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Objects of a target that are remembered as known to it.
+const KNOWN_OBJECTS: usize = 64;
+/// Weight of the latest request in the average times of requests.
+const TIME_WEIGHT: f64 = 0.05;
+/// First guesses of the times of requests, as parts of the route's target latency.
+const KNOWN_TIME_GUESS: f64 = 0.5;
+/// See [`KNOWN_TIME_GUESS`].
+const UNKNOWN_TIME_GUESS: f64 = 1.5;
 /// Time for which a target's report of its load counts.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_000);
 /// First time for which a target is avoided after a failure; it doubles with each further one.
@@ -44,6 +67,8 @@
     failures_in_row: u32,
     failure_share: f64,
     avoided_until: Option<Instant>,
+    /// Objects that it has handled, the latest one last.
+    objects: VecDeque<u64>,
 }
 
 /// How an attempt at a target ended, for its observation.
@@ -77,6 +102,7 @@
             failures_in_row: 0,
             failure_share: 0.0,
             avoided_until: None,
+            objects: VecDeque::new(),
         }
     }
 }
@@ -122,6 +148,21 @@
         }
     }
 
+    /// Remembers that the target has handled an object.
+    pub fn note_object(&mut self, object: u64) {
+        if let Some(position) = self.objects.iter().rposition(|known| *known == object) {
+            self.objects.remove(position);
+        } else if self.objects.len() == KNOWN_OBJECTS {
+            self.objects.pop_front();
+        }
+        self.objects.push_back(object);
+    }
+
+    /// Returns whether the target has handled an object recently.
+    pub fn knows(&self, object: u64) -> bool {
+        self.objects.contains(&object)
+    }
+
     /// Returns whether the target is avoided because of recent failures.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -143,12 +184,139 @@
     pub load: f64,
     /// Whether it failed recently or is silent.
     pub is_avoided: bool,
+    /// Whether it has handled the object of the request.
+    pub knows_object: bool,
 }
 
 impl Candidate {
+    fn slots(&self) -> f64 {
+        f64::from(self.slots.get().max(1))
+    }
+
     fn fill(&self) -> f64 {
-        self.load / f64::from(self.slots.get().max(1))
+        self.load / self.slots()
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.load + 1.0 <= self.slots()
+    }
+
+    /// Returns the time for which a further request waits.
+    fn wait(&self, times: &WorkTimes) -> Duration {
+        let before = (self.load + 1.0 - self.slots()).max(0.0);
+        times.mean().mul_f64(before / self.slots())
+    }
+}
+
+/// Average times of a service's requests at a target, without their wait.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkTimes {
+    known_s: f64,
+    unknown_s: f64,
+    mean_s: f64,
+}
+
+impl WorkTimes {
+    /// Returns first guesses for a route.
+    pub fn guess(target_latency: Duration) -> Self {
+        let known_s = target_latency.mul_f64(KNOWN_TIME_GUESS).as_secs_f64();
+        let unknown_s = target_latency.mul_f64(UNKNOWN_TIME_GUESS).as_secs_f64();
+        Self { known_s, unknown_s, mean_s: unknown_s }
     }
+
+    /// Takes the time of a request that found a free slot.
+    pub fn observe(&mut self, time: Duration, knew_object: bool) {
+        let time_s = time.as_secs_f64();
+        let average = if knew_object { &mut self.known_s } else { &mut self.unknown_s };
+        *average += TIME_WEIGHT * (time_s - *average);
+        self.mean_s += TIME_WEIGHT * (time_s - self.mean_s);
+    }
+
+    /// Returns the average over all requests.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
+    /// Returns the expected time of a request.
+    pub fn expected(&self, knows_object: bool) -> Duration {
+        Duration::from_secs_f64(if knows_object { self.known_s } else { self.unknown_s })
+    }
+}
+
+/// Shares of the objects that belong to the targets of this data centre and of this region; the
+/// others belong to targets of all regions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ObjectShares {
+    data_centre: f64,
+    region: f64,
+    changed_at: Instant,
+}
+
+impl ObjectShares {
+    /// Returns the shares for an even demand of all data centres.
+    pub fn even(candidates: &[Candidate], data_centres: usize, now: Instant) -> Self {
+        let all = slots_of(candidates, |_| true).max(1.0);
+        let of = |distance| {
+            let slots = slots_of(candidates, |candidate| candidate.distance == distance);
+            slots * data_centres as f64 / all
+        };
+        let own = of(Distance::DataCentre) * SHARE_OVER_EVEN;
+        let neighbour = of(Distance::Region) - 1.0;
+        Self {
+            data_centre: own.clamp(SHARE_MIN, 1.0),
+            region: neighbour.clamp(SHARE_MIN, 1.0),
+            changed_at: now,
+        }
+    }
+
+    /// Follows the load of the targets.
+    pub fn follow(&mut self, candidates: &[Candidate], now: Instant) {
+        if now.saturating_duration_since(self.changed_at) < SHARE_INTERVAL {
+            return;
+        }
+        self.changed_at = now;
+        self.data_centre = followed(self.data_centre, candidates, Distance::DataCentre);
+        self.region = followed(self.region, candidates, Distance::Region);
+    }
+
+    fn of(&self, distance: Distance) -> f64 {
+        match distance {
+            Distance::DataCentre => self.data_centre,
+            Distance::Region => self.region,
+            Distance::Remote => 1.0,
+        }
+    }
+}
+
+fn slots_of(candidates: &[Candidate], selects: impl Fn(&Candidate) -> bool) -> f64 {
+    candidates.iter().filter(|candidate| selects(candidate)).map(Candidate::slots).sum()
+}
+
+fn followed(share: f64, candidates: &[Candidate], distance: Distance) -> f64 {
+    let is_in_group =
+        |candidate: &Candidate| candidate.distance == distance && !candidate.is_avoided;
+    let slots = slots_of(candidates, is_in_group);
+    if slots == 0.0 {
+        return share;
+    }
+    let group = candidates.iter().filter(|candidate| is_in_group(candidate));
+    let fill = group.map(|candidate| candidate.load).sum::<f64>() / slots;
+    if fill > FILL_SHARE_FALLS {
+        (share - SHARE_FALLS_BY).max(SHARE_MIN)
+    } else if fill < FILL_SHARE_RISES {
+        (share + SHARE_RISES_BY).min(1.0)
+    } else {
+        share
+    }
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Hash of its object.
+    pub object: Option<u64>,
+    /// Time within which an answer has its full worth.
+    pub target_latency: Duration,
 }
 
 /// Where a request goes.
@@ -173,74 +341,114 @@
 pub enum PlacementReason {
     /// The object belongs to it.
     Object,
-    /// It has a free slot.
+    /// The object belongs to a full target, and it has room.
+    Room,
+    /// The request has no object, and it has a free slot.
     FreeSlot,
-    /// No slot is free, and it has the shortest queue.
-    ShortestQueue,
     /// Only avoided targets are left.
     LastResort,
 }
 
+/// The distances, the nearest first.
+const DISTANCES: [Distance; 3] = [Distance::DataCentre, Distance::Region, Distance::Remote];
+
 /// Chooses a target for a request.
-pub fn place(object: Option<u64>, candidates: &[Candidate]) -> Placement {
+///
+/// A request whose object belongs to full targets is refused unless one of the object's targets
+/// further away has room. Sent to any other target, it would take the time of an unknown object
+/// and displace objects there, and an overload would keep itself up.
+pub fn place(
+    need: &Need,
+    candidates: &[Candidate],
+    times: &WorkTimes,
+    shares: &ObjectShares,
+) -> Placement {
     if candidates.is_empty() {
         return Placement::NoTarget;
     }
-    for distance in [Distance::DataCentre, Distance::Region, Distance::Remote] {
-        let group = || {
-            let in_group = |(_, candidate): &(usize, &Candidate)| {
-                candidate.distance == distance && !candidate.is_avoided
-            };
-            candidates.iter().enumerate().filter(in_group)
+    let sound: SmallVec<[(usize, &Candidate); 64]> =
+        candidates.iter().enumerate().filter(|(_, candidate)| !candidate.is_avoided).collect();
+    if sound.is_empty() {
+        return match emptiest(candidates.iter().enumerate()) {
+            Some(index) => Placement::Send { index, reason: PlacementReason::LastResort },
+            None => Placement::Full,
         };
-        if let Some(object) = object
-            && let Some(index) = own_target(object, group())
-        {
-            return Placement::Send { index, reason: PlacementReason::Object };
-        }
-        if let Some(index) = emptiest(group(), FILL_FOR_ANY) {
-            return Placement::Send { index, reason: PlacementReason::FreeSlot };
-        }
     }
-    let sound = candidates.iter().enumerate().filter(|(_, candidate)| !candidate.is_avoided);
-    if let Some(index) = emptiest(sound, FILL_WITH_QUEUE) {
-        return Placement::Send { index, reason: PlacementReason::ShortestQueue };
+    match need.object {
+        Some(object) => place_object(object, need, &sound, times, shares),
+        None => place_any(&sound),
+    }
+}
+
+fn place_object(
+    object: u64,
+    need: &Need,
+    sound: &[(usize, &Candidate)],
+    times: &WorkTimes,
+    shares: &ObjectShares,
+) -> Placement {
+    let position = (rendezvous::mix(object, POSITION_SALT) >> 11) as f64 / (1_u64 << 53) as f64;
+    let has_targets =
+        |distance: &Distance| sound.iter().any(|(_, candidate)| candidate.distance == *distance);
+    let groups: SmallVec<[Distance; 3]> = DISTANCES.into_iter().filter(has_targets).collect();
+    let home = groups.iter().position(|distance| position < shares.of(*distance));
+    // Without targets in other regions, the last group has to take what the others do not.
+    let home = home.unwrap_or(groups.len() - 1);
+    let own = targets_of(object, sound, groups[home]);
+    let takes = |(_, candidate): &&(usize, &Candidate)| {
+        let is_quick = || {
+            candidate.fill() < FILL_MAX
+                && candidate.wait(times) + times.expected(candidate.knows_object)
+                    <= need.target_latency
+        };
+        candidate.has_free_slot() || is_quick()
+    };
+    if let Some((index, _)) = own.iter().find(takes) {
+        return Placement::Send { index: *index, reason: PlacementReason::Object };
     }
-    let avoided = candidates.iter().enumerate().filter(|(_, candidate)| candidate.is_avoided);
-    match emptiest(avoided, FILL_FOR_ANY) {
-        Some(index) => Placement::Send { index, reason: PlacementReason::LastResort },
-        None => Placement::Full,
+    let further = groups[home + 1..].iter().chain(&groups[..home]);
+    for distance in further {
+        let others = targets_of(object, sound, *distance);
+        if let Some((index, _)) = others.iter().find(|(_, other)| other.fill() < FILL_FOR_OTHERS) {
+            return Placement::Send { index: *index, reason: PlacementReason::Room };
+        }
     }
+    Placement::Full
 }
 
-/// Returns the first of an object's targets that has room.
-fn own_target<'a>(
+/// Makes the position of an object among the shares independent of its order of targets.
+const POSITION_SALT: u64 = 0x5bd1_e995_7b93_4a4f;
+
+/// Returns the first targets of an object within a distance.
+fn targets_of<'a>(
     object: u64,
-    group: impl Iterator<Item = (usize, &'a Candidate)>,
-) -> Option<usize> {
-    let mut best: smallvec::SmallVec<[(f32, usize, &Candidate); TARGETS_PER_OBJECT]> =
-        smallvec::SmallVec::new();
-    for (index, candidate) in group {
-        let weight = candidate.slots.get().max(1) as f32;
-        let score = rendezvous::score(object, candidate.hash, weight);
+    sound: &[(usize, &'a Candidate)],
+    distance: Distance,
+) -> SmallVec<[(usize, &'a Candidate); TARGETS_PER_OBJECT]> {
+    let mut best: SmallVec<[(f32, usize, &Candidate); TARGETS_PER_OBJECT]> = SmallVec::new();
+    for (index, candidate) in sound.iter().filter(|(_, other)| other.distance == distance) {
+        let score = rendezvous::score(object, candidate.hash, candidate.slots() as f32);
         let position = best.iter().position(|(other, _, _)| score > *other).unwrap_or(best.len());
         if position < TARGETS_PER_OBJECT {
-            if best.len() == TARGETS_PER_OBJECT {
-                best.pop();
-            }
-            best.insert(position, (score, index, candidate));
+            best.truncate(TARGETS_PER_OBJECT - 1);
+            best.insert(position, (score, *index, candidate));
+        }
+    }
+    best.into_iter().map(|(_, index, candidate)| (index, candidate)).collect()
+}
+
+fn place_any(sound: &[(usize, &Candidate)]) -> Placement {
+    for distance in DISTANCES {
+        let group = sound.iter().filter(|(_, candidate)| candidate.distance == distance);
+        if let Some(index) = emptiest(group.copied()) {
+            return Placement::Send { index, reason: PlacementReason::FreeSlot };
         }
     }
-    let has_room =
-        |(_, _, candidate): &&(f32, usize, &Candidate)| candidate.fill() < FILL_FOR_OBJECT;
-    best.iter().find(has_room).map(|(_, index, _)| *index)
+    Placement::Full
 }
 
-fn emptiest<'a>(
-    group: impl Iterator<Item = (usize, &'a Candidate)>,
-    fill_max: f64,
-) -> Option<usize> {
-    let open = group.filter(|(_, candidate)| candidate.fill() < fill_max);
+fn emptiest<'a>(group: impl Iterator<Item = (usize, &'a Candidate)>) -> Option<usize> {
+    let open = group.filter(|(_, candidate)| candidate.has_free_slot());
     open.min_by(|(_, a), (_, b)| a.fill().total_cmp(&b.fill())).map(|(index, _)| index)
 }
 
