Count quotas by the deployment's window, and end connections when descriptors run short

Change: callers are asked to close from half of the descriptors on; the stated idle time ends idle connections; a request whose caller has closed is not started; the bucket admits rate and one burst within each window, and part of the allowed excess.

Tests: grants/limit_tests.rs.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -31,22 +32,92 @@
 const READ_BUFFER_BYTES: usize = 2 * 1_024;
 /// Largest request body.
 const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
-/// Longest time for which a caller may keep a connection without a request. Above the limits that
-/// deployments state, because a caller may use a connection that is idle for less.
+/// Longest time for which a caller may keep a connection without a request, unless the deployment
+/// states another one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time beside the stated one: a caller may send a request at the last moment.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Part of the descriptors that callers' connections may use; the others are for targets, daemons
+/// and control calls.
+const CALLERS_SHARE: f64 = 0.7;
+/// Part of the callers' descriptors in use from which a refused caller is asked to close.
+const ELEVATED: f64 = 0.5;
+/// Part from which every caller is asked to close.
+const HIGH: f64 = 0.8;
 /// Longest time for a caller to take a part of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause when no connection could be accepted, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How many connections of callers are open.
+#[derive(Debug)]
+pub struct Connections {
+    max: u64,
+    open: AtomicU64,
+}
+
+/// How scarce descriptors are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scarcity {
+    /// Callers may keep their connections.
+    Low,
+    /// Refused callers are asked to close: they come back on a new connection in any case.
+    Elevated,
+    /// All callers are asked to close.
+    High,
+}
+
+impl Connections {
+    /// Returns the count for a process that may open this many descriptors.
+    pub fn new(descriptors_max: u64) -> Self {
+        let max = (descriptors_max as f64 * CALLERS_SHARE) as u64;
+        Self { max: max.max(1), open: AtomicU64::new(0) }
+    }
+
+    /// Returns how scarce descriptors are.
+    pub fn scarcity(&self) -> Scarcity {
+        let used = self.open.load(Ordering::Relaxed) as f64 / self.max as f64;
+        if used > HIGH {
+            Scarcity::High
+        } else if used > ELEVATED {
+            Scarcity::Elevated
+        } else {
+            Scarcity::Low
+        }
+    }
+
+    fn open(self: &Arc<Self>) -> OpenConnection {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(Arc::clone(self))
+    }
+}
+
+struct OpenConnection(Arc<Connections>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What a connection needs beside its stream.
+pub struct Service<F> {
+    /// Open connections.
+    pub connections: Arc<Connections>,
+    /// Returns the idle time that the deployment states.
+    pub idle_timeout: Box<dyn Fn() -> Option<Duration> + Send + Sync>,
+    /// Handles a request.
+    pub handle: F,
+}
+
 /// Serves connections until `closing` becomes true, then ends idle ones and those whose requests
 /// are answered.
-pub async fn serve<F, R>(listener: TcpListener, closing: watch::Receiver<bool>, handle: F)
+pub async fn serve<F, R>(listener: TcpListener, closing: watch::Receiver<bool>, service: Service<F>)
 where
     F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let handle = Arc::new(handle);
+    let service = Arc::new(service);
     let mut until = closing.clone();
     loop {
         let accepted = tokio::select! {
@@ -55,7 +126,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(connection(stream, closing.clone(), Arc::clone(&handle)));
+                tokio::spawn(connection(stream, closing.clone(), Arc::clone(&service)));
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -106,6 +177,18 @@
         }
     }
 
+    /// Reads what has arrived without waiting and returns whether the caller has closed: a process
+    /// that was held up finds requests whose callers have left.
+    fn check_end(&mut self) -> bool {
+        match self.reader.try_read_buf(&mut self.buffer) {
+            Ok(0) => self.has_ended = true,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => self.has_ended = true,
+        }
+        self.has_ended
+    }
+
     fn next(&mut self, running: &VecDeque<Running>, told_to_continue: bool) -> Step {
         if self.buffer.is_empty() || running.len() >= MAX_AHEAD {
             return Step::Read;
@@ -131,25 +214,34 @@
     }
 }
 
-async fn connection<F, R>(stream: TcpStream, mut closing: watch::Receiver<bool>, handle: Arc<F>)
-where
+async fn connection<F, R>(
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+    service: Arc<Service<F>>,
+) where
     F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "connection without nodelay");
     }
+    let _open = service.connections.open();
     let (reader, mut writer) = stream.into_split();
     let mut input = Input { reader, buffer: Vec::new(), has_ended: false };
     let mut running: VecDeque<Running> = VecDeque::new();
     let mut told_to_continue = false;
-    let mut idle_until = Instant::now() + IDLE_TIMEOUT;
+    let idle_timeout =
+        || (service.idle_timeout)().map_or(IDLE_TIMEOUT, |stated| stated + IDLE_MARGIN);
+    let mut idle_until = Instant::now() + idle_timeout();
     loop {
         match input.next(&running, told_to_continue) {
             Step::Start(received) => {
+                if input.check_end() {
+                    return;
+                }
                 told_to_continue = false;
                 let Received { parts, body, keeps_connection } = *received;
-                let response = tokio::spawn(handle(parts, body));
+                let response = tokio::spawn((service.handle)(parts, body));
                 running.push_back(Running { response, keeps_connection });
                 continue;
             }
@@ -194,12 +286,19 @@
         let is_last = running.len() == 1;
         let asks_close = response.headers().contains_key(hyper::header::CONNECTION);
         let keeps = running.front().is_none_or(|first| first.keeps_connection);
-        let closes = !keeps || (is_last && (asks_close || *closing.borrow()));
+        let is_scarce = match service.connections.scarcity() {
+            Scarcity::Low => false,
+            Scarcity::Elevated => {
+                response.status().is_client_error() || response.status().is_server_error()
+            }
+            Scarcity::High => true,
+        };
+        let closes = !keeps || (is_last && (asks_close || is_scarce || *closing.borrow()));
         if write_response(&mut writer, response, closes).await.is_err() || closes {
             return;
         }
         running.pop_front();
-        idle_until = Instant::now() + IDLE_TIMEOUT;
+        idle_until = Instant::now() + idle_timeout();
     }
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,14 +5,24 @@
 
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::Pool;
+use celerygate_steering::grants::QuotaWindow;
 use celerygate_types::wire::{DaemonRecord, DaemonRole, FleetSettings};
-use celerygate_types::{Clock, DataCentreId, Incarnation, RegionId};
+use celerygate_types::{Clock, DataCentreId, Incarnation, RegionId, RequestCount};
 
 use crate::dialect::Dialect;
 use crate::group::Group;
 use crate::mesh::Mesh;
 use crate::tables::Tables;
 
+/// Returns how the deployment counts the requests of an organisation.
+pub fn quota_window(settings: &FleetSettings) -> QuotaWindow {
+    QuotaWindow {
+        window: Duration::from_millis(settings.bounds.quota_window_ms),
+        overage: settings.bounds.quota_overage,
+        slack: RequestCount(settings.bounds.quota_slack_requests),
+    }
+}
+
 /// A daemon of a fleet.
 pub struct Fleet {
     /// Settings of this VM.
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -56,6 +56,11 @@
     Refused(Refusal),
 }
 
+/// Returns the text of an organisation for logs.
+fn organisation_text(organisation: Option<&OrganisationId>) -> &str {
+    organisation.map_or("", OrganisationId::as_str)
+}
+
 /// How one attempt at a target ended.
 enum Attempt {
     /// The response for the caller.
@@ -157,6 +162,9 @@
     if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit))
         && let Err(refusal) = quota::admit(fleet, organisation, limit, deadline).await
     {
+        log::info!(request = facts.request.as_str(), organisation = organisation.as_str(),
+            rate_per_s = limit.rate.get(), burst = limit.burst.get(),
+            revision = content.replicated.revision.0; "organisation has used its rate");
         return Ended::Refused(refusal);
     }
     let service = if route.parts.len() > 1 {
@@ -322,6 +330,7 @@
 ) {
     let elapsed = fleet.now().saturating_duration_since(arrived);
     log::info!(request = admitted.facts.request.as_str(), route = admitted.route.name.as_str(),
+        organisation = organisation_text(admitted.organisation),
         target_id = chosen.instance.as_str(), reason:% = chosen.reason, load = chosen.load,
         considered = chosen.considered, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
         "request placed");
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -16,16 +16,17 @@
 use celerygate_control::replica::{Input, LEASE};
 use celerygate_control::state::{self, Applied};
 use celerygate_control::storage::open_folder;
-use celerygate_steering::grants::{GrantAnswer, GrantOwner};
+use celerygate_steering::grants::{GrantAnswer, GrantOwner, Limit};
 use celerygate_types::wire::{
     ChangeNotice, Command, Configuration, DaemonRecord, FleetContent, FleetMessage, FleetSettings,
     GrantRequest, Member, MemberRole, MembershipChange, Message,
 };
-use celerygate_types::{Clock, Incarnation, LogIndex, Term, VmId};
+use celerygate_types::{Clock, Incarnation, LogIndex, OrganisationId, Term, VmId};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use crate::dialect::Dialect;
+use crate::fleet::quota_window;
 use crate::tables::{Content, Leader, Tables};
 
 /// Time between two steps without input; a fraction of the leader's heartbeat interval.
@@ -391,7 +392,7 @@
             return;
         }
         if put_in_force(&self.start.tables, &self.start.dialect, content.clone()) {
-            self.grants_follow(&content);
+            self.grants_follow();
             if self.node.replica().is_leader() {
                 let notice = ChangeNotice { revision: content.revision };
                 for vm in (self.effects.daemons)() {
@@ -401,10 +402,11 @@
         }
     }
 
-    fn grants_follow(&mut self, _content: &FleetContent) {
+    fn grants_follow(&mut self) {
         let Some(grants) = &mut self.grants else { return };
         if let Some(content) = self.start.tables.content() {
-            grants.configure(content.routing.limits(), self.start.clock.now());
+            let limits = windowed_limits(&self.start.settings, &content);
+            grants.configure(limits, self.start.clock.now());
         }
     }
 
@@ -417,7 +419,7 @@
         let is_current = self.grants.as_ref().is_some_and(|grants| grants.term() == term);
         if !is_current {
             let vms = (self.effects.daemons)();
-            let limits = content.routing.limits();
+            let limits = windowed_limits(&self.start.settings, &content);
             self.grants = Some(GrantOwner::new(term, &vms, limits, lease_end, now));
         }
         let Some(grants) = &mut self.grants else { return };
@@ -511,6 +513,12 @@
     }
 }
 
+/// Returns the limits of the organisations' buckets.
+fn windowed_limits(settings: &FleetSettings, content: &Content) -> Vec<(OrganisationId, Limit)> {
+    let quota = quota_window(settings);
+    content.routing.limits().map(|(id, limit)| (id, limit.per_window(&quota))).collect()
+}
+
 /// Records the leader of a term that is not earlier than the known one.
 pub fn note_leader(tables: &Tables, term: Term, vm: Option<VmId>) {
     let mut leader = tables.leader.lock();
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -11,14 +11,20 @@
 
 use crate::dialect::Refusal;
 use crate::fleet::Fleet;
+use crate::sync;
 
 /// Time between two looks whether tokens are to be asked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without an answer of the leader after which this VM uses its own allowance.
 const UNLED_AFTER: Duration = Duration::from_millis(600);
-/// Share of the rate that all VMs together use without a leader. The rest keeps the fleet within
-/// the rate while some VMs still hold tokens of the leader.
-const UNLED_SHARE: f64 = 0.8;
+/// Share of the rate that all VMs together use when they reach most control VMs and none leads. The
+/// rest keeps the fleet within the rate while some VMs still hold tokens of the last leader.
+const UNLED_SHARE: f64 = 0.9;
+/// Share for a VM that is cut off: the leader gives the whole rate to the others meanwhile, and the
+/// excess that deployments allow is about a tenth of it.
+const CUT_OFF_SHARE: f64 = 0.4;
+/// Age up to which the answer of a control VM shows that it can be reached.
+const REACHED_AGE_MAX: Duration = Duration::from_millis(1_200);
 /// Seconds of that allowance that may be used at once.
 const UNLED_BURST_S: f64 = 1.0;
 /// Longest wait for a token. A caller that is refused at once comes back sooner than one that is
@@ -107,6 +113,15 @@
     }
 }
 
+/// Returns the share of the rate that all VMs in the situation of this one may use together.
+fn unled_share(fleet: &Fleet, now: Instant) -> f64 {
+    let control_vms = sync::control_vms(fleet).len();
+    let recent = |at: &Instant| now.saturating_duration_since(*at) < REACHED_AGE_MAX;
+    let targets = fleet.tables.targets.lock();
+    let reached = targets.silent.values().filter(|(_, at)| recent(at)).count();
+    if reached * 2 > control_vms { UNLED_SHARE } else { CUT_OFF_SHARE }
+}
+
 fn decide(
     fleet: &Fleet,
     organisation: &OrganisationId,
@@ -120,6 +135,7 @@
         fleet.tables.daemons.lock().known.values().fold(0_usize, |count, known| {
             count + usize::from(known.record.role == DaemonRole::Entry)
         });
+    let share = unled_share(fleet, now);
     let mut quota = fleet.tables.quota.lock();
     let need = TokenNeed { arrived, deadline, ahead: 0 };
     let admission = if is_waiting {
@@ -139,7 +155,7 @@
             Next::Wait
         }
         Admission::Refuse { .. } | Admission::WaitForTokens { .. } => {
-            let rate = limit.rate.get() as f64 * UNLED_SHARE / (entries + 1) as f64;
+            let rate = limit.rate.get() as f64 * share / (entries + 1) as f64;
             let bucket =
                 quota.unled.entry(organisation.clone()).or_insert_with(|| TokenBucket::new(now));
             if !is_led && bucket.take(rate, rate * UNLED_BURST_S, now) {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -100,9 +100,13 @@
     if let Some(address) = &fleet.settings.listeners.callers {
         let listener = listen::bind(address)?;
         let fleet = Arc::clone(&fleet);
-        tokio::spawn(callers::serve(listener, closing, move |parts, body| {
-            forward::serve(Arc::clone(&fleet), parts, body)
-        }));
+        let tables = Arc::clone(&fleet.tables);
+        let service = callers::Service {
+            connections: Arc::new(callers::Connections::new(fleet.settings.descriptors_max)),
+            idle_timeout: Box::new(move || tables.content()?.routing.idle_timeout()),
+            handle: move |parts, body| forward::serve(Arc::clone(&fleet), parts, body),
+        };
+        tokio::spawn(callers::serve(listener, closing, service));
     }
     serve_front_end(daemon)?;
     stop_on_signal(&fleet, &close).await
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -40,7 +40,40 @@
     pub burst: RequestCount,
 }
 
+/// How a deployment counts the requests of an organisation.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaWindow {
+    /// Time over which requests are counted.
+    pub window: Duration,
+    /// Part by which the count may exceed the limit.
+    pub overage: f64,
+    /// Requests by which the count may exceed the limit beside that part.
+    pub slack: RequestCount,
+}
+
+/// Part of the allowed excess that the fleet's bucket may use. The rest covers grants of an earlier
+/// leader and VMs that are cut off from it.
+const EXCESS_USED: f64 = 0.5;
+
 impl Limit {
+    /// Returns the limit of a bucket that admits, within each window, the rate and one burst.
+    ///
+    /// The burst returns with each window, so it is part of the steady rate. What the bucket holds
+    /// comes on top of that within a window, and is limited to a part of the allowed excess.
+    pub fn per_window(self, quota: &QuotaWindow) -> Self {
+        let window_s = quota.window.as_secs_f64();
+        if window_s <= 0.0 {
+            return self;
+        }
+        let (rate, burst) = (self.rate.get() as f64, self.burst.get() as f64);
+        let counted = rate * window_s + burst;
+        let excess = counted * quota.overage + quota.slack.get() as f64;
+        Self {
+            rate: RequestRate((rate + burst / window_s) as u64),
+            burst: RequestCount(((excess * EXCESS_USED) as u64).clamp(1, self.burst.get().max(1))),
+        }
+    }
+
     /// Returns the largest number of tokens that one VM may hold: a quarter of the burst, and at
     /// least one token so that a small burst can be used at all.
     pub fn per_vm(self) -> RequestCount {
@@ -52,6 +85,9 @@
 #[path = "grants/fuzz_tests.rs"]
 mod fuzz_tests;
 #[cfg(test)]
+#[path = "grants/limit_tests.rs"]
+mod limit_tests;
+#[cfg(test)]
 #[path = "grants/network_tests.rs"]
 pub(crate) mod network_tests;
 #[cfg(test)]
--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -82,6 +82,7 @@
     services: HashMap<ServiceId, ServiceRule>,
     organisations: HashMap<OrganisationId, OrganisationRule>,
     organisations_by_key: HashMap<blake3::Hash, OrganisationId>,
+    idle_timeout: Option<Duration>,
 }
 
 /// Why a set of routes, services and organisations cannot be in force.
@@ -180,6 +181,17 @@
         Ok(table)
     }
 
+    /// Returns the table with a limit on the time for which callers may keep idle connections.
+    #[must_use]
+    pub fn with_idle_timeout(self, idle_timeout: Option<Duration>) -> Self {
+        Self { idle_timeout, ..self }
+    }
+
+    /// Returns the longest time for which a caller may keep an idle connection.
+    pub fn idle_timeout(&self) -> Option<Duration> {
+        self.idle_timeout
+    }
+
     fn check_route(&self, route: &Route) -> Result<(), RoutingFault> {
         let name = || route.name.clone();
         if route.host.is_empty() {
