Place requests by their expected time, and meet an unknown object once

Ruled out: load reports that lag (the load was 0 to 2 of 48).

Change: each target of an object is weighed by its wait and the object's time there, with displaced objects counted; second requests for an unknown object wait for the first one; as many wait as can be served in time; guesses are replaced by the first observation and refuse nothing that finds a free slot.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -19,13 +19,13 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode};
 use smallvec::SmallVec;
-use tokio::time::{Instant as TokioInstant, timeout_at};
+use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::dialect::{ForwardFacts, Refusal, RequestFacts};
 use crate::fleet::Fleet;
 use crate::quota;
 use crate::tables::Content;
-use crate::targets::{self, AtTarget, Choice, Chosen, Observation, Wanted};
+use crate::targets::{self, AtTarget, Choice, Chosen, Observation, WaitsForTarget, Wanted};
 
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
@@ -36,6 +36,8 @@
 /// Share of a route's target latency after which a refused caller should come back; drawn between
 /// these so that the returns of many callers spread.
 const RETURN_AFTER: std::ops::Range<f64> = 0.25..0.75;
+/// Longest wait before a choice is made again.
+const WAIT_RECHECK: Duration = Duration::from_millis(250);
 /// VMs beside the known ones that the retry budget allows for, as entry VMs are added at any time.
 const SPARE_VMS: usize = 2;
 
@@ -232,10 +234,18 @@
             route,
             organisation_homes: admitted.organisation_homes,
             object: admitted.object,
+            remaining: admitted.deadline.saturating_duration_since(now),
             tried: &tried,
         };
+        let answered = fleet.tables.target_answered.notified();
         let chosen = match targets::choose(fleet, content, &wanted, now) {
             Choice::Use(chosen) => chosen,
+            Choice::Wait(instance) => {
+                let _waits = WaitsForTarget::begin(fleet, instance);
+                // The choice is made again in either case.
+                let _ = timeout(WAIT_RECHECK, answered).await;
+                continue;
+            }
             Choice::Full | Choice::NoTarget => break,
         };
         tried.push(chosen.instance.clone());
@@ -266,7 +276,7 @@
     chosen: &Chosen,
     arrived: Instant,
 ) -> Attempt {
-    let at_target = AtTarget::new(fleet, chosen.instance.clone());
+    let at_target = AtTarget::new(fleet, chosen);
     let started = fleet.now();
     let Ok(address) = chosen.address.parse::<SocketAddr>() else {
         log::error!(target_id = chosen.instance.as_str(), address = chosen.address.as_str();
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -142,6 +142,8 @@
     split_numbers: Mutex<HashMap<SmolStr, u64>>,
     /// Told when tokens arrive.
     pub tokens_arrived: Notify,
+    /// Told when a request at a target has ended.
+    pub target_answered: Notify,
     /// Told when something is to be fetched from the control VMs at once.
     pub sync_now: Notify,
     /// State of this daemon as other daemons are told.
@@ -167,6 +169,7 @@
             leader: Mutex::default(),
             split_numbers: Mutex::default(),
             tokens_arrived: Notify::new(),
+            target_answered: Notify::new(),
             sync_now: Notify::new(),
             state: Mutex::new(VmState::Starting),
             requests_running: AtomicU64::new(0),
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -44,6 +44,8 @@
     pub considered: usize,
     /// Whether the target has handled the object before.
     pub knows_object: bool,
+    /// The object, if this is the first request for it there.
+    pub learns: Option<u64>,
     /// Whether it had a free slot.
     pub had_free_slot: bool,
 }
@@ -53,6 +55,8 @@
 pub enum Choice {
     /// Send the request to this target.
     Use(Chosen),
+    /// Decide again when this target has answered.
+    Wait(TargetId),
     /// No target has room.
     Full,
     /// There is no target.
@@ -69,6 +73,8 @@
     pub organisation_homes: &'a [RegionId],
     /// Hash of the object.
     pub object: Option<u64>,
+    /// Time until the caller gives up.
+    pub remaining: Duration,
     /// Targets that were tried before.
     pub tried: &'a [TargetId],
 }
@@ -107,6 +113,11 @@
                 .object
                 .zip(observed)
                 .is_some_and(|(object, observed)| observed.knows(object)),
+            waiting: observed.map_or(0, |observed| observed.waiting),
+            learns_object: wanted
+                .object
+                .zip(observed)
+                .is_some_and(|(object, observed)| observed.is_arriving(object)),
         };
         let is_cold = instance.warm_at > now
             || may_be_cold(&views, &record.instance, &record.data_centre, now);
@@ -123,7 +134,7 @@
         .or_insert_with(|| ObjectShares::even(&warm, data_centres, now));
     shares.follow(&warm, now);
     let shares = *shares;
-    let need = Need { object: wanted.object, target_latency };
+    let need = Need { object: wanted.object, target_latency, remaining: wanted.remaining };
     let mut placement = place(&need, &warm, &times, &shares);
     let mut from = &warm;
     if !matches!(placement, Placement::Send { .. }) && !cold.is_empty() {
@@ -143,12 +154,16 @@
     }
     let (index, reason) = match placement {
         Placement::Send { index, reason } => (index, reason),
-        Placement::Full => return Choice::Full,
-        Placement::NoTarget if considered > 0 => return Choice::Full,
-        Placement::NoTarget => return Choice::NoTarget,
+        Placement::Wait { index } => return Choice::Wait(from[index].instance.clone()),
+        Placement::Full | Placement::NoTarget => {
+            log_full(&need, &warm, cold.len(), &times, &shares);
+            return if considered > 0 { Choice::Full } else { Choice::NoTarget };
+        }
     };
     let candidate = &from[index];
-    views.observed.entry(candidate.instance.clone()).or_default().in_flight += 1;
+    let observed = views.observed.entry(candidate.instance.clone()).or_default();
+    observed.in_flight += 1;
+    let learns = wanted.object.filter(|object| observed.begin_object(*object));
     let reach = match candidate.distance {
         Distance::Remote => Reach::OtherRegion,
         Distance::DataCentre | Distance::Region => Reach::SameRegion,
@@ -162,10 +177,28 @@
         load: candidate.load,
         considered,
         knows_object: candidate.knows_object,
+        learns,
         had_free_slot: candidate.load < f64::from(candidate.slots.get()),
     })
 }
 
+fn log_full(
+    need: &Need,
+    warm: &[Candidate],
+    cold: usize,
+    times: &WorkTimes,
+    shares: &ObjectShares,
+) {
+    let sound = warm.iter().filter(|candidate| !candidate.is_avoided);
+    let load: f64 = sound.clone().map(|candidate| candidate.load).sum();
+    let slots: u32 = sound.clone().map(|candidate| candidate.slots.get()).sum();
+    log::info!(object = need.object, remaining_ms = need.remaining.as_millis() as u64,
+        warm = warm.len(), avoided = warm.len() - sound.count(), cold = cold, load = load,
+        slots = slots, known_ms = times.expected(true).as_millis() as u64,
+        unknown_ms = times.expected(false).as_millis() as u64, shares:% = shares;
+        "no target takes the request");
+}
+
 fn distance(fleet: &Fleet, region: &RegionId, data_centre: &DataCentreId) -> Distance {
     if *data_centre == fleet.settings.data_centre {
         Distance::DataCentre
@@ -217,6 +250,31 @@
     ahead.count() < COLD_SENDERS
 }
 
+/// A request that waits until a target has room, until it is dropped.
+pub struct WaitsForTarget<'a> {
+    fleet: &'a Fleet,
+    instance: TargetId,
+}
+
+impl<'a> WaitsForTarget<'a> {
+    /// Counts a request as waiting.
+    pub fn begin(fleet: &'a Fleet, instance: TargetId) -> Self {
+        let mut views = fleet.tables.targets.lock();
+        views.observed.entry(instance.clone()).or_default().waiting += 1;
+        drop(views);
+        Self { fleet, instance }
+    }
+}
+
+impl Drop for WaitsForTarget<'_> {
+    fn drop(&mut self) {
+        let mut views = self.fleet.tables.targets.lock();
+        if let Some(observed) = views.observed.get_mut(&self.instance) {
+            observed.waiting = observed.waiting.saturating_sub(1);
+        }
+    }
+}
+
 /// An answered request, for the averages.
 pub struct Observation<'a> {
     /// Service.
@@ -233,13 +291,15 @@
 pub struct AtTarget<'a> {
     fleet: &'a Fleet,
     instance: TargetId,
+    learns: Option<u64>,
     ended: bool,
 }
 
 impl<'a> AtTarget<'a> {
     /// Takes over the request that [`choose`] has counted.
-    pub fn new(fleet: &'a Fleet, instance: TargetId) -> Self {
-        Self { fleet, instance, ended: false }
+    pub fn new(fleet: &'a Fleet, chosen: &Chosen) -> Self {
+        let Chosen { instance, learns, .. } = chosen;
+        Self { fleet, instance: instance.clone(), learns: *learns, ended: false }
     }
 
     /// Counts the end of the attempt with the load that the target reported.
@@ -281,9 +341,14 @@
         let mut views = self.fleet.tables.targets.lock();
         let observed: &mut Observed = views.observed.entry(self.instance.clone()).or_default();
         observed.end(end, now);
+        if let Some(object) = self.learns {
+            observed.end_object(object);
+        }
         if let Some(load) = load {
             observed.report(load, now);
         }
+        drop(views);
+        self.fleet.tables.target_answered.notify_waiters();
     }
 }
 
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -6,6 +6,7 @@
 //! the order, and a data centre without room to the next nearest one.
 
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use celerygate_types::{SlotCount, TargetId};
@@ -16,8 +17,19 @@
 
 /// Targets of an object's order that are tried in each group of equally distant targets.
 const TARGETS_PER_OBJECT: usize = 2;
-/// Requests per slot up to which a request that is expected to be quick waits at a target.
-const FILL_MAX: f64 = 2.0;
+/// Requests per slot up to which requests wait at a target that knows their object. Such a request
+/// takes a part of the work that it would cause anywhere else.
+const FILL_KNOWN: f64 = 2.0;
+/// Requests per slot up to which an object's own target meets it for the first time.
+const FILL_UNKNOWN: f64 = 1.25;
+/// Part of the time that is left within which an answer must be expected.
+const REMAINING_USED: f64 = 0.7;
+/// Part of the time that is left for which a request may be expected to wait before it is sent. A
+/// request that is refused late has less time to come back.
+const REMAINING_WAITED: f64 = 0.4;
+/// Time that an answer takes longer from another region, which has to be made up for by a shorter
+/// wait there; a round trip between regions takes 24 to 40 ms.
+const REMOTE_DETOUR: Duration = Duration::from_millis(40);
 /// Requests per slot up to which a target takes requests of objects that belong to other targets.
 /// Each of them displaces an object that the target knows, so only targets with room take them.
 const FILL_FOR_OTHERS: f64 = 0.7;
@@ -42,9 +54,9 @@
 /// Weight of the latest request in the average times of requests.
 const TIME_WEIGHT: f64 = 0.05;
 /// First guesses of the times of requests, as parts of the route's target latency.
-const KNOWN_TIME_GUESS: f64 = 0.5;
+const KNOWN_TIME_GUESS: f64 = 0.4;
 /// See [`KNOWN_TIME_GUESS`].
-const UNKNOWN_TIME_GUESS: f64 = 1.5;
+const UNKNOWN_TIME_GUESS: f64 = 1.2;
 /// Time for which a target's report of its load counts.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_000);
 /// First time for which a target is avoided after a failure; it doubles with each further one.
@@ -61,6 +73,8 @@
 pub struct Observed {
     /// Requests of this VM that are at the target.
     pub in_flight: u32,
+    /// Requests of this VM that wait here until the target has room.
+    pub waiting: u32,
     /// Requests of other VMs at the target, from its latest report.
     others: f64,
     reported_at: Option<Instant>,
@@ -69,6 +83,8 @@
     avoided_until: Option<Instant>,
     /// Objects that it has handled, the latest one last.
     objects: VecDeque<u64>,
+    /// Objects that it does not know and of which a request is under way.
+    arriving: Vec<u64>,
 }
 
 /// How an attempt at a target ended, for its observation.
@@ -97,12 +113,14 @@
     fn default() -> Self {
         Self {
             in_flight: 0,
+            waiting: 0,
             others: 0.0,
             reported_at: None,
             failures_in_row: 0,
             failure_share: 0.0,
             avoided_until: None,
             objects: VecDeque::new(),
+            arriving: Vec::new(),
         }
     }
 }
@@ -158,6 +176,27 @@
         self.objects.push_back(object);
     }
 
+    /// Notes that the first request for an object is under way; returns false for a known object.
+    pub fn begin_object(&mut self, object: u64) -> bool {
+        let is_first = !self.knows(object);
+        if is_first {
+            self.arriving.push(object);
+        }
+        is_first
+    }
+
+    /// Notes that a request that was noted as the first has ended.
+    pub fn end_object(&mut self, object: u64) {
+        if let Some(position) = self.arriving.iter().position(|arriving| *arriving == object) {
+            self.arriving.swap_remove(position);
+        }
+    }
+
+    /// Returns whether a first request for an object is under way.
+    pub fn is_arriving(&self, object: u64) -> bool {
+        self.arriving.contains(&object)
+    }
+
     /// Returns whether the target has handled an object recently.
     pub fn knows(&self, object: u64) -> bool {
         self.objects.contains(&object)
@@ -186,6 +225,10 @@
     pub is_avoided: bool,
     /// Whether it has handled the object of the request.
     pub knows_object: bool,
+    /// Requests of this VM that wait until it has room.
+    pub waiting: u32,
+    /// Whether it is about to know the object: the first request for it is under way.
+    pub learns_object: bool,
 }
 
 impl Candidate {
@@ -208,38 +251,57 @@
     }
 }
 
+/// An average that follows the latest values, and the plain mean while there are few.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Average {
+    value_s: f64,
+    count: u32,
+}
+
+impl Average {
+    fn observe(&mut self, time: Duration) {
+        self.count = self.count.saturating_add(1);
+        let weight = (1.0 / f64::from(self.count)).max(TIME_WEIGHT);
+        self.value_s += weight * (time.as_secs_f64() - self.value_s);
+    }
+
+    fn value(&self) -> Duration {
+        Duration::from_secs_f64(self.value_s)
+    }
+}
+
 /// Average times of a service's requests at a target, without their wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkTimes {
-    known_s: f64,
-    unknown_s: f64,
-    mean_s: f64,
+    known: Average,
+    unknown: Average,
+    all: Average,
 }
 
 impl WorkTimes {
-    /// Returns first guesses for a route.
+    /// Returns first guesses for a route; the first observation replaces them.
     pub fn guess(target_latency: Duration) -> Self {
-        let known_s = target_latency.mul_f64(KNOWN_TIME_GUESS).as_secs_f64();
-        let unknown_s = target_latency.mul_f64(UNKNOWN_TIME_GUESS).as_secs_f64();
-        Self { known_s, unknown_s, mean_s: unknown_s }
+        let guess =
+            |part: f64| Average { value_s: target_latency.mul_f64(part).as_secs_f64(), count: 0 };
+        let unknown = guess(UNKNOWN_TIME_GUESS);
+        Self { known: guess(KNOWN_TIME_GUESS), unknown, all: unknown }
     }
 
     /// Takes the time of a request that found a free slot.
     pub fn observe(&mut self, time: Duration, knew_object: bool) {
-        let time_s = time.as_secs_f64();
-        let average = if knew_object { &mut self.known_s } else { &mut self.unknown_s };
-        *average += TIME_WEIGHT * (time_s - *average);
-        self.mean_s += TIME_WEIGHT * (time_s - self.mean_s);
+        let average = if knew_object { &mut self.known } else { &mut self.unknown };
+        average.observe(time);
+        self.all.observe(time);
     }
 
     /// Returns the average over all requests.
     pub fn mean(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s)
+        self.all.value()
     }
 
     /// Returns the expected time of a request.
     pub fn expected(&self, knows_object: bool) -> Duration {
-        Duration::from_secs_f64(if knows_object { self.known_s } else { self.unknown_s })
+        if knows_object { self.known.value() } else { self.unknown.value() }
     }
 }
 
@@ -288,6 +350,12 @@
     }
 }
 
+impl fmt::Display for ObjectShares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.2}/{:.2}", self.data_centre, self.region)
+    }
+}
+
 fn slots_of(candidates: &[Candidate], selects: impl Fn(&Candidate) -> bool) -> f64 {
     candidates.iter().filter(|candidate| selects(candidate)).map(Candidate::slots).sum()
 }
@@ -317,6 +385,8 @@
     pub object: Option<u64>,
     /// Time within which an answer has its full worth.
     pub target_latency: Duration,
+    /// Time until the caller gives up.
+    pub remaining: Duration,
 }
 
 /// Where a request goes.
@@ -329,6 +399,13 @@
         /// Why it was chosen.
         reason: PlacementReason,
     },
+    /// Decide again when the candidate with this index has room or knows the object. A second
+    /// request for an unknown object would take as long as the first one, and another target would
+    /// meet the object for the first time too.
+    Wait {
+        /// Index of the candidate.
+        index: usize,
+    },
     /// Every candidate is full.
     Full,
     /// There is no candidate.
@@ -394,26 +471,59 @@
     let home = groups.iter().position(|distance| position < shares.of(*distance));
     // Without targets in other regions, the last group has to take what the others do not.
     let home = home.unwrap_or(groups.len() - 1);
-    let own = targets_of(object, sound, groups[home]);
-    let takes = |(_, candidate): &&(usize, &Candidate)| {
-        let is_quick = || {
-            candidate.fill() < FILL_MAX
-                && candidate.wait(times) + times.expected(candidate.knows_object)
-                    <= need.target_latency
-        };
-        candidate.has_free_slot() || is_quick()
-    };
-    if let Some((index, _)) = own.iter().find(takes) {
-        return Placement::Send { index: *index, reason: PlacementReason::Object };
-    }
-    let further = groups[home + 1..].iter().chain(&groups[..home]);
-    for distance in further {
-        let others = targets_of(object, sound, *distance);
-        if let Some((index, _)) = others.iter().find(|(_, other)| other.fill() < FILL_FOR_OTHERS) {
-            return Placement::Send { index: *index, reason: PlacementReason::Room };
+    let usable = need.remaining.mul_f64(REMAINING_USED);
+    let mut best: Option<(Duration, usize, PlacementReason)> = None;
+    let mut awaited: Option<(Duration, usize)> = None;
+    for (group, distance) in groups.iter().enumerate() {
+        let detour = if *distance == Distance::Remote { REMOTE_DETOUR } else { Duration::ZERO };
+        let targets = targets_of(object, sound, *distance);
+        for (rank, (index, candidate)) in targets.into_iter().enumerate() {
+            let is_own = group == home && rank == 0;
+            let time = detour
+                + candidate.wait(times)
+                + times.expected(candidate.knows_object || candidate.learns_object);
+            // A guess of the time is no reason to refuse a request that finds a free slot.
+            if time > usable && !candidate.has_free_slot() {
+                continue;
+            }
+            if takes(candidate, is_own) {
+                // Work elsewhere displaces what other targets know; it counts twice.
+                let displaces = !is_own && !candidate.knows_object;
+                let cost = time + if displaces { times.expected(false) } else { Duration::ZERO };
+                let reason = if is_own { PlacementReason::Object } else { PlacementReason::Room };
+                if best.is_none_or(|(least, _, _)| cost < least) {
+                    best = Some((cost, index, reason));
+                }
+            } else if is_own {
+                let ahead = f64::from(candidate.waiting + 1) / candidate.slots();
+                let wait = times.mean().mul_f64(ahead);
+                if wait <= need.remaining.mul_f64(REMAINING_WAITED) {
+                    awaited = Some((time + wait, index));
+                }
+            }
         }
     }
-    Placement::Full
+    match (best, awaited) {
+        (Some((cost, index, reason)), Some((wait, _))) if cost <= wait => {
+            Placement::Send { index, reason }
+        }
+        (_, Some((_, index))) => Placement::Wait { index },
+        (Some((_, index, reason)), None) => Placement::Send { index, reason },
+        (None, None) => Placement::Full,
+    }
+}
+
+/// Returns whether a target takes a request for an object now.
+fn takes(candidate: &Candidate, is_own: bool) -> bool {
+    if candidate.knows_object {
+        candidate.fill() < FILL_KNOWN
+    } else if candidate.learns_object {
+        false
+    } else if is_own {
+        candidate.fill() < FILL_UNKNOWN
+    } else {
+        candidate.fill() < FILL_FOR_OTHERS
+    }
 }
 
 /// Makes the position of an object among the shares independent of its order of targets.
