--- a/crates/control/src/distribution/recent.rs
+++ b/crates/control/src/distribution/recent.rs
@@ -25,7 +25,7 @@
     /// The next changes after the child's revision, as many as one frame holds.
     Delta(ConfigurationDelta),
     /// Everything.
-    Snapshot(ConfigurationSnapshot),
+    Snapshot(Box<ConfigurationSnapshot>),
 }
 
 #[derive(Clone, Debug)]
@@ -119,7 +119,8 @@
         if let Some(delta) = known.then(|| self.delta_after(revision, term)).flatten() {
             return Update::Delta(delta);
         }
-        Update::Snapshot(ConfigurationSnapshot { configuration: configuration.clone(), term })
+        let configuration = configuration.clone();
+        Update::Snapshot(Box::new(ConfigurationSnapshot { configuration, term }))
     }
 
     /// Collects the commands after a revision, none when the first change is too large.
--- a/crates/control/src/distribution_tests.rs
+++ b/crates/control/src/distribution_tests.rs
@@ -100,7 +100,7 @@
     match update {
         Update::Nothing => Received::AlreadyApplied,
         Update::Delta(delta) => receive_delta(child, Term(1), &delta),
-        Update::Snapshot(snapshot) => receive_snapshot(child, Term(1), snapshot),
+        Update::Snapshot(snapshot) => receive_snapshot(child, Term(1), *snapshot),
     }
 }
 
--- a/crates/control/src/log_tests.rs
+++ b/crates/control/src/log_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the log on disk: entries that are lost, reverted or invented.
 
-use celerygate_types::wire::{Command, Configuration};
+use celerygate_types::wire::Command;
 
 use super::frame::{Frames, decode, encode};
 use super::*;
--- a/crates/daemon/src/control/distribute.rs
+++ b/crates/daemon/src/control/distribute.rs
@@ -138,7 +138,7 @@
             daemon.peers.send(to, Message::ConfigurationDelta(delta));
         }
         Update::Snapshot(snapshot) => {
-            daemon.peers.send(to, Message::ConfigurationSnapshot(snapshot));
+            daemon.peers.send(to, Message::ConfigurationSnapshot(*snapshot));
         }
     }
 }
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -128,12 +128,17 @@
     }
 }
 
+/// Sends a message to a VM.
+pub type SendMessage = Box<dyn Fn(&VmId, FleetMessage) + Send>;
+/// Returns VMs.
+pub type ListVms = Box<dyn Fn() -> Vec<VmId> + Send>;
+
 /// Functions through which the thread acts on the rest of the daemon.
 pub struct Effects {
     /// Sends a message to a VM.
-    pub send: Box<dyn Fn(&VmId, FleetMessage) + Send>,
+    pub send: SendMessage,
     /// Returns the VMs that use tokens or content.
-    pub daemons: Box<dyn Fn() -> Vec<VmId> + Send>,
+    pub daemons: ListVms,
 }
 
 /// What the thread works with.
--- a/crates/steering/src/routing_tests.rs
+++ b/crates/steering/src/routing_tests.rs
@@ -110,8 +110,9 @@
 fn allows_region_both_bind() {
     let region = |name: &str| name.parse::<RegionId>().expect("valid id");
     let (east, west) = (region("east"), region("west"));
+    let (only_east, only_west) = ([east.clone()], [west.clone()]);
     assert!(allows_region(&[], &[], &east));
-    assert!(allows_region(&[east.clone()], &[], &east));
-    assert!(!allows_region(&[east.clone()], &[west.clone()], &east));
-    assert!(!allows_region(&[east], &[], &west));
+    assert!(allows_region(&only_east, &[], &east));
+    assert!(!allows_region(&only_east, &only_west, &east));
+    assert!(!allows_region(&only_east, &[], &west));
 }
