Weigh failing targets, and do not spread unknown objects under load

Ruled out: capacity (known objects need 28 of 48 slots, 27 were left).

Change: rejections raise a target's cost instead of excluding it; unknown objects go to further targets only while the object's targets have room on average; targets take requests up to 1.7 (known) and 1.0 (unknown) requests per slot.

--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -238,6 +238,7 @@
         is_avoided: observed.is_some_and(|observed| observed.is_avoided(now))
             || is_silent(views, &target.instance, now),
         knows_object: of_object.is_some_and(|(object, observed)| observed.knows(object)),
+        failure_share: observed.map_or(0.0, Observed::failure_share),
         waiting: observed.map_or(0, |observed| observed.waiting),
         learns_object: of_object.is_some_and(|(object, observed)| observed.is_arriving(object)),
     }
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -19,9 +19,9 @@
 const TARGETS_PER_OBJECT: usize = 2;
 /// Requests per slot up to which requests wait at a target that knows their object. Such a request
 /// takes a part of the work that it would cause anywhere else.
-const FILL_KNOWN: f64 = 2.0;
+const FILL_KNOWN: f64 = 1.7;
 /// Requests per slot up to which an object's own target meets it for the first time.
-const FILL_UNKNOWN: f64 = 1.25;
+const FILL_UNKNOWN: f64 = 1.0;
 /// Part of the time that is left within which an answer must be expected.
 const REMAINING_USED: f64 = 0.7;
 /// Part of the time that is left for which a request may be expected to wait before it is sent. A
@@ -65,8 +65,9 @@
 const AVOID_MAX: Duration = Duration::from_secs(8);
 /// Weight of the latest answer in the average share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
-/// Average share of failures above which a target is avoided although it answers.
-const FAILURE_SHARE_MAX: f64 = 0.3;
+/// Time that a failed or rejected attempt costs a request, in target latencies of its route: it is
+/// repeated elsewhere at best.
+const FAILURE_COST: f64 = 3.0;
 
 /// What this VM has observed of a target.
 #[derive(Clone, Debug)]
@@ -153,13 +154,11 @@
         self.failure_share += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_share);
         if !failed {
             self.failures_in_row = 0;
-            if self.failure_share < FAILURE_SHARE_MAX {
-                self.avoided_until = None;
-            }
+            self.avoided_until = None;
             return;
         }
         self.failures_in_row += 1;
-        if end == AttemptEnd::Failed || self.failure_share > FAILURE_SHARE_MAX {
+        if end == AttemptEnd::Failed {
             let doublings = self.failures_in_row.saturating_sub(1).min(8);
             let avoid = (AVOID_FIRST * 2_u32.pow(doublings)).min(AVOID_MAX);
             self.avoided_until = Some(now + avoid);
@@ -202,6 +201,11 @@
         self.objects.contains(&object)
     }
 
+    /// Returns the average share of attempts that failed or were rejected lately.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
     /// Returns whether the target is avoided because of recent failures.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -227,6 +231,8 @@
     pub knows_object: bool,
     /// Requests of this VM that wait until it has room.
     pub waiting: u32,
+    /// Share of the attempts there that failed or were rejected lately.
+    pub failure_share: f64,
     /// Whether it is about to know the object: the first request for it is under way.
     pub learns_object: bool,
 }
@@ -477,6 +483,8 @@
     // Without targets in other regions, the last group has to take what the others do not.
     let home = home.unwrap_or(groups.len() - 1);
     let usable = need.remaining.mul_f64(REMAINING_USED);
+    // With all of its targets busy, an object that spreads takes the room of those that are known.
+    let may_spread = mean_fill(sound) < FILL_FOR_OTHERS;
     let mut best: Option<(Duration, usize, PlacementReason)> = None;
     let mut awaited: Option<(Duration, usize)> = None;
     for (group, distance) in groups.iter().enumerate() {
@@ -491,10 +499,12 @@
             if time > usable && !candidate.has_free_slot() {
                 continue;
             }
-            if takes(candidate, is_own) {
+            if takes(candidate, is_own, may_spread) {
                 // Work elsewhere displaces what other targets know; it counts twice.
                 let displaces = !is_own && !candidate.knows_object;
-                let cost = time + if displaces { times.expected(false) } else { Duration::ZERO };
+                let cost = time
+                    + need.target_latency.mul_f64(FAILURE_COST * candidate.failure_share)
+                    + if displaces { times.expected(false) } else { Duration::ZERO };
                 let reason = if is_own { PlacementReason::Object } else { PlacementReason::Room };
                 if best.is_none_or(|(least, _, _)| cost < least) {
                     best = Some((cost, index, reason));
@@ -519,7 +529,7 @@
 }
 
 /// Returns whether a target takes a request for an object now.
-fn takes(candidate: &Candidate, is_own: bool) -> bool {
+fn takes(candidate: &Candidate, is_own: bool, may_spread: bool) -> bool {
     if candidate.knows_object {
         candidate.fill() < FILL_KNOWN
     } else if candidate.learns_object {
@@ -527,10 +537,17 @@
     } else if is_own {
         candidate.fill() < FILL_UNKNOWN
     } else {
-        candidate.fill() < FILL_FOR_OTHERS
+        may_spread && candidate.fill() < FILL_FOR_OTHERS
     }
 }
 
+/// Returns the requests per slot over several targets.
+fn mean_fill(sound: &[(usize, &Candidate)]) -> f64 {
+    let load: f64 = sound.iter().map(|(_, candidate)| candidate.load).sum();
+    let slots: f64 = sound.iter().map(|(_, candidate)| candidate.slots()).sum();
+    load / slots.max(1.0)
+}
+
 /// Makes the position of an object among the shares independent of its order of targets.
 const POSITION_SALT: u64 = 0x5bd1_e995_7b93_4a4f;
 
