Serve the last content after a restart, before a leader is elected

Control VMs hold it in their logs, but only a leader can tell which entries are committed, and the election takes 1 to 3 s. Ruled out: the spread to entry VMs (one question, 40 ms).

Tests: group_tests.rs.

--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -217,6 +217,8 @@
     reads: Vec<WaitingRead>,
     grants: Option<GrantOwner>,
     joining: BTreeMap<VmId, Member>,
+    /// Whether the content differs from the one in the latest snapshot.
+    content_changed: bool,
 }
 
 impl<'a> Driver<'a> {
@@ -236,7 +238,9 @@
             reads: Vec::new(),
             grants: None,
             joining: BTreeMap::new(),
+            content_changed: false,
         };
+        driver.publish_content();
         log::info!(store = driver.node.store_id(), commit = driver.node.replica().commit_index().0;
             "data folder opened");
         if settings.found_group && settings.seeds.iter().min() == Some(&settings.vm) {
@@ -354,7 +358,10 @@
                 }
             }
         }
-        if self.node.is_snapshot_due() {
+        // With a snapshot of each content, a VM that restarts has one to serve before a leader is
+        // elected; the log alone does not tell which of its entries are committed.
+        if self.content_changed || self.node.is_snapshot_due() {
+            self.content_changed = false;
             self.node.store_snapshot(self.configuration.clone())?;
         }
         Ok(())
@@ -397,6 +404,7 @@
             return;
         }
         if put_in_force(&self.start.tables, &self.start.dialect, content.clone()) {
+            self.content_changed = true;
             self.grants_follow();
             if self.node.replica().is_leader() {
                 let notice = ChangeNotice { revision: content.revision };
@@ -567,3 +575,7 @@
         peer_address: Default::default(),
     }
 }
+
+#[cfg(test)]
+#[path = "group_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/group_tests.rs
@@ -0,0 +1,141 @@
+//! Guards against a control VM that has nothing to serve after a restart, until a leader is elected:
+//! after a loss of power of all VMs that took three seconds in which every request was refused.
+
+use celerygate_steering::routing::RoutingTable;
+use celerygate_types::ManualClock;
+use celerygate_types::wire::{DocumentCommand, FleetBounds, FleetListeners};
+
+use super::*;
+
+fn settings(seeds: &[&str], found_group: bool) -> FleetSettings {
+    let id = |text: &str| text.parse().expect("valid id");
+    FleetSettings {
+        vm: id("10.0.0.1"),
+        region: "east".parse().expect("valid id"),
+        data_centre: "east-1".parse().expect("valid id"),
+        data_centres: Vec::new(),
+        listeners: FleetListeners {
+            callers: None,
+            readiness: None,
+            operators: None,
+            lookups: None,
+            metrics: None,
+        },
+        peer_port: 1,
+        operators_port: 2,
+        seeds: seeds.iter().map(|seed| id(seed)).collect(),
+        found_group,
+        data_folder: None,
+        lost_disks_max: 0,
+        descriptors_max: 100,
+        heartbeat_ms: 1_000,
+        bounds: FleetBounds {
+            drain_ms: 2_000,
+            grace_ms: 6_000,
+            propagation_ms: 2_000,
+            lookup_ttl_max_ms: 5_000,
+            retry_window_ms: 10_000,
+            retry_share: 0.2,
+            retry_slack_requests: 50,
+            quota_window_ms: 5_000,
+            quota_overage: 0.1,
+            quota_slack_requests: 20,
+            cold_slack_requests: 5,
+        },
+    }
+}
+
+fn dialect() -> Dialect {
+    Dialect {
+        read_request: |_| Err(celerygate_types::ResultCode::BadRequest),
+        write_request: |_, _, _| {},
+        is_own_header: |_| false,
+        read_response: |_| Default::default(),
+        write_refusal: |_, _| 503,
+        read_document: |_| Ok(RoutingTable::default()),
+    }
+}
+
+fn start(settings: FleetSettings, clock: &ManualClock) -> GroupStart {
+    GroupStart {
+        settings,
+        clock: clock.clock(),
+        tables: Arc::new(Tables::new()),
+        dialect: dialect(),
+    }
+}
+
+fn effects() -> Effects {
+    Effects { send: Box::new(|_, _| {}), daemons: Box::new(Vec::new) }
+}
+
+fn lead(driver: &mut Driver<'_>, clock: &ManualClock) {
+    for _ in 0..100 {
+        clock.advance(TICK);
+        driver.handle(Input::Tick { random: 0 }).expect("the disk works");
+    }
+    assert!(driver.node.replica().is_leader());
+}
+
+fn change() -> Command {
+    Command::Document(DocumentCommand {
+        based_on: 0,
+        version: 7,
+        digest: "first".into(),
+        replaces_all: true,
+        upsert: Vec::new(),
+        remove: Vec::new(),
+    })
+}
+
+#[test]
+fn open_after_restart_has_content_before_leader() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let clock = ManualClock::new();
+    let effects = effects();
+    let founder = start(settings(&["10.0.0.1"], true), &clock);
+    let mut driver = Driver::open(&founder, &effects, folder.path()).expect("an empty folder");
+    lead(&mut driver, &clock);
+    let (answer, mut outcome) = oneshot::channel();
+    driver.propose(change(), answer).expect("the disk works");
+    assert_eq!(
+        outcome.try_recv(),
+        Ok(GroupAnswer::Applied(Applied::DocumentChanged { version: 7 }))
+    );
+    drop(driver);
+    let restarted = start(settings(&["10.0.0.1"], false), &clock);
+    let _driver = Driver::open(&restarted, &effects, folder.path()).expect("the same folder");
+    let content = restarted.tables.content().expect("content without a leader");
+    assert_eq!(content.replicated.document.version, 7);
+}
+
+#[test]
+fn propose_group_too_small() {
+    // Two disks may be lost, and the group has one.
+    let folder = tempfile::tempdir().expect("a folder");
+    let clock = ManualClock::new();
+    let effects = effects();
+    let alone = FleetSettings { lost_disks_max: 2, ..settings(&["10.0.0.1"], true) };
+    let alone = start(alone, &clock);
+    let mut driver = Driver::open(&alone, &effects, folder.path()).expect("an empty folder");
+    lead(&mut driver, &clock);
+    let (answer, mut outcome) = oneshot::channel();
+    driver.propose(change(), answer).expect("the disk works");
+    assert_eq!(outcome.try_recv(), Ok(GroupAnswer::TooSmall));
+}
+
+#[test]
+fn read_confirmed_after_it_arrived() {
+    // A read is answered from the state that a quorum has confirmed after the question.
+    let folder = tempfile::tempdir().expect("a folder");
+    let clock = ManualClock::new();
+    let effects = effects();
+    let founder = start(settings(&["10.0.0.1"], true), &clock);
+    let mut driver = Driver::open(&founder, &effects, folder.path()).expect("an empty folder");
+    lead(&mut driver, &clock);
+    clock.advance(Duration::from_secs(5));
+    let (answer, mut outcome) = oneshot::channel();
+    driver.take(GroupInput::Read { answer }).expect("the disk works");
+    driver.answer_reads();
+    assert!(outcome.try_recv().is_err(), "nothing was confirmed since the question");
+}
--- a/crates/fleet/src/lookup.rs
+++ b/crates/fleet/src/lookup.rs
@@ -40,8 +40,13 @@
     let entries: Vec<DaemonRecord> =
         fleet.tables.daemons.lock().running(DaemonRole::Entry, now).cloned().collect();
     let addresses = nearest_entries(&entries, region, data_centre);
-    log::debug!(region = region.as_str(), data_centre = data_centre.as_str(),
-        running = entries.len(), addresses = addresses.len(); "lookup answered");
+    if addresses.is_empty() {
+        log::info!(region = region.as_str(), data_centre = data_centre.as_str(),
+            running = entries.len(); "lookup without an entry VM");
+    } else {
+        log::debug!(region = region.as_str(), data_centre = data_centre.as_str(),
+            running = entries.len(), addresses = addresses.len(); "lookup answered");
+    }
     addresses
 }
 
