Bound the log by lines a second, and name the request in every line about it

A request whose caller left wrote no line, and a refusal for lack of room did not name its request, so that its inputs could not be found from its id.

Change: at most 2,000 lines a second below warnings, dropped lines are counted; a line for a caller that leaves; the request's id with 'no target takes the request'. Tests: logging_tests.rs.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -88,7 +88,12 @@
             return finish(&fleet, refusal_response(&fleet, &Refusal { code, retry_after: None }));
         }
     };
-    let response = match handle(&fleet, &parts, &body, &facts, arrived).await {
+    let mut unanswered =
+        Unanswered { request: &facts.request, arrived, fleet: &fleet, ended: false };
+    let handled = handle(&fleet, &parts, &body, &facts, arrived).await;
+    unanswered.ended = true;
+    drop(unanswered);
+    let response = match handled {
         Ended::Response(response) => response,
         Ended::Refused(refusal) => {
             let elapsed = fleet.now().saturating_duration_since(arrived);
@@ -103,6 +108,24 @@
     finish(&fleet, response)
 }
 
+/// A request that is being served; dropping it earlier means that its caller has left.
+struct Unanswered<'a> {
+    request: &'a str,
+    arrived: Instant,
+    fleet: &'a Fleet,
+    ended: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let elapsed = self.fleet.now().saturating_duration_since(self.arrived);
+            log::info!(request = self.request, elapsed_ms = elapsed.as_millis() as u64;
+                "caller left before the answer");
+        }
+    }
+}
+
 /// Asks the caller to leave the connection while the daemon leaves.
 fn finish(fleet: &Fleet, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     if fleet.tables.state() == VmState::Leaving {
@@ -230,6 +253,7 @@
             break;
         }
         let wanted = Wanted {
+            request: &admitted.facts.request,
             service: admitted.service,
             route,
             organisation_homes: admitted.organisation_homes,
--- a/crates/fleet/src/logging.rs
+++ b/crates/fleet/src/logging.rs
@@ -8,22 +8,50 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, Logger, LoggerHandle, json_format};
 use log::Record;
+use parking_lot::Mutex;
 
 /// Lines that wait to be written. At 200 bytes a line they take about 1 MB.
 const QUEUED_LINES: usize = 4_096;
 
+/// Lines that are less important than a warning and are written within a second. The busiest entry
+/// VM of the deployments writes 1,350 a second; warnings are always written.
+const LINES_PER_S: u32 = 2_000;
+
 struct QueueWriter {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    second: Mutex<Second>,
+}
+
+/// The lines of the current second.
+struct Second {
+    start: Instant,
+    lines: u32,
+}
+
+impl Second {
+    /// Counts a line and returns whether it may be written.
+    fn allows(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.start) >= Duration::from_secs(1) {
+            *self = Self { start: now, lines: 0 };
+        }
+        self.lines += 1;
+        self.lines <= LINES_PER_S
+    }
 }
 
 impl LogWriter for QueueWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        if record.level() > log::Level::Warn && !self.second.lock().allows(Instant::now()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
         let mut line = Vec::with_capacity(256);
         json_format(&mut line, now, record)?;
         line.push(b'\n');
@@ -53,7 +81,11 @@
         .context("start the log thread")?;
     Logger::try_with_str(level)
         .with_context(|| format!("log level {level:?}"))?
-        .log_to_writer(Box::new(QueueWriter { lines, dropped }))
+        .log_to_writer(Box::new(QueueWriter {
+            lines,
+            dropped,
+            second: Mutex::new(Second { start: Instant::now(), lines: 0 }),
+        }))
         .start()
         .context("start logging")
 }
@@ -78,3 +110,7 @@
         let _ = output.write_all(&batch).and_then(|()| output.flush());
     }
 }
+
+#[cfg(test)]
+#[path = "logging_tests.rs"]
+mod tests;
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -67,6 +67,8 @@
 
 /// What a request asks of a target.
 pub struct Wanted<'a> {
+    /// Id of the request, for logs.
+    pub request: &'a str,
     /// Service.
     pub service: &'a ServiceId,
     /// Route.
@@ -186,7 +188,7 @@
         Placement::Send { index, reason } => (index, reason),
         Placement::Wait { index } => return Choice::Wait(candidates[index].instance.clone()),
         Placement::Full | Placement::NoTarget => {
-            log_full(&need, &candidates, known.len(), &times, &shares);
+            log_full(wanted, &need, &candidates, known.len(), &times, &shares);
             return if known.is_empty() { Choice::NoTarget } else { Choice::Full };
         }
     };
@@ -294,6 +296,7 @@
 }
 
 fn log_full(
+    wanted: &Wanted<'_>,
     need: &Need,
     candidates: &[Candidate],
     known: usize,
@@ -303,7 +306,8 @@
     let sound = candidates.iter().filter(|candidate| !candidate.is_avoided);
     let load: f64 = sound.clone().map(|candidate| candidate.load).sum();
     let slots: u32 = sound.clone().map(|candidate| candidate.slots.get()).sum();
-    log::info!(object = need.object, remaining_ms = need.remaining.as_millis() as u64,
+    log::info!(request = wanted.request, service = wanted.service.as_str(),
+        object = need.object, remaining_ms = need.remaining.as_millis() as u64,
         targets = known, considered = candidates.len(), avoided = candidates.len() - sound.count(),
         load = load, slots = slots, known_ms = times.expected(true).as_millis() as u64,
         unknown_ms = times.expected(false).as_millis() as u64, shares:% = shares;
