Keep the window of an organisation also while the leader changes

Cause, from the logs: the leader was cut off at 5.0 s, the next one led from 6.0 s; each of seven VMs had saved up a second of its allowance without a leader, on top of what the last leader had granted. Ruled out: two leaders that grant at once (the old one's lease had ended).

Change: a VM saves up 0.3 s of that allowance and begins with its part of half the slack; the bucket uses 0.6 of the allowed excess. Test: unled_leader_change_within_window.

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_steering::grants::{Admission, Limit, TokenNeed};
+use celerygate_steering::grants::{Admission, Limit, TokenNeed, UnledAllowance};
 use celerygate_steering::placement::TokenBucket;
 use celerygate_types::wire::{DaemonRole, FleetMessage, Message};
 use celerygate_types::{OrganisationId, ResultCode};
 use tokio::time::{sleep, timeout};
 
 use crate::dialect::Refusal;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, quota_window};
 use crate::sync;
 
 /// Time between two looks whether tokens are to be asked for.
@@ -25,11 +25,6 @@
 const CUT_OFF_SHARE: f64 = 0.4;
 /// Age up to which the answer of a control VM shows that it can be reached.
 const REACHED_AGE_MAX: Duration = Duration::from_millis(1_200);
-/// Seconds of that allowance that may be used at once.
-const UNLED_BURST_S: f64 = 1.0;
-/// Requests of an organisation that a VM may admit at once without a leader, however small its part
-/// of the rate: with 32 VMs the part is often below one request a second.
-const UNLED_LEAST: f64 = 2.0;
 /// Longest wait for a token. A caller that is refused at once comes back sooner than one that is
 /// kept waiting and refused then; the reply of a leader in another region takes 150 ms at most.
 const TOKEN_WAIT: Duration = Duration::from_millis(200);
@@ -122,8 +117,8 @@
     }
 }
 
-/// Returns the rate that this VM may use without a leader.
-fn unled_rate(fleet: &Fleet, limit: Limit, now: Instant) -> f64 {
+/// Returns what this VM may admit without a leader.
+fn unled_allowance(fleet: &Fleet, limit: Limit, now: Instant) -> UnledAllowance {
     let control_vms = sync::control_vms(fleet).len();
     let recent = |at: &Instant| now.saturating_duration_since(*at) < REACHED_AGE_MAX;
     let targets = fleet.tables.targets.lock();
@@ -132,7 +127,7 @@
     let share = if reached * 2 > control_vms { UNLED_SHARE } else { CUT_OFF_SHARE };
     let daemons = fleet.tables.daemons.lock();
     let entries = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
-    limit.rate.get() as f64 * share / (entries.count() + 1) as f64
+    limit.unled(&quota_window(&fleet.settings), entries.count() + 1, share)
 }
 
 fn decide(
@@ -170,16 +165,16 @@
         }
         Admission::Refuse { .. } | Admission::WaitForTokens { .. } => {
             drop(quota);
-            let rate = unled_rate(fleet, limit, now);
+            let allowance = unled_allowance(fleet, limit, now);
             let mut quota = fleet.tables.quota.lock();
             let bucket = quota
                 .unled
                 .entry(organisation.clone())
-                .or_insert_with(|| TokenBucket::with_level(UNLED_LEAST, now));
-            if bucket.take(rate, (rate * UNLED_BURST_S).max(UNLED_LEAST), now) {
+                .or_insert_with(|| TokenBucket::with_level(allowance.first_level, now));
+            if bucket.take(allowance.rate_per_s, allowance.capacity, now) {
                 Next::Admit
             } else {
-                Next::Refuse(Duration::from_secs_f64(1.0 / rate.max(1.0)))
+                Next::Refuse(Duration::from_secs_f64(1.0 / allowance.rate_per_s.max(1.0)))
             }
         }
     }
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -53,7 +53,24 @@
 
 /// Part of the allowed excess that the fleet's bucket may use. The rest covers grants of an earlier
 /// leader and VMs that are cut off from it.
-const EXCESS_USED: f64 = 0.7;
+const EXCESS_USED: f64 = 0.6;
+
+/// Seconds of the allowance without a leader that may be used at once. A change of leader comes on
+/// top of what the last leader granted, so little of it may be saved up.
+const UNLED_BURST_S: f64 = 0.3;
+/// Part of the slack that all VMs together admit at once when they lose the leader.
+const UNLED_SLACK_USED: f64 = 0.5;
+
+/// A bucket that a VM uses while no leader grants tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UnledAllowance {
+    /// Tokens that it gains per second.
+    pub rate_per_s: f64,
+    /// Most tokens that it holds.
+    pub capacity: f64,
+    /// Tokens that it holds when it is first used.
+    pub first_level: f64,
+}
 
 impl Limit {
     /// Returns the limit of a bucket that admits, within each window, the rate and one burst.
@@ -74,6 +91,18 @@
         }
     }
 
+    /// Returns what one of several VMs may admit while no leader grants tokens. `share` is the part
+    /// of the rate that all of them use together.
+    pub fn unled(self, quota: &QuotaWindow, vms: usize, share: f64) -> UnledAllowance {
+        let vms = vms.max(1) as f64;
+        let rate_per_s = self.rate.get() as f64 * share / vms;
+        UnledAllowance {
+            rate_per_s,
+            capacity: (rate_per_s * UNLED_BURST_S).max(1.0),
+            first_level: quota.slack.get() as f64 * UNLED_SLACK_USED / vms,
+        }
+    }
+
     /// Returns the largest number of tokens that one VM may hold: a quarter of the burst, and at
     /// least one token so that a small burst can be used at all.
     pub fn per_vm(self) -> RequestCount {
--- a/crates/steering/src/grants/limit_tests.rs
+++ b/crates/steering/src/grants/limit_tests.rs
@@ -28,3 +28,21 @@
         assert!(most <= allowed, "{rate} and {burst}: {most} of {allowed}");
     }
 }
+
+/// Guards against an organisation that gets more than its window while the leader changes: on
+/// hurma-kapi (seed hunt-d238-31) 476 requests ran where 462 are allowed, since each VM had saved up
+/// a second of its allowance without a leader.
+#[test]
+fn unled_leader_change_within_window() {
+    for (rate, burst, vms) in [(67, 67, 8), (394, 394, 8), (36, 36, 33), (10, 10, 33)] {
+        let (limit, vms_f) = (limit(rate, burst), f64::from(vms));
+        let led = limit.per_window(&QUOTA);
+        let unled = limit.unled(&QUOTA, vms as usize, 0.9);
+        // Four seconds with a leader whose bucket was full, and one second without.
+        let most = 4.0 * led.rate.get() as f64
+            + led.burst.get() as f64
+            + vms_f * (unled.rate_per_s + unled.first_level);
+        let allowed = (5 * rate + burst) as f64 * 1.1 + 20.0;
+        assert!(most <= allowed, "{rate} and {burst} on {vms} VMs: {most} of {allowed}");
+    }
+}
