Use the own allowance beside a leader only while it cannot grant yet

Cause: since 'only an owner that calls an organisation exhausted refuses', a VM used its own allowance whenever the leader's answer came late, beside the leader's grants.

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_steering::grants::{Admission, Limit, TokenNeed, UnledAllowance};
+use celerygate_steering::grants::{Admission, Limit, OWNER_EXPIRY, TokenNeed, UnledAllowance};
 use celerygate_steering::placement::TokenBucket;
 use celerygate_types::wire::{DaemonRole, FleetMessage, Message};
 use celerygate_types::{OrganisationId, ResultCode};
@@ -45,6 +45,10 @@
         let now = fleet.now();
         let request = {
             let mut quota = fleet.tables.quota.lock();
+            if leader.term > quota.term {
+                quota.term = leader.term;
+                quota.term_began_at = Some(now);
+            }
             quota.holder.set_term(leader.term);
             let quota = &mut *quota;
             let waiting = &quota.waiting;
@@ -147,16 +151,14 @@
         quota.holder.admit(organisation, &need, now)
     };
     let answered = quota.answered_at;
-    let is_led = answered.is_some_and(|at| now.saturating_duration_since(at) < UNLED_AFTER);
+    let is_new = |at: Instant| now.saturating_duration_since(at) < OWNER_EXPIRY;
+    // A leader that has just been elected grants nothing until old grants have expired; its silence
+    // says nothing about the rate.
+    let is_led = answered.is_some_and(|at| now.saturating_duration_since(at) < UNLED_AFTER)
+        && !quota.term_began_at.is_some_and(is_new);
     match admission {
         Admission::Admit => Next::Admit,
-        // A leader that has just been elected grants nothing until old grants have expired; its
-        // silence says nothing about the rate.
-        Admission::Refuse { retry_after }
-            if is_led && quota.holder.is_exhausted(organisation, now) =>
-        {
-            Next::Refuse(retry_after)
-        }
+        Admission::Refuse { retry_after } if is_led => Next::Refuse(retry_after),
         Admission::WaitForTokens { recheck_at } if is_led && now < recheck_at => Next::Wait,
         Admission::WaitForTokens { .. }
             if !is_led && now.saturating_duration_since(arrived) < RECHECK =>
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -115,6 +115,10 @@
     pub holder: GrantHolder,
     /// Requests that wait for tokens.
     pub waiting: HashMap<OrganisationId, u64>,
+    /// Term of the leader that tokens are asked of.
+    pub term: Term,
+    /// When that term became known here.
+    pub term_began_at: Option<Instant>,
     /// When the leader last answered.
     pub answered_at: Option<Instant>,
     /// Allowance while the leader does not answer.
@@ -174,6 +178,8 @@
             quota: Mutex::new(Quota {
                 holder: GrantHolder::new(Term::ZERO).holding_from(HOLD_TOKENS_FROM_PER_S),
                 waiting: HashMap::new(),
+                term: Term::ZERO,
+                term_began_at: None,
                 answered_at: None,
                 unled: HashMap::new(),
             }),
