--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -15,8 +15,6 @@
 
 /// Time between two looks whether tokens are to be asked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without an answer of the leader after which this VM uses its own allowance.
-const UNLED_AFTER: Duration = Duration::from_millis(600);
 /// Share of the rate that all VMs together use when they reach most control VMs and none leads. The
 /// rest keeps the fleet within the rate while some VMs still hold tokens of the last leader.
 const UNLED_SHARE: f64 = 0.9;
@@ -150,12 +148,8 @@
     } else {
         quota.holder.admit(organisation, &need, now)
     };
-    let answered = quota.answered_at;
-    let is_new = |at: Instant| now.saturating_duration_since(at) < OWNER_EXPIRY;
-    // A leader that has just been elected grants nothing until old grants have expired; its silence
-    // says nothing about the rate.
-    let is_led = answered.is_some_and(|at| now.saturating_duration_since(at) < UNLED_AFTER)
-        && !quota.term_began_at.is_some_and(is_new);
+    let source = token_source(quota.answered_at, quota.term_began_at, now);
+    let is_led = source == TokenSource::Leader;
     match admission {
         Admission::Admit => Next::Admit,
         Admission::Refuse { retry_after } if is_led => Next::Refuse(retry_after),
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -10,7 +10,7 @@
 mod holder;
 mod owner;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use celerygate_types::{RequestCount, RequestRate};
 
@@ -40,6 +40,35 @@
     pub burst: RequestCount,
 }
 
+/// Time without an answer of the owner after which a VM uses its own allowance; several times the
+/// interval of requests and the longest round trip.
+const UNLED_AFTER: Duration = Duration::from_millis(600);
+
+/// Where a VM takes tokens from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenSource {
+    /// From the owner; without tokens, requests wait or are refused.
+    Leader,
+    /// From its own allowance, when it has no tokens of the owner.
+    OwnAllowance,
+}
+
+/// Returns where a VM takes tokens from. An owner that answers decides alone, however late each
+/// answer is; an owner of a new term counts old grants first and grants nothing meanwhile.
+pub fn token_source(
+    answered_at: Option<Instant>,
+    term_began_at: Option<Instant>,
+    now: Instant,
+) -> TokenSource {
+    let within =
+        |at: Option<Instant>, time| at.is_some_and(|at| now.saturating_duration_since(at) < time);
+    if within(answered_at, UNLED_AFTER) && !within(term_began_at, OWNER_EXPIRY) {
+        TokenSource::Leader
+    } else {
+        TokenSource::OwnAllowance
+    }
+}
+
 /// How a deployment counts the requests of an organisation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaWindow {
--- a/crates/steering/src/grants/limit_tests.rs
+++ b/crates/steering/src/grants/limit_tests.rs
@@ -29,9 +29,23 @@
     }
 }
 
-/// Guards against an organisation that gets more than its window while the leader changes: on
-/// hurma-kapi (seed hunt-d238-31) 476 requests ran where 462 are allowed, since each VM had saved up
-/// a second of its allowance without a leader.
+/// Guards against an organisation that gets more than its window: on hurma-kapi (seeds hunt-d238-31
+/// and fresh-0894) VMs used their own allowance beside a leader whose answers came late, and 476
+/// requests ran where 462 are allowed.
+#[test]
+fn token_source_late_answers_leave_it_to_leader() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let source = |answered_ms, now_ms| token_source(Some(at(answered_ms)), Some(start), at(now_ms));
+    assert_eq!(source(5_000, 5_500), TokenSource::Leader);
+    assert_eq!(source(5_000, 5_700), TokenSource::OwnAllowance);
+    // The owner of a new term grants nothing yet.
+    assert_eq!(source(1_000, 1_100), TokenSource::OwnAllowance);
+    assert_eq!(source(1_250, 1_300), TokenSource::Leader);
+    assert_eq!(token_source(None, None, start), TokenSource::OwnAllowance);
+}
+
+/// Guards against an organisation that gets more than its window while the leader changes.
 #[test]
 fn unled_leader_change_within_window() {
     for (rate, burst, vms) in [(67, 67, 8), (394, 394, 8), (36, 36, 33), (10, 10, 33)] {
