--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_steering::grants::{Admission, Limit, OWNER_EXPIRY, TokenNeed, UnledAllowance};
+use celerygate_steering::grants::{
+    Admission, Limit, TokenNeed, TokenSource, UnledAllowance, token_source,
+};
 use celerygate_steering::placement::TokenBucket;
 use celerygate_types::wire::{DaemonRole, FleetMessage, Message};
 use celerygate_types::{OrganisationId, ResultCode};
