State the lock order that the code keeps, and accept connections in one place

Found on reading the change: (1) the choice of a cold target locks 'daemons' while it holds 'targets', against the stated order. Nothing locks them the other way round, so no deadlock was possible; the statement is corrected, the locks stay as they are. (2) listen and callers had the same accept loop.

No behaviour changes.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::forward::ResponseBody;
 use crate::http1::{self, Fault, Parsed, Received};
@@ -46,8 +46,6 @@
 const HIGH: f64 = 0.8;
 /// Longest time for a caller to take a part of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause when no connection could be accepted, for example without free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How many connections of callers are open.
 #[derive(Debug)]
@@ -119,20 +117,8 @@
 {
     let service = Arc::new(service);
     let mut until = closing.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = listen::closed(&mut until) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(connection(stream, closing.clone(), Arc::clone(&service)));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "connection not accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    while let Some(stream) = listen::accept(&listener, &mut until).await {
+        tokio::spawn(connection(stream, closing.clone(), Arc::clone(&service)));
     }
 }
 
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -50,15 +50,23 @@
 {
     let handle = Arc::new(handle);
     let mut until = closing.clone();
+    while let Some(stream) = accept(&listener, &mut until).await {
+        tokio::spawn(connection(stream, closing.clone(), Arc::clone(&handle)));
+    }
+}
+
+/// Returns the next connection; none once connections are to be ended.
+pub(crate) async fn accept(
+    listener: &TcpListener,
+    closing: &mut watch::Receiver<bool>,
+) -> Option<TcpStream> {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = closed(&mut until) => return,
+            () = closed(closing) => return None,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(connection(stream, closing.clone(), Arc::clone(&handle)));
-            }
+            Ok((stream, _)) => return Some(stream),
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
                 sleep(ACCEPT_PAUSE).await;
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -1,8 +1,7 @@
 //! Tables that the tasks of a daemon share.
 //!
-//! Lock order: `content`, `daemons`, `instances`, `target_index`, `targets`, `quota`, `retries`,
-//! `leader`. A task that holds a
-//! lock takes only later ones, and no lock is held across an await.
+//! Lock order: `content`, `instances`, `target_index`, `targets`, `daemons`, `quota`, `retries`,
+//! `leader`. A task that holds a lock takes only later ones, and no lock is held across an await.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
