Copy idempotency keys to an emptied home, and acknowledge their release

Change: an emptied home copies the records of every other home, page by page, and is complete once it has those of all, none of which may miss records itself. A refusal of a keyed request that was not sent waits up to 250 ms for its homes to release the key.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -204,8 +204,26 @@
     exchange: Arc<Exchange>,
     mut upstream: UpstreamRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut attempts = Attempt::default();
     let mut recorded_key = None;
+    let result = send_recorded(daemon, exchange, &mut upstream, &mut recorded_key).await;
+    match result {
+        Ok(response) => Ok(response),
+        Err(refusal) => {
+            if let Some(key) = recorded_key {
+                key.release().await;
+            }
+            Err(refusal)
+        }
+    }
+}
+
+async fn send_recorded(
+    daemon: &Arc<Daemon>,
+    exchange: Arc<Exchange>,
+    upstream: &mut UpstreamRequest,
+    recorded_key: &mut Option<RecordedKey>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut attempts = Attempt::default();
     daemon.tables.retries.lock().count_request(daemon.clock.now());
     loop {
         let mut picked = match attempt::pick(daemon, &exchange, &attempts).await {
@@ -217,9 +235,9 @@
             return Err(attempts.refusal_after(refusal));
         }
         if recorded_key.is_none() {
-            recorded_key = record_key(daemon, &exchange).await?;
+            *recorded_key = record_key(daemon, &exchange).await?;
         }
-        let end = attempt::send(daemon, &exchange, &mut upstream, &mut picked).await;
+        let end = attempt::send(daemon, &exchange, upstream, &mut picked).await;
         let (reached, ended, detail) = match end {
             AttemptEnd::Response(response) => {
                 recorded_key.iter_mut().for_each(RecordedKey::mark_sent);
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -30,6 +30,8 @@
     Freshness,
     /// Rate tokens.
     Grants,
+    /// Idempotency keys that this home misses.
+    Once,
     /// State and load for the other daemons.
     Heartbeat,
     /// Entry table and rooms of lookups.
@@ -48,6 +50,7 @@
             Self::Control => Duration::from_millis(50),
             Self::Freshness => poll_delay(rand::random()),
             Self::Grants => Duration::from_millis(25),
+            Self::Once => Duration::from_millis(250),
             Self::Heartbeat => Duration::from_secs(1),
             Self::Lookup => lookup::REBUILD_INTERVAL,
             Self::Links => Duration::from_millis(100),
@@ -111,8 +114,13 @@
         Message::SlotRequest(request) => {
             permits::answer(daemon, &envelope.sender, envelope.sender_incarnation, &request);
         }
-        message @ (Message::OnceRequest(_) | Message::OnceReply(_) | Message::OnceRelease(_)) => {
-            once::receive(daemon, &envelope.sender, message);
+        message @ (Message::OnceRequest(_)
+        | Message::OnceReply(_)
+        | Message::OnceRelease(_)
+        | Message::OnceReleased(_)
+        | Message::OnceCopyRequest(_)
+        | Message::OnceCopyReply(_)) => {
+            once::receive(daemon, &envelope.sender, envelope.sender_incarnation, message);
         }
         Message::SlotReply(reply) => permits::accept(daemon, &reply),
         Message::GrantReply(reply) => control::accept_tokens(daemon, &reply),
@@ -141,6 +149,7 @@
         Tick::Control => control::tick(daemon),
         Tick::Freshness => control::poll_parent(daemon),
         Tick::Grants => control::poll_owner(daemon),
+        Tick::Once => once::copy_missing(daemon),
         Tick::Heartbeat => daemon.send_heartbeats(),
         Tick::Lookup => lookup::rebuild(daemon),
         Tick::Links => links::tick(daemon),
--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -9,13 +9,17 @@
 use celerygate_control::once_log::{OnceLog, OpenedOnceLog, Past, TimedRecord};
 use celerygate_control::storage;
 use celerygate_steering::once::{
-    Homes, OnceChange, OnceDecision, OnceLimits, OnceRecord, OnceTable, RETENTION, decide, homes,
+    CopyNext, Homes, OnceChange, OnceCopy, OnceDecision, OnceLimits, OncePage, OnceRecord,
+    OnceTable, RETENTION, decide, homes,
 };
-use celerygate_types::wire::{MemberRole, Message, OnceReply, OnceRequest, OnceVerdict};
-use celerygate_types::{Clock, OrganisationId, RequestId, ResultCode, VmId};
+use celerygate_types::wire::{
+    MemberRole, Message, OnceCopiedRecord, OnceCopyReply, OnceCopyRequest, OnceReleased, OnceReply,
+    OnceRequest, OnceVerdict,
+};
+use celerygate_types::{Clock, Incarnation, OrganisationId, RequestId, ResultCode, VmId};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::daemon::Daemon;
 use crate::refusal::Refusal;
@@ -27,11 +31,18 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an unanswered home is asked again.
 const RESEND_AFTER: Duration = Duration::from_millis(250);
+/// Longest wait of a refusal for the homes to release the key: several round trips between regions.
+/// A caller that comes back before that through another VM may find the key still in use.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Records in one answer to a home that copies; about 20 KB.
+const RECORDS_PER_PAGE: usize = 500;
 
 /// The table of a home and its file.
 pub struct OnceHome {
     table: OnceTable,
     log: OnceLog,
+    /// Copying of the other homes' keys while this one misses some.
+    copy: Option<OnceCopy>,
 }
 
 impl OnceHome {
@@ -47,20 +58,24 @@
             .with_context(|| format!("open the folder {}", folder.display()))?;
         let OpenedOnceLog { log, records } = OnceLog::open(storage, now_unix_ms)?;
         let mut table = OnceTable::new(own.clone(), OnceLimits::default(), now);
-        match log.past() {
-            Past::Complete => table.set_complete(now),
+        let copy = match log.past() {
+            Past::Complete => {
+                table.set_complete(now);
+                None
+            }
             Past::UnknownBefore { unix_ms } => {
                 let known_for = Duration::from_millis(now_unix_ms.saturating_sub(unix_ms));
                 table.set_clear_from(now + RETENTION.saturating_sub(known_for));
+                Some(OnceCopy::default())
             }
-        }
+        };
         for timed in &records {
             let age = Duration::from_millis(now_unix_ms.saturating_sub(timed.unix_ms));
             // A machine that has been up for less than the age kept no record that long ago.
             let at = now.checked_sub(age).unwrap_or(now);
             table.restore(&timed.record, at);
         }
-        Ok(Self { table, log })
+        Ok(Self { table, log, copy })
     }
 
     /// Notes that the control group was founded with this data folder: no request was admitted
@@ -73,13 +88,78 @@
         if self.log.past() == Past::Complete {
             return Ok(());
         }
+        self.set_complete(clock)
+    }
+
+    fn set_complete(&mut self, clock: &Clock) -> Result<()> {
+        self.copy = None;
         self.table.set_complete(clock.now());
         self.log.set_complete(&live_records(&self.table, clock))
     }
 
     /// Notes the homes of all keys.
-    pub fn set_members(&mut self, vms: &[VmId], now: Instant) {
+    pub fn set_members(&mut self, own: &VmId, vms: &[VmId], now: Instant) {
         self.table.set_members(vms, now);
+        if let Some(copy) = &mut self.copy {
+            copy.set_sources(vms.iter().filter(|vm| *vm != own));
+        }
+    }
+
+    /// Returns the homes whose keys are still to be copied, with the question to each.
+    fn questions(&self) -> Vec<(VmId, OnceCopyRequest)> {
+        let questions = self.copy.iter().flat_map(OnceCopy::questions);
+        questions.map(|(vm, after)| (vm.clone(), OnceCopyRequest { after })).collect()
+    }
+
+    fn copied_part(
+        &mut self,
+        reader: &VmId,
+        asked: &OnceCopyRequest,
+        now: Instant,
+    ) -> OnceCopyReply {
+        self.table.expire(now);
+        let page = self.table.page(reader, asked.after, RECORDS_PER_PAGE);
+        let copied = |(at, record): &(Instant, OnceRecord)| OnceCopiedRecord {
+            organisation: record.organisation,
+            fingerprint: record.fingerprint,
+            request: record.request,
+            age_ms: now.saturating_duration_since(*at).as_millis() as u64,
+        };
+        OnceCopyReply {
+            after: asked.after,
+            next: page.next,
+            is_last: page.is_last,
+            is_complete: self.table.is_complete(now),
+            records: page.records.iter().map(copied).collect(),
+        }
+    }
+
+    fn take_part(
+        &mut self,
+        from: &VmId,
+        life: Incarnation,
+        reply: &OnceCopyReply,
+        clock: &Clock,
+    ) -> Result<CopyNext> {
+        let now = clock.now();
+        let Some(copy) = &mut self.copy else { return Ok(CopyNext::Ignore) };
+        let page = OncePage {
+            records: reply.records.iter().map(|record| copied_record(record, now)).collect(),
+            next: reply.next,
+            is_last: reply.is_last,
+        };
+        let next = copy.take(from, life, reply.after, &page, reply.is_complete);
+        if next == CopyNext::Ignore {
+            return Ok(next);
+        }
+        for (at, record) in page.records.iter().filter(|(_, record)| copy.keeps(record)) {
+            self.table.copy(record, *at);
+        }
+        if next == CopyNext::Complete {
+            self.table.sort();
+            self.set_complete(clock)?;
+        }
+        Ok(next)
     }
 
     fn start(&mut self, request: &OnceRequest, clock: &Clock) -> Result<OnceVerdict> {
@@ -99,11 +179,14 @@
         let OnceRequest { organisation, fingerprint, request } = request;
         let before = self.table.len();
         self.table.release(organisation, *fingerprint, request);
+        let record = OnceRecord::new(organisation, *fingerprint, request, OnceChange::Released);
+        if let Some(copy) = &mut self.copy {
+            copy.note_released(&record);
+        }
         if self.table.len() == before {
             return Ok(());
         }
-        let change = OnceChange::Released;
-        self.append(OnceRecord::new(organisation, *fingerprint, request, change), clock)
+        self.append(record, clock)
     }
 
     fn append(&mut self, record: OnceRecord, clock: &Clock) -> Result<()> {
@@ -115,6 +198,12 @@
     }
 }
 
+fn copied_record(copied: &OnceCopiedRecord, now: Instant) -> (Instant, OnceRecord) {
+    let OnceCopiedRecord { organisation, fingerprint, request, age_ms } = *copied;
+    let at = now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
+    (at, OnceRecord { organisation, fingerprint, request, change: OnceChange::Started })
+}
+
 fn live_records(table: &OnceTable, clock: &Clock) -> Vec<TimedRecord> {
     let (now, now_unix_ms) = (clock.now(), clock.unix_ms());
     let timed = |(at, record): (Instant, OnceRecord)| {
@@ -128,6 +217,7 @@
 #[derive(Default)]
 pub struct OnceWaiting {
     answers: HashMap<RequestId, mpsc::UnboundedSender<(VmId, OnceVerdict)>>,
+    releases: HashMap<RequestId, mpsc::UnboundedSender<VmId>>,
 }
 
 /// A recorded key; dropping it releases the key at its homes unless the request may have been sent.
@@ -143,20 +233,50 @@
     pub fn mark_sent(&mut self) {
         self.may_have_run = true;
     }
-}
 
-impl Drop for RecordedKey {
-    fn drop(&mut self) {
-        self.daemon.tables.once_waiting.lock().answers.remove(&self.request.request);
+    /// Releases the key unless the request may have been sent, and waits until the homes know it, so
+    /// that a caller that is refused now can come back through any VM.
+    pub async fn release(mut self) {
         if self.may_have_run {
             return;
         }
+        let (sender, mut released) = mpsc::unbounded_channel();
+        let request = self.request.request.clone();
+        self.daemon.tables.once_waiting.lock().releases.insert(request.clone(), sender);
+        self.send_release();
+        let mut missing = self.homes.clone();
+        let give_up_at = self.daemon.clock.now() + RELEASE_TIMEOUT;
+        while !missing.is_empty() {
+            match timeout_at(give_up_at.into(), released.recv()).await {
+                Ok(Some(home)) => missing.retain(|vm| *vm != home),
+                Ok(None) | Err(_) => {
+                    log::info!(request:% = request, homes:? = missing;
+                        "release of an idempotency key not acknowledged");
+                    break;
+                }
+            }
+        }
+        self.daemon.tables.once_waiting.lock().releases.remove(&request);
+        // The homes have been told.
+        self.may_have_run = true;
+    }
+
+    fn send_release(&self) {
         for home in &self.homes {
             send(&self.daemon, home, Message::OnceRelease(self.request.clone()));
         }
     }
 }
 
+impl Drop for RecordedKey {
+    fn drop(&mut self) {
+        self.daemon.tables.once_waiting.lock().answers.remove(&self.request.request);
+        if !self.may_have_run {
+            self.send_release();
+        }
+    }
+}
+
 /// Records the key of a request at its homes before the request is sent.
 ///
 /// # Errors
@@ -189,6 +309,7 @@
             OnceDecision::Refuse(code) => {
                 // The key belongs to the first request, which may have run.
                 key.may_have_run = code == ResultCode::DuplicateRequest;
+                key.release().await;
                 return Err(code.into());
             }
         }
@@ -215,14 +336,14 @@
 
 fn send(daemon: &Arc<Daemon>, home: &VmId, message: Message) {
     if *home == daemon.own {
-        receive(daemon, home, message);
+        receive(daemon, home, daemon.incarnation, message);
     } else {
         daemon.peers.send(home, message);
     }
 }
 
-/// Handles a message about an idempotency key.
-pub fn receive(daemon: &Arc<Daemon>, from: &VmId, message: Message) {
+/// Handles a message about idempotency keys.
+pub fn receive(daemon: &Arc<Daemon>, from: &VmId, life: Incarnation, message: Message) {
     match message {
         Message::OnceRequest(request) => {
             if let Some(verdict) = at_home(daemon, |home| home.start(&request, &daemon.clock)) {
@@ -231,7 +352,32 @@
             }
         }
         Message::OnceRelease(request) => {
-            at_home(daemon, |home| home.release(&request, &daemon.clock));
+            if at_home(daemon, |home| home.release(&request, &daemon.clock)).is_some() {
+                let released = OnceReleased { request: request.request };
+                send(daemon, from, Message::OnceReleased(released));
+            }
+        }
+        Message::OnceReleased(released) => {
+            let waiting = daemon.tables.once_waiting.lock();
+            if let Some(sender) = waiting.releases.get(&released.request) {
+                // The refusal may have been sent without the last answers.
+                let _ = sender.send(from.clone());
+            }
+        }
+        Message::OnceCopyRequest(asked) => {
+            let now = daemon.clock.now();
+            if let Some(reply) = at_home(daemon, |home| Ok(home.copied_part(from, &asked, now))) {
+                send(daemon, from, Message::OnceCopyReply(reply));
+            }
+        }
+        Message::OnceCopyReply(reply) => {
+            let next = at_home(daemon, |home| home.take_part(from, life, &reply, &daemon.clock));
+            log::info!(home:% = from, records = reply.records.len(), next:? = next;
+                "idempotency keys copied");
+            if next == Some(CopyNext::AskAgain) {
+                let asked = OnceCopyRequest { after: reply.next };
+                send(daemon, from, Message::OnceCopyRequest(asked));
+            }
         }
         Message::OnceReply(reply) => {
             let waiting = daemon.tables.once_waiting.lock();
@@ -262,7 +408,16 @@
     if let Some(home) = daemon.tables.once_home.lock().as_mut()
         && !vms.is_empty()
     {
-        home.set_members(&vms, now);
+        home.set_members(&daemon.own, &vms, now);
+    }
+}
+
+/// Asks the other homes for their keys while this one misses some.
+pub fn copy_missing(daemon: &Arc<Daemon>) {
+    let questions =
+        daemon.tables.once_home.lock().as_ref().map(OnceHome::questions).unwrap_or_default();
+    for (vm, question) in questions {
+        send(daemon, &vm, Message::OnceCopyRequest(question));
     }
 }
 
--- a/crates/steering/src/once.rs
+++ b/crates/steering/src/once.rs
@@ -12,8 +12,10 @@
 
 use crate::lookup::rendezvous::{first_8_bytes, id_hash, mix};
 
+mod copy;
 mod table;
 
+pub use copy::{CopyNext, OnceCopy, OncePage};
 pub use table::{OnceLimits, OnceTable};
 
 /// VMs that record a key.
@@ -80,7 +82,12 @@
 
     /// Returns the homes of a key.
     pub fn homes(&self, organisation: &OrganisationId, fingerprint: u64) -> Homes {
-        let subject = mix(id_hash(organisation.as_str()), fingerprint);
+        self.homes_of_hash(id_hash(organisation.as_str()), fingerprint)
+    }
+
+    /// Returns the homes of a key of the organisation whose id has this hash.
+    pub fn homes_of_hash(&self, organisation: u64, fingerprint: u64) -> Homes {
+        let subject = mix(organisation, fingerprint);
         let mut best: SmallVec<[(u64, &VmId); HOMES + 1]> = SmallVec::new();
         for (vm, hash) in &self.vms {
             let ranked = (mix(subject, *hash), vm);
--- a/crates/steering/src/once/table.rs
+++ b/crates/steering/src/once/table.rs
@@ -7,7 +7,7 @@
 use celerygate_types::wire::OnceVerdict;
 use celerygate_types::{OrganisationId, RequestId, VmId};
 
-use super::{Members, OnceChange, OnceRecord, RETENTION};
+use super::{Members, OnceChange, OncePage, OnceRecord, RETENTION};
 use crate::lookup::rendezvous::id_hash;
 
 /// Most keys that a home records.
@@ -45,6 +45,8 @@
     started: HashMap<KeyOf, Started>,
     /// Keys in the order in which they were recorded; a released key leaves its entry behind.
     order: VecDeque<(Instant, KeyOf)>,
+    /// Position of the first entry of `order`; positions only grow during a process's life.
+    first_position: u64,
     per_organisation: HashMap<u64, usize>,
     /// Members of the last hour, each list with the time at which it came into force. Until the
     /// first list applies, nothing is known of the keys that others recorded.
@@ -63,6 +65,7 @@
             limits,
             started: HashMap::new(),
             order: VecDeque::new(),
+            first_position: 0,
             per_organisation: HashMap::new(),
             members: Vec::new(),
             clear_from: now + RETENTION,
@@ -102,6 +105,51 @@
         })
     }
 
+    /// Returns the records after a position that another VM is a home of too.
+    pub fn page(&self, reader: &VmId, after: u64, limit: usize) -> OncePage {
+        let skipped = after.saturating_sub(self.first_position) as usize;
+        let homes = self.members.last().map(|(_, members)| members);
+        let mut page = OncePage { next: after.max(self.first_position), ..OncePage::default() };
+        for (at, key) in self.order.iter().skip(skipped) {
+            if page.records.len() == limit {
+                return page;
+            }
+            page.next += 1;
+            let KeyOf { organisation, fingerprint } = *key;
+            let is_shared = homes.is_none_or(|members| {
+                members.homes_of_hash(organisation, fingerprint).contains(reader)
+            });
+            let Some(started) = self.started.get(key).filter(|started| started.at == *at) else {
+                continue;
+            };
+            if is_shared {
+                let (request, change) = (started.request, OnceChange::Started);
+                page.records.push((*at, OnceRecord { organisation, fingerprint, request, change }));
+            }
+        }
+        page.is_last = true;
+        page
+    }
+
+    /// Returns whether nothing that this VM should have recorded is missing.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        now >= self.clear_from && !self.members.is_empty()
+    }
+
+    /// Adds a record of another home unless the key is held already.
+    pub fn copy(&mut self, record: &OnceRecord, at: Instant) {
+        let OnceRecord { organisation, fingerprint, request, .. } = *record;
+        let key = KeyOf { organisation, fingerprint };
+        if !self.started.contains_key(&key) {
+            self.record(key, request, at);
+        }
+    }
+
+    /// Orders the entries by their time again after records of other homes were added.
+    pub fn sort(&mut self) {
+        self.order.make_contiguous().sort_by_key(|(at, _)| *at);
+    }
+
     /// Notes the configured VMs.
     ///
     /// A change makes this VM a home of keys that were recorded elsewhere; it answers "unknown" for
@@ -162,6 +210,7 @@
     pub fn expire(&mut self, now: Instant) {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= RETENTION;
         while let Some((at, key)) = self.order.pop_front_if(|(at, _)| is_over(*at)) {
+            self.first_position += 1;
             if self.started.get(&key).is_some_and(|started| started.at == at) {
                 self.remove(key);
             }
