Grant tokens ahead of the bucket while an organisation uses little of its rate

Change: while the true level of a bucket is high, the owner grants beyond it, up to 0.85 of what the window leaves after the use of the last window. A VM holds one token for 20 s after a request. An owner that does not know the last window grants nothing ahead.

--- a/crates/daemon/src/control/rates.rs
+++ b/crates/daemon/src/control/rates.rs
@@ -13,8 +13,11 @@
 /// Returns the rate and burst of each organisation.
 pub fn limits(configuration: &Configuration) -> impl Iterator<Item = (OrganisationId, Limit)> {
     configuration.organisations.iter().map(|organisation| {
-        let limit =
-            Limit { rate: organisation.rate_requests_per_s, burst: organisation.burst_requests };
+        let limit = Limit {
+            rate: organisation.rate_requests_per_s,
+            burst: organisation.burst_requests,
+            window: None,
+        };
         (organisation.organisation.clone(), limit)
     })
 }
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -25,9 +25,9 @@
 /// its messages.
 pub const DAEMON_LEASE: Duration = Duration::from_millis(1_200);
 
-/// Least demand of an organisation, in requests per second, for which this VM holds tokens ahead.
-/// With 32 entry VMs and bursts of 20 requests, tokens held for less use up the bucket.
-const HOLD_TOKENS_FROM_PER_S: f64 = 1.0;
+/// Time after a request of an organisation for which this VM holds a token for its next one. An
+/// organisation that sends less than one request in this time to a VM waits for the leader.
+const HOLD_TOKENS_FOR: Duration = Duration::from_secs(20);
 
 /// The replicated configuration that is in force here.
 #[derive(Debug)]
@@ -175,7 +175,7 @@
             target_index: Mutex::default(),
             targets: Mutex::default(),
             quota: Mutex::new(Quota {
-                holder: GrantHolder::new(Term::ZERO).holding_from(HOLD_TOKENS_FROM_PER_S),
+                holder: GrantHolder::new(Term::ZERO).holding_for(HOLD_TOKENS_FOR),
                 waiting: HashMap::new(),
                 term: Term::ZERO,
                 term_began_at: None,
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -38,6 +38,8 @@
     pub address: SmolStr,
     /// Whether the way to it crosses regions.
     pub reach: Reach,
+    /// When it was chosen.
+    pub chosen_at: Instant,
     /// Why it was chosen.
     pub reason: PlacementReason,
     /// Requests at it when it was chosen.
@@ -204,6 +206,7 @@
         instance: target.instance.clone(),
         address: target.address.clone(),
         reach,
+        chosen_at: now,
         reason,
         load: candidate.load,
         considered: known.len(),
--- a/crates/steering/benches/admission.rs
+++ b/crates/steering/benches/admission.rs
@@ -20,7 +20,8 @@
 fn filled_holder(now: Instant) -> (GrantHolder, Vec<OrganisationId>) {
     let ids: Vec<OrganisationId> =
         (0..ORGANISATIONS).map(|n| format!("organisation-{n}").parse().unwrap()).collect();
-    let limit = Limit { rate: RequestRate(10_000_000), burst: RequestCount(400_000_000) };
+    let limit =
+        Limit { rate: RequestRate(10_000_000), burst: RequestCount(400_000_000), window: None };
     let limits = ids.iter().map(|id| (id.clone(), limit));
     let start = now - Duration::from_secs(60);
     let mut owner = GrantOwner::new(Term(1), [], limits, now + Duration::from_secs(60), start);
--- a/crates/steering/examples/admission_replay.rs
+++ b/crates/steering/examples/admission_replay.rs
@@ -164,10 +164,11 @@
     fn start_owner(&mut self, vm: usize, us: u64) {
         self.term += 1;
         let (now, lease) = (self.at(us), self.at(RUN_US * 2));
-        let limits =
-            self.ids.iter().cloned().zip(
-                RATES.map(|rate| Limit { rate: RequestRate(rate), burst: RequestCount(rate) }),
-            );
+        let limits = self.ids.iter().cloned().zip(RATES.map(|rate| Limit {
+            rate: RequestRate(rate),
+            burst: RequestCount(rate),
+            window: None,
+        }));
         let grants = GrantOwner::new(Term(self.term), &self.vm_ids, limits, lease, now);
         let mut slots = SlotOwner::new(self.term, &self.vm_ids, lease, now);
         for target in &self.targets {
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -38,6 +38,17 @@
     pub rate: RequestRate,
     /// Largest sum of the bucket's level and the tokens outstanding.
     pub burst: RequestCount,
+    /// What a deployment allows in a window; none if only the bucket counts.
+    pub window: Option<WindowCap>,
+}
+
+/// The requests that may run within any window of a length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowCap {
+    /// Length of the window.
+    pub length: Duration,
+    /// Most requests in it.
+    pub requests: RequestCount,
 }
 
 /// Time without an answer of the owner after which a VM uses its own allowance; several times the
@@ -117,6 +128,10 @@
         Self {
             rate: RequestRate((rate + burst / window_s) as u64),
             burst: RequestCount(((excess * EXCESS_USED) as u64).clamp(1, self.burst.get().max(1))),
+            window: Some(WindowCap {
+                length: quota.window,
+                requests: RequestCount((counted + excess) as u64),
+            }),
         }
     }
 
@@ -139,6 +154,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "grants/ahead_tests.rs"]
+mod ahead_tests;
 #[cfg(test)]
 #[path = "grants/fuzz_tests.rs"]
 mod fuzz_tests;
--- /dev/null
+++ b/crates/steering/src/grants/ahead_tests.rs
@@ -0,0 +1,126 @@
+//! Load patterns of tokens that are granted ahead, on a simulated fleet without a network.
+
+use celerygate_types::wire::{GrantReply, GrantRequest};
+use celerygate_types::{Incarnation, OrganisationId, Term, VmId};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::*;
+
+const VMS: usize = 32;
+const STEP_MS: u64 = 10;
+/// Time for a message between a VM and an owner in another region.
+const ONE_WAY_MS: u64 = 15;
+const QUOTA: QuotaWindow =
+    QuotaWindow { window: Duration::from_secs(5), overage: 0.1, slack: RequestCount(20) };
+
+/// What became of the requests of one organisation.
+#[derive(Default)]
+struct Run {
+    admitted_ms: Vec<u64>,
+    at_once: usize,
+    requests: usize,
+}
+
+impl Run {
+    fn most_in_window(&self) -> usize {
+        let within = |at: u64| {
+            let window = at..at + 5_000;
+            self.admitted_ms.iter().filter(|ms| window.contains(*ms)).count()
+        };
+        self.admitted_ms.iter().map(|at| within(*at)).max().unwrap_or_default()
+    }
+}
+
+/// Plays an organisation whose requests arrive at random VMs at a rate that depends on the time.
+fn play(limit: Limit, seconds: u64, rate_at: impl Fn(u64) -> f64) -> Run {
+    let organisation: OrganisationId = "orchard".parse().unwrap();
+    let vms: Vec<VmId> = (0..VMS).map(|vm| format!("vm-{vm}").parse().unwrap()).collect();
+    let start = Instant::now();
+    let limits = [(organisation.clone(), limit.per_window(&QUOTA))];
+    let lease_until = start + Duration::from_secs(3_600);
+    let mut owner = GrantOwner::new(Term(1), &vms, limits, lease_until, start);
+    let mut holders: Vec<GrantHolder> =
+        (0..VMS).map(|_| GrantHolder::new(Term(1)).holding_for(Duration::from_secs(20))).collect();
+    let mut requests: Vec<(u64, usize, GrantRequest)> = Vec::new();
+    let mut replies: Vec<(u64, usize, GrantReply)> = Vec::new();
+    let mut random = SmallRng::seed_from_u64(7);
+    let mut run = Run::default();
+    for ms in (0..seconds * 1_000).step_by(STEP_MS as usize) {
+        let now = start + Duration::from_millis(ms);
+        let (due, later): (Vec<_>, Vec<_>) = requests.into_iter().partition(|(at, ..)| *at <= ms);
+        requests = later;
+        for (_, vm, request) in due {
+            if let GrantAnswer::Reply(reply) = owner.answer(&vms[vm], Incarnation(1), &request, now)
+            {
+                replies.push((ms + ONE_WAY_MS, vm, reply));
+            }
+        }
+        let (due, later): (Vec<_>, Vec<_>) = replies.into_iter().partition(|(at, ..)| *at <= ms);
+        replies = later;
+        for (_, vm, reply) in due {
+            holders[vm].accept(&reply, now);
+        }
+        let mut expected = rate_at(ms) * STEP_MS as f64 / 1_000.0;
+        while random.random_range(0.0..1.0) < expected {
+            expected -= 1.0;
+            let vm = random.random_range(0..VMS);
+            let need = TokenNeed { arrived: now, deadline: now, ahead: 0 };
+            let is_counted = ms >= 10_000;
+            run.requests += usize::from(is_counted);
+            if holders[vm].admit(&organisation, &need, now) == Admission::Admit {
+                run.at_once += usize::from(is_counted);
+                run.admitted_ms.push(ms);
+            }
+        }
+        for (vm, holder) in holders.iter_mut().enumerate() {
+            if let Some(request) = holder.poll(|_| 0, now) {
+                requests.push((ms + ONE_WAY_MS, vm, request));
+            }
+        }
+    }
+    run
+}
+
+fn allowed(limit: Limit) -> usize {
+    ((limit.rate.get() * 5 + limit.burst.get()) as f64 * 1.1 + 20.0) as usize
+}
+
+fn limit(rate: u64) -> Limit {
+    Limit { rate: RequestRate(rate), burst: RequestCount(rate), window: None }
+}
+
+/// Many VMs, each with a request of a small organisation every few seconds (hurma-kapi-grown,
+/// quiet-1): guards against requests that wait or are refused though the rate is mostly unused.
+#[test]
+fn ahead_spare_rate_admits_at_once() {
+    for rate in [24, 40, 110] {
+        let run = play(limit(rate), 20, |_| rate as f64 * 0.4);
+        let share = run.at_once as f64 / run.requests as f64;
+        assert!(share > 0.95, "rate {rate}: {share}");
+    }
+}
+
+/// An organisation that begins to send many times its usual: guards against tokens ahead that add
+/// up to more than the window.
+#[test]
+fn ahead_surge_stays_within_window() {
+    for rate in [24, 40, 110, 400] {
+        for usual in [0.1, 0.4, 0.7, 0.95] {
+            let surge = |ms: u64| if ms > 12_000 { 7.5 } else { 1.0 };
+            let run = play(limit(rate), 25, |ms| rate as f64 * usual * surge(ms));
+            let most = run.most_in_window();
+            let allowed = allowed(limit(rate));
+            assert!(most <= allowed, "rate {rate}, usual {usual}: {most} of {allowed}");
+        }
+    }
+}
+
+/// An organisation above its rate all the time: guards against refusals inside the rate.
+#[test]
+fn ahead_overload_uses_the_window() {
+    let run = play(limit(78), 25, |_| 160.0);
+    let most = run.most_in_window();
+    assert!(most <= allowed(limit(78)), "{most}");
+    assert!(run.admitted_ms.iter().filter(|ms| **ms >= 15_000).count() > 9 * 78, "{most}");
+}
--- a/crates/steering/src/grants/fuzz_tests.rs
+++ b/crates/steering/src/grants/fuzz_tests.rs
@@ -50,7 +50,8 @@
         let mut network = Network::new(seed, VMS);
         // Mostly low rates: a high one fills the bucket so soon that a token freed twice is hidden.
         let rate = RequestRate(1 << network.rng.random_range(0..9));
-        let limit = Limit { rate, burst: RequestCount(network.rng.random_range(1..400)) };
+        let burst = RequestCount(network.rng.random_range(1..400));
+        let limit = Limit { rate, burst, window: None };
         Self {
             network,
             vms: (0..VMS).map(|vm| format!("vm-{vm}").parse().unwrap()).collect(),
@@ -216,7 +217,7 @@
 #[test]
 fn fleet_reaches_rate_with_uneven_arrivals() {
     let mut fleet = Fleet::new(0);
-    fleet.limit = Limit { rate: RequestRate(300), burst: RequestCount(300) };
+    fleet.limit = Limit { rate: RequestRate(300), burst: RequestCount(300), window: None };
     fleet.run(10_000_000, false);
     let admitted = fleet.admitted_us.iter().filter(|&&at| at >= 3_000_000).count();
     // The owner's clock may run at 91% of real time.
--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -122,11 +122,19 @@
         idle.is_some_and(|idle| idle < ACTIVE_TIME)
     }
 
+    fn is_exhausted(&self, now: Instant) -> bool {
+        let recent = |answer: &Answer| now.saturating_duration_since(answer.at) < ANSWER_AGE;
+        self.answer.filter(recent).is_some_and(|answer| answer.exhausted)
+    }
+
     /// Returns the tokens to hold: the demand expected within the horizon, and one standard
-    /// deviation of a Poisson arrival more; none below a demand.
-    fn goal(&self, hold_from_per_s: f64) -> u64 {
-        if self.demand_per_s < hold_from_per_s {
-            return 0;
+    /// deviation of a Poisson arrival more; one for some time after an arrival, unless tokens are
+    /// scarce, and none below a demand.
+    fn goal(&self, hold_for: Duration, now: Instant) -> u64 {
+        let idle = self.arrived_at.map(|at| now.saturating_duration_since(at));
+        let holds_one = idle.is_some_and(|idle| idle < hold_for) && !self.is_exhausted(now);
+        if self.demand_per_s < HOLD_FROM_PER_S {
+            return u64::from(holds_one);
         }
         let expected = self.demand_per_s * DEMAND_HORIZON.as_secs_f64();
         (expected + expected.sqrt()).ceil() as u64
@@ -138,7 +146,7 @@
         organisation: &OrganisationId,
         waiting: u64,
         since_last: Duration,
-        hold_from_per_s: f64,
+        hold_for: Duration,
         now: Instant,
     ) -> Option<GrantAsk> {
         self.expire(now);
@@ -146,7 +154,7 @@
         self.arrivals = 0;
         let average = self.demand_per_s + LATEST_WEIGHT * (latest - self.demand_per_s);
         self.demand_per_s = if latest > average { latest } else { average };
-        let goal = self.goal(hold_from_per_s) + waiting;
+        let goal = self.goal(hold_for, now) + waiting;
         // Twice the goal, so that fluctuating demand does not send tokens back and forth.
         self.keep_oldest(goal * 2);
         let lasting = |batch: &&Batch| batch.expires_at > now + RENEW_BEFORE;
@@ -180,7 +188,7 @@
     round_trip: Duration,
     /// Whether the owner may count tokens that this VM no longer has.
     report_due: bool,
-    hold_from_per_s: f64,
+    hold_for: Duration,
     tokens: HashMap<OrganisationId, Tokens>,
 }
 
@@ -195,16 +203,17 @@
             replied_at: None,
             round_trip: Duration::ZERO,
             report_due: true,
-            hold_from_per_s: HOLD_FROM_PER_S,
+            hold_for: Duration::ZERO,
             tokens: HashMap::new(),
         }
     }
 
-    /// Returns the holder with another least demand for which it holds tokens ahead. With many VMs
-    /// and small bursts, tokens that wait at one VM are missing at another.
+    /// Returns the holder with a time after an arrival for which it holds a token for the next one.
+    /// Only for owners that grant tokens ahead of the bucket: with many VMs and small bursts, tokens
+    /// that wait at one VM are missing at another.
     #[must_use]
-    pub fn holding_from(self, hold_from_per_s: f64) -> Self {
-        Self { hold_from_per_s, ..self }
+    pub fn holding_for(self, hold_for: Duration) -> Self {
+        Self { hold_for, ..self }
     }
 
     /// Changes to the owner of a later term. Tokens of the earlier one stay usable until they
@@ -248,9 +257,7 @@
 
     /// Returns whether the owner has said lately that an organisation has used its rate.
     pub fn is_exhausted(&self, organisation: &OrganisationId, now: Instant) -> bool {
-        let recent = |answer: &Answer| now.saturating_duration_since(answer.at) < ANSWER_AGE;
-        let answer = self.tokens.get(organisation).and_then(|tokens| tokens.answer);
-        answer.filter(recent).is_some_and(|answer| answer.exhausted)
+        self.tokens.get(organisation).is_some_and(|tokens| tokens.is_exhausted(now))
     }
 
     /// Decides again on a request that waits for a token.
@@ -315,13 +322,11 @@
         }
         let since_last =
             self.sent_at.map_or(REQUEST_INTERVAL, |at| now.saturating_duration_since(at));
-        let hold_from_per_s = self.hold_from_per_s;
+        let hold_for = self.hold_for;
         let asks: Vec<GrantAsk> = self
             .tokens
             .iter_mut()
-            .filter_map(|(id, tokens)| {
-                tokens.ask(id, waiting(id), since_last, hold_from_per_s, now)
-            })
+            .filter_map(|(id, tokens)| tokens.ask(id, waiting(id), since_last, hold_for, now))
             .collect();
         if asks.is_empty() && !self.report_due {
             return None;
--- a/crates/steering/src/grants/limit_tests.rs
+++ b/crates/steering/src/grants/limit_tests.rs
@@ -7,7 +7,7 @@
     QuotaWindow { window: Duration::from_secs(5), overage: 0.1, slack: RequestCount(20) };
 
 fn limit(rate: u64, burst: u64) -> Limit {
-    Limit { rate: RequestRate(rate), burst: RequestCount(burst) }
+    Limit { rate: RequestRate(rate), burst: RequestCount(burst), window: None }
 }
 
 #[test]
--- a/crates/steering/src/grants/owner.rs
+++ b/crates/steering/src/grants/owner.rs
@@ -29,6 +29,18 @@
 /// grant for longer than necessary is safe.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Slices in which the use of a window is counted; the oldest one beside them covers the slice that
+/// has just begun.
+const WINDOW_SLICES: usize = 5;
+/// Part of a window's cap that use and tokens granted ahead of the bucket may reach together. The
+/// rest covers requests that are counted one slice later than they ran.
+const AHEAD_OF_CAP: f64 = 0.85;
+/// Most tokens granted ahead of the bucket, in seconds of its rate. If all of them are used while
+/// the owner changes, the own allowances and the next owner's bucket still stay within the window.
+const AHEAD_MAX_S: f64 = 1.6;
+/// Part of what the window's cap exceeds the rate by that may be granted ahead beside that.
+const AHEAD_OF_EXCESS: f64 = 0.5;
+
 /// What to do about a grant request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GrantAnswer {
@@ -64,6 +76,8 @@
 struct Lease {
     /// Ordered by expiry.
     batches: VecDeque<Batch>,
+    /// Whether the batches are what an earlier owner may have granted, until the VM reports.
+    is_assumed: bool,
     /// The holder's count of used tokens; none until its first report.
     used_requests: Option<u64>,
     /// What the last ask left unmet, and when.
@@ -107,14 +121,63 @@
 #[derive(Clone, Debug)]
 struct Bucket {
     limit: Limit,
-    level_micro: u64,
+    /// Below zero by the tokens that were granted ahead.
+    level_micro: i64,
     refilled_at: Instant,
     outstanding: u64,
+    /// The part of `outstanding` that is assumed.
+    assumed: u64,
     expiry_checked_at: Instant,
     /// Until when an empty bucket is put down to the change of owner; none once the level has
     /// covered all wants.
     recovering_until: Option<Instant>,
     leases: BTreeMap<VmId, Lease>,
+    use_of_window: WindowUse,
+}
+
+/// Tokens used lately, for the tokens that are granted ahead.
+#[derive(Clone, Debug)]
+struct WindowUse {
+    slices: [u64; WINDOW_SLICES + 1],
+    slice_began_at: Instant,
+}
+
+impl WindowUse {
+    /// Returns the use of a fleet of which nothing is known: the whole rate.
+    fn unknown(limit: &Limit, now: Instant) -> Self {
+        let slice_s = Self::slice(limit).as_secs_f64();
+        let per_slice = (limit.rate.get() as f64 * slice_s).ceil() as u64;
+        Self { slices: [per_slice; WINDOW_SLICES + 1], slice_began_at: now }
+    }
+
+    fn slice(limit: &Limit) -> Duration {
+        limit.window.map_or(Duration::ZERO, |window| window.length / WINDOW_SLICES as u32)
+    }
+
+    fn count(&mut self, used: u64) {
+        self.slices[0] += used;
+    }
+
+    /// Begins further slices as time passes.
+    fn advance(&mut self, limit: &Limit, now: Instant) {
+        let slice = Self::slice(limit);
+        if slice.is_zero() {
+            return;
+        }
+        for _ in 0..=WINDOW_SLICES {
+            if now.saturating_duration_since(self.slice_began_at) < slice {
+                return;
+            }
+            self.slices.rotate_right(1);
+            self.slices[0] = 0;
+            self.slice_began_at += slice;
+        }
+        self.slice_began_at = now;
+    }
+
+    fn total(&self) -> u64 {
+        self.slices.iter().sum()
+    }
 }
 
 impl Bucket {
@@ -124,10 +187,35 @@
             level_micro: 0,
             refilled_at: now,
             outstanding: 0,
+            assumed: 0,
             expiry_checked_at: now,
             recovering_until: None,
             leases: BTreeMap::new(),
+            use_of_window: WindowUse::unknown(&limit, now),
+        }
+    }
+
+    /// Returns the tokens that may be granted beyond the level: while an organisation uses little of
+    /// its rate, each VM holds some, so that requests seldom wait for the owner.
+    fn ahead(&self) -> u64 {
+        let Some(window) = self.limit.window else { return 0 };
+        let granted = (self.outstanding - self.assumed) as i64;
+        let true_level = self.level_micro / MICRO as i64 + granted;
+        let burst = self.limit.burst.get();
+        if true_level * 2 < burst as i64 {
+            return 0;
         }
+        let cap = (window.requests.get() as f64 * AHEAD_OF_CAP) as u64;
+        let room = cap.saturating_sub(self.use_of_window.total() + burst);
+        let rate = self.limit.rate.get() as f64;
+        let excess = window.requests.get() as f64 - rate * window.length.as_secs_f64();
+        room.min((rate * AHEAD_MAX_S + excess.max(0.0) * AHEAD_OF_EXCESS) as u64)
+    }
+
+    /// Returns the tokens that may be granted now.
+    fn available(&self) -> u64 {
+        let level = self.level_micro.div_euclid(MICRO as i64);
+        u64::try_from(level + self.ahead() as i64).unwrap_or(0)
     }
 
     /// Stops counting expired grants, then refills. An expired token may have been used, so it is
@@ -138,21 +226,34 @@
             for lease in self.leases.values_mut() {
                 lease.batches.retain(|batch| batch.expires_at > now);
             }
-            self.outstanding = self.leases.values().map(Lease::held).sum();
+            let before = self.outstanding;
+            self.count_leases();
+            self.use_of_window.count(before.saturating_sub(self.outstanding));
         }
+        self.use_of_window.advance(&self.limit, now);
         let elapsed = now.saturating_duration_since(self.refilled_at).as_micros();
         let elapsed_us = u64::try_from(elapsed).unwrap_or(u64::MAX);
         let gained = self.limit.rate.get().saturating_mul(elapsed_us);
-        self.level_micro = self.level_micro.saturating_add(gained);
+        self.level_micro =
+            self.level_micro.saturating_add(i64::try_from(gained).unwrap_or(i64::MAX));
         // Advances by whole microseconds only, so that the rest counts next time.
         self.refilled_at += Duration::from_micros(elapsed_us);
         self.clamp();
     }
 
-    /// Restores `level + outstanding <= burst`.
+    fn count_leases(&mut self) {
+        self.outstanding = self.leases.values().map(Lease::held).sum();
+        let assumed = self.leases.values().filter(|lease| lease.is_assumed);
+        self.assumed = assumed.map(Lease::held).sum();
+    }
+
+    /// Restores `level + outstanding <= burst`. Assumed grants keep the level at zero, but are no
+    /// debt.
     fn clamp(&mut self) {
-        let room = self.limit.burst.get().saturating_sub(self.outstanding);
-        self.level_micro = self.level_micro.min(room.saturating_mul(MICRO));
+        let burst = self.limit.burst.get() as i64;
+        let granted = (self.outstanding - self.assumed) as i64;
+        let room = (burst - granted).min((burst - self.outstanding as i64).max(0));
+        self.level_micro = self.level_micro.min(room.saturating_mul(MICRO as i64));
     }
 
     /// Replaces what is recorded for a VM by what it reports. Tokens that are neither held nor used
@@ -160,6 +261,9 @@
     fn report(&mut self, vm: &VmId, ask: &GrantAsk, old_grants_end: Instant, now: Instant) {
         let lease = self.leases.entry(vm.clone()).or_default();
         let counted = lease.held();
+        if std::mem::take(&mut lease.is_assumed) {
+            self.assumed -= counted;
+        }
         let (held, used) = (ask.held_requests.get(), ask.used_requests.get());
         match lease.used_requests.replace(used) {
             None => {
@@ -173,7 +277,8 @@
                 lease.keep_newest(held.min(counted));
                 let used_since = used.saturating_sub(used_before);
                 let unused = counted.saturating_sub(held).saturating_sub(used_since);
-                self.level_micro = self.level_micro.saturating_add(unused.saturating_mul(MICRO));
+                self.level_micro += (unused * MICRO) as i64;
+                self.use_of_window.count(used_since);
             }
         }
         self.outstanding = self.outstanding - counted + lease.held();
@@ -184,6 +289,9 @@
     fn drop_lease(&mut self, vm: &VmId) {
         if let Some(lease) = self.leases.get_mut(vm) {
             self.outstanding -= lease.held();
+            if std::mem::take(&mut lease.is_assumed) {
+                self.assumed -= lease.held();
+            }
             lease.batches.clear();
         }
     }
@@ -204,7 +312,7 @@
                 lease.granted_at = Some(now);
             }
         }
-        self.level_micro -= granted * MICRO;
+        self.level_micro -= (granted * MICRO) as i64;
         self.outstanding += granted;
         let short = granted < want;
         if covers_all && self.recovering_until.is_some_and(|until| now + RECOVERY_TIME >= until) {
@@ -217,7 +325,7 @@
     /// whether the level covers all of them. What a VM was granted lately counts towards its part,
     /// or VMs that ask earlier in each interval would get more.
     fn fair_part(&self, vm: &VmId, want: u64, now: Instant) -> (u64, bool) {
-        let level = self.level_micro / MICRO;
+        let level = self.available();
         if want == 0 || level == 0 {
             return (0, false);
         }
@@ -295,10 +403,11 @@
             let batch = Batch { requests: limit.per_vm().get(), expires_at: old_grants_end };
             let mut bucket = Bucket::new(limit, now);
             for vm in &vms {
-                let lease = Lease { batches: VecDeque::from([batch]), ..Lease::default() };
+                let batches = VecDeque::from([batch]);
+                let lease = Lease { batches, is_assumed: true, ..Lease::default() };
                 bucket.leases.insert((*vm).clone(), lease);
             }
-            bucket.outstanding = bucket.leases.values().map(Lease::held).sum();
+            bucket.count_leases();
             bucket.recovering_until = Some(old_grants_end + RECOVERY_TIME);
             bucket
         };
@@ -337,7 +446,8 @@
     /// Returns the level of a bucket and the tokens outstanding.
     pub fn bucket(&self, organisation: &OrganisationId) -> Option<(RequestCount, RequestCount)> {
         let bucket = self.buckets.get(organisation)?;
-        Some((RequestCount(bucket.level_micro / MICRO), RequestCount(bucket.outstanding)))
+        let level = u64::try_from(bucket.level_micro).unwrap_or(0) / MICRO;
+        Some((RequestCount(level), RequestCount(bucket.outstanding)))
     }
 
     /// Handles a request that arrived from a VM.
--- a/crates/steering/src/grants/protocol_tests.rs
+++ b/crates/steering/src/grants/protocol_tests.rs
@@ -26,7 +26,7 @@
         let now = Instant::now();
         let organisation: OrganisationId = "acme".parse().unwrap();
         let vms: Vec<VmId> = (0..3).map(|vm| format!("vm-{vm}").parse().unwrap()).collect();
-        let limit = Limit { rate: RequestRate(rate), burst: RequestCount(burst) };
+        let limit = Limit { rate: RequestRate(rate), burst: RequestCount(burst), window: None };
         let lease_until = now + Duration::from_secs(3_600);
         let limits = [(organisation.clone(), limit)];
         let owner = GrantOwner::new(Term(1), [], limits, lease_until, now);
@@ -168,7 +168,7 @@
     let mut case = Case::new(100, 40, Duration::from_secs(60));
     case.admit(0);
     assert_eq!(case.exchange(0, 9), 10);
-    let limit = Limit { rate: RequestRate(100), burst: RequestCount(40) };
+    let limit = Limit { rate: RequestRate(100), burst: RequestCount(40), window: None };
     let limits = [(case.organisation.clone(), limit)];
     let start = case.now;
     let lease_until = start + Duration::from_secs(3_600);
