Give an object one target in its region, and let a region's share rise slowly

At the start a third of the requests waited for tokens, as the owner of the rates began with the first request.

Change: objects that keep to a region have one target there, their second one is in another region; a region's share rises by 0.4% in 0.5 s; the owner of the rates exists from the election on.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -366,7 +366,7 @@
     log::info!(request = admitted.facts.request.as_str(), route = admitted.route.name.as_str(),
         organisation = organisation_text(admitted.organisation), object = admitted.object,
         sent_ms = chosen.chosen_at.saturating_duration_since(arrived).as_millis() as u64,
-        target_id = chosen.instance.as_str(), reason:% = chosen.reason, load = chosen.load,
+        target_id = chosen.instance.as_str(), reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
         considered = chosen.considered, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
         "request placed");
     let code = if outcome == "answered" { 0 } else { ResultCode::TargetFailed.number() };
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -264,6 +264,8 @@
                 self.handle(Input::Tick { random: rand::random() })?;
                 self.change_members()?;
                 self.publish_leader();
+                // Requests for tokens are answered as they arrive.
+                let _ = self.grant_owner(now);
                 let voters = membership::voters(self.node.replica().members());
                 published.lock().voters = voters.map(|voter| voter.vm.clone()).collect();
             }
@@ -423,20 +425,27 @@
         }
     }
 
-    fn grant(&mut self, vm: &VmId, incarnation: Incarnation, request: &GrantRequest) {
-        let now = self.start.clock.now();
+    /// Returns the owner of the rates while this VM has the lease. It exists from the election on: an
+    /// owner that has seen a window pass grants tokens ahead.
+    fn grant_owner(&mut self, now: Instant) -> Option<&mut GrantOwner> {
         let replica = self.node.replica();
-        let Some(lease_end) = replica.lease_end().filter(|end| now < *end) else { return };
-        let Some(content) = self.start.tables.content() else { return };
+        let lease_end = replica.lease_end().filter(|end| now < *end)?;
         let term = replica.term();
         let is_current = self.grants.as_ref().is_some_and(|grants| grants.term() == term);
         if !is_current {
+            let content = self.start.tables.content()?;
             let vms = (self.effects.daemons)();
             let limits = windowed_limits(&self.start.settings, &content);
             self.grants = Some(GrantOwner::new(term, &vms, limits, lease_end, now));
         }
-        let Some(grants) = &mut self.grants else { return };
+        let grants = self.grants.as_mut()?;
         grants.extend_lease(lease_end);
+        Some(grants)
+    }
+
+    fn grant(&mut self, vm: &VmId, incarnation: Incarnation, request: &GrantRequest) {
+        let now = self.start.clock.now();
+        let Some(grants) = self.grant_owner(now) else { return };
         match grants.answer(vm, incarnation, request, now) {
             GrantAnswer::Reply(reply) => {
                 (self.effects.send)(vm, FleetMessage::Agreement(Message::GrantReply(reply)));
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -38,6 +38,8 @@
     pub address: SmolStr,
     /// Whether the way to it crosses regions.
     pub reach: Reach,
+    /// How far it is from this VM.
+    pub distance: Distance,
     /// When it was chosen.
     pub chosen_at: Instant,
     /// Why it was chosen.
@@ -211,6 +213,7 @@
         instance: target.instance.clone(),
         address: target.address.clone(),
         reach,
+        distance: target.distance,
         chosen_at: now,
         reason,
         load: candidate.load,
@@ -281,12 +284,14 @@
     }
     let all: Vec<Candidate> =
         known.iter().map(|target| candidate(views, target, wanted, now)).collect();
-    let places = &fleet.settings.data_centres;
-    let data_centres = match key.1 {
-        Locality::DataCentre => places.len(),
-        Locality::Region => places.iter().map(|place| &place.region).collect::<HashSet<_>>().len(),
+    let data_centres = &fleet.settings.data_centres;
+    let places = match key.1 {
+        Locality::DataCentre => data_centres.len(),
+        Locality::Region => {
+            data_centres.iter().map(|place| &place.region).collect::<HashSet<_>>().len()
+        }
     };
-    let mut shares = current.unwrap_or_else(|| ObjectShares::even(&all, data_centres, now));
+    let mut shares = current.unwrap_or_else(|| ObjectShares::even(&all, key.1, places, now));
     shares.follow(&all, now);
     views.shares.insert(key, shares);
     shares
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -17,6 +17,10 @@
 
 /// Targets of an object's order that are tried in each group of equally distant targets.
 const TARGETS_PER_OBJECT: usize = 2;
+/// The same for the own region, when objects keep to regions and other regions have targets: a
+/// second target there would have to remember the object too, and a region whose targets are busy
+/// has no room for that.
+const TARGETS_PER_OBJECT_OF_REGION: usize = 1;
 /// Requests per slot up to which requests wait at a target that knows their object. Such a request
 /// takes a part of the work that it would cause anywhere else.
 const FILL_KNOWN: f64 = 1.7;
@@ -42,6 +46,9 @@
 const SHARE_FALLS_BY: f64 = 0.035;
 /// See [`SHARE_FALLS_BY`]; a share returns more slowly than it falls.
 const SHARE_RISES_BY: f64 = 0.02;
+/// Rise of a region's share: small responses cost little on their way from another region, and each
+/// object that returns is met for the first time again.
+const REGION_SHARE_RISES_BY: f64 = 0.004;
 /// Smallest share, so that a group that has room again is noticed.
 const SHARE_MIN: f64 = 0.05;
 /// Factor of the first share over an even spread of the demand; targets that know their objects
@@ -336,22 +343,25 @@
 /// others belong to targets of all regions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ObjectShares {
+    locality: Locality,
     data_centre: f64,
     region: f64,
     changed_at: Instant,
 }
 
 impl ObjectShares {
-    /// Returns the shares for an even demand of all data centres.
-    pub fn even(candidates: &[Candidate], data_centres: usize, now: Instant) -> Self {
+    /// Returns the shares for an even demand of all places: data centres or regions, whichever
+    /// objects keep to.
+    pub fn even(candidates: &[Candidate], locality: Locality, places: usize, now: Instant) -> Self {
         let all = slots_of(candidates, |_| true).max(1.0);
         let of = |distance| {
             let slots = slots_of(candidates, |candidate| candidate.distance == distance);
-            slots * data_centres as f64 / all
+            slots * places as f64 / all
         };
         let own = of(Distance::DataCentre) * SHARE_OVER_EVEN;
         let neighbour = of(Distance::Region) - 1.0;
         Self {
+            locality,
             data_centre: own.clamp(SHARE_MIN, 1.0),
             region: neighbour.clamp(SHARE_MIN, 1.0),
             changed_at: now,
@@ -369,8 +379,12 @@
             return;
         }
         self.changed_at = now;
-        self.data_centre = followed(self.data_centre, candidates, Distance::DataCentre);
-        self.region = followed(self.region, candidates, Distance::Region);
+        let rises_by = match self.locality {
+            Locality::DataCentre => SHARE_RISES_BY,
+            Locality::Region => REGION_SHARE_RISES_BY,
+        };
+        self.data_centre = followed(self.data_centre, rises_by, candidates, Distance::DataCentre);
+        self.region = followed(self.region, rises_by, candidates, Distance::Region);
     }
 
     fn of(&self, distance: Distance) -> f64 {
@@ -392,7 +406,7 @@
     candidates.iter().filter(|candidate| selects(candidate)).map(Candidate::slots).sum()
 }
 
-fn followed(share: f64, candidates: &[Candidate], distance: Distance) -> f64 {
+fn followed(share: f64, rises_by: f64, candidates: &[Candidate], distance: Distance) -> f64 {
     let is_in_group =
         |candidate: &Candidate| candidate.distance == distance && !candidate.is_avoided;
     let slots = slots_of(candidates, is_in_group);
@@ -404,7 +418,7 @@
     if fill > FILL_SHARE_FALLS {
         (share - SHARE_FALLS_BY).max(SHARE_MIN)
     } else if fill < FILL_SHARE_RISES {
-        (share + SHARE_RISES_BY).min(1.0)
+        (share + rises_by).min(1.0)
     } else {
         share
     }
@@ -510,7 +524,15 @@
     let mut awaited: Option<(Duration, usize)> = None;
     for (group, distance) in groups.iter().enumerate() {
         let detour = if *distance == Distance::Remote { REMOTE_DETOUR } else { Duration::ZERO };
-        let targets = targets_of(object, sound, *distance);
+        let is_shared_by_region =
+            shares.locality == Locality::Region && *distance == Distance::DataCentre;
+        let others = groups.len() > 1;
+        let limit = if is_shared_by_region && others {
+            TARGETS_PER_OBJECT_OF_REGION
+        } else {
+            TARGETS_PER_OBJECT
+        };
+        let targets = targets_of(object, sound, *distance, limit);
         for (rank, (index, candidate)) in targets.into_iter().enumerate() {
             let is_own = group == home && rank == 0;
             let time = detour
@@ -577,13 +599,14 @@
     object: u64,
     sound: &[(usize, &'a Candidate)],
     distance: Distance,
+    limit: usize,
 ) -> SmallVec<[(usize, &'a Candidate); TARGETS_PER_OBJECT]> {
     let mut best: SmallVec<[(f32, usize, &Candidate); TARGETS_PER_OBJECT]> = SmallVec::new();
     for (index, candidate) in sound.iter().filter(|(_, other)| other.distance == distance) {
         let score = rendezvous::score(object, candidate.hash, candidate.slots() as f32);
         let position = best.iter().position(|(other, _, _)| score > *other).unwrap_or(best.len());
-        if position < TARGETS_PER_OBJECT {
-            best.truncate(TARGETS_PER_OBJECT - 1);
+        if position < limit {
+            best.truncate(limit - 1);
             best.insert(position, (score, *index, candidate));
         }
     }
--- a/crates/steering/src/placement_tests.rs
+++ b/crates/steering/src/placement_tests.rs
@@ -45,7 +45,7 @@
 }
 
 fn placed(object: Option<u64>, candidates: &[Candidate]) -> Placement {
-    let shares = ObjectShares::even(candidates, 1, Instant::now());
+    let shares = ObjectShares::even(candidates, Locality::DataCentre, 1, Instant::now());
     place(&need(object), candidates, &times(), &shares)
 }
 
@@ -138,7 +138,7 @@
     // All slots are taken, and the caller gives up before an answer can be expected.
     let candidates = near(2, 4.0);
     let late = Need { remaining: Duration::from_millis(300), ..need(Some(object(17))) };
-    let shares = ObjectShares::even(&candidates, 1, Instant::now());
+    let shares = ObjectShares::even(&candidates, Locality::DataCentre, 1, Instant::now());
     assert_eq!(place(&late, &candidates, &times(), &shares), Placement::Full);
 }
 
@@ -148,7 +148,7 @@
     // that met all objects would know none of them.
     let mut candidates = near(1, 0.0);
     candidates.extend((1..11).map(|number| candidate(number, Distance::Remote, 0.0)));
-    let shares = ObjectShares::even(&candidates, 3, Instant::now());
+    let shares = ObjectShares::even(&candidates, Locality::DataCentre, 3, Instant::now());
     let here = (0..1_000).filter(|number| {
         chosen(place(&need(Some(object(*number))), &candidates, &times(), &shares)) == 0
     });
@@ -161,7 +161,7 @@
     let start = Instant::now();
     let mut candidates = near(2, 8.0);
     candidates.push(candidate(7, Distance::Remote, 0.0));
-    let mut shares = ObjectShares::even(&candidates, 1, start);
+    let mut shares = ObjectShares::even(&candidates, Locality::DataCentre, 1, start);
     let at = |interval: u32| start + SHARE_INTERVAL * interval;
     let first = shares.of(Distance::DataCentre);
     for interval in 1..=4 {
@@ -207,7 +207,7 @@
     // The first guess for a route with a long target latency exceeds what the caller has left.
     let candidates = near(2, 0.0);
     let guess = WorkTimes::guess(Duration::from_secs(5));
-    let shares = ObjectShares::even(&candidates, 1, Instant::now());
+    let shares = ObjectShares::even(&candidates, Locality::DataCentre, 1, Instant::now());
     assert!(matches!(
         place(&need(Some(object(17))), &candidates, &guess, &shares),
         Placement::Send { .. }
--- a/crates/steering/src/targets/choice.rs
+++ b/crates/steering/src/targets/choice.rs
@@ -23,7 +23,8 @@
 }
 
 /// Distance of a target from the choosing daemon; nearer targets are preferred.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Distance {
     /// Same data centre.
     DataCentre,
