Count a warm target's heartbeat as no change

Change: only a cold target can have become colder.

Tests: report_warm_heartbeat_is_no_change, ask_for_all_targets_again.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use celerygate_steering::instances::Reported;
+use celerygate_steering::instances::{ENDED_KEPT, Reported};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
     SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck,
@@ -35,6 +35,9 @@
 /// Longest wait for the confirmation that other control VMs know of a leaving target; targets wait
 /// one second for the answer.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between two questions for all targets, each to another control VM. Heartbeats without a change
+/// are not told to entry VMs, which forget what was not reported for [`ENDED_KEPT`].
+const ASK_FOR_ALL_INTERVAL: Duration = Duration::from_secs(8);
 /// Time after which a daemon that is not heard is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -57,9 +60,20 @@
 
 /// Asks the control VMs until the task is aborted.
 pub async fn ask(fleet: Arc<Fleet>, spread: Arc<Spread>) {
+    const { assert!(ASK_FOR_ALL_INTERVAL.as_secs() * 2 < ENDED_KEPT.as_secs()) };
+    let mut asked_for_all = (fleet.now(), 0_usize);
     loop {
-        for vm in control_vms(&fleet) {
-            ask_vm(&fleet, &spread, &vm);
+        let vms = control_vms(&fleet);
+        let (asked_at, turn) = asked_for_all;
+        if !vms.is_empty() && fleet.now().saturating_duration_since(asked_at) > ASK_FOR_ALL_INTERVAL
+        {
+            asked_for_all = (fleet.now(), turn + 1);
+            if let Some(vm) = vms.iter().nth(turn % vms.len()) {
+                spread.cursors.lock().entry(vm.clone()).or_default().ask_for_all();
+            }
+        }
+        for vm in &vms {
+            ask_vm(&fleet, &spread, vm);
         }
         let next = TokioInstant::now() + SYNC_INTERVAL;
         // A notice ends the pause, and an expired pause is the usual case.
--- a/crates/fleet/src/sync/cursor.rs
+++ b/crates/fleet/src/sync/cursor.rs
@@ -56,6 +56,11 @@
         Ask::Send(self.position)
     }
 
+    /// Makes the next question ask for all targets.
+    pub fn ask_for_all(&mut self) {
+        self.position.targets_change = 0;
+    }
+
     /// Takes an answer; `is_cut` tells that it holds a part of the changes only.
     pub fn answered(&mut self, position: Position, is_cut: bool) -> Answered {
         let asks_again = is_cut || self.has_news;
--- a/crates/fleet/src/sync/cursor_tests.rs
+++ b/crates/fleet/src/sync/cursor_tests.rs
@@ -34,3 +34,15 @@
     cursor.ask(Instant::now());
     assert_eq!(cursor.answered(position(256), true), Answered::AskAgain);
 }
+
+/// Guards against targets that an entry VM forgets because their heartbeats change nothing.
+#[test]
+fn ask_for_all_targets_again() {
+    let now = Instant::now();
+    let mut cursor = Cursor::default();
+    let known = Position { targets_epoch: 3, targets_change: 40, daemons_digest: 9 };
+    cursor.ask(now);
+    cursor.answered(known, false);
+    cursor.ask_for_all();
+    assert_eq!(cursor.ask(now), Ask::Send(Position { targets_change: 0, ..known }));
+}
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -88,7 +88,7 @@
         }
         // Within a life, leaving is final: a report that says otherwise was sent earlier.
         let state = if is_new_life { record.state } else { record.state.max(own.state) };
-        let colder = warm_at > known.warm_at + COLD_TOLERANCE;
+        let colder = record.cold_ms > 0 && warm_at > known.warm_at + COLD_TOLERANCE;
         let differs = is_new_life
             || state != own.state
             || record.address != own.address
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -31,6 +31,22 @@
     assert_eq!(state(&table), InstanceState::Draining);
 }
 
+/// Guards against heartbeats that are told to every daemon: on hurma-kapi-grown, 615 warm targets made
+/// 410 changes a second.
+#[test]
+fn report_warm_heartbeat_is_no_change() {
+    let start = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), start);
+    let change = table.change();
+    for sequence in 2..10 {
+        let now = start + Duration::from_millis(1_500 * sequence);
+        let reported = table.report(record(1, sequence, InstanceState::Ready), now);
+        assert_eq!(reported, Reported::Renewed);
+    }
+    assert_eq!(table.change(), change);
+}
+
 #[test]
 fn report_after_end_not_revived() {
     let now = Instant::now();
