Answer lookups at the entry VMs, and spread callers when few entry VMs of a data centre are left

(2) A roll left one of the three entry VMs of ege-c; it took 300 requests/s over a link of 19 Mbit/s and refused 723 in 4 s. (3) Without a leader, VMs refused organisations that used two fifths of their rate: a bucket that holds one token refuses a third of two random arrivals in a row; requests waited 100 ms before that.

Change: (1) entry VMs answer lookups, from the lists of the control VMs. (2) A lookup names the region's entry VMs while less than half of a data centre's serve. (3) An organisation that was not called exhausted in the last window may use 1.0 s of its rate at once without a leader; 0.3 of the rate for VMs that are cut off (0.4 before).

Entry VMs now keep what any control VM lists.

--- a/crates/fleet/src/lookup.rs
+++ b/crates/fleet/src/lookup.rs
@@ -9,43 +9,53 @@
 /// Most addresses in one answer.
 pub const MAX_ADDRESSES: usize = 64;
 
-/// Returns the addresses of the entry VMs that are nearest to a caller; none when none is known to
-/// run.
+/// Part of a data centre's or region's entry VMs that has to serve for callers to stay there. With
+/// fewer, those that are left would take several times their usual load: their links and processors
+/// are sized for the callers of their own data centre.
+const SERVING_SHARE_MIN: f64 = 0.5;
+
+/// Returns the addresses of the entry VMs that a caller should use: the nearest group of which
+/// enough serve. `known` are the entry VMs that ran lately, those that serve among them.
 pub fn nearest_entries(
-    entries: &[DaemonRecord],
+    known: &[DaemonRecord],
     region: &RegionId,
     data_centre: &DataCentreId,
 ) -> Vec<SmolStr> {
-    let serving = |record: &&DaemonRecord| {
-        record.state == VmState::Serving && record.callers_address.is_some()
-    };
-    let select = |is_near: &dyn Fn(&DaemonRecord) -> bool| -> Vec<SmolStr> {
-        let near = entries.iter().filter(serving).filter(|record| is_near(record));
-        near.filter_map(|record| record.callers_address.clone()).take(MAX_ADDRESSES).collect()
+    let group = |is_near: &dyn Fn(&DaemonRecord) -> bool| -> Option<Vec<SmolStr>> {
+        let near: Vec<&DaemonRecord> = known.iter().filter(|record| is_near(record)).collect();
+        let serving = near.iter().filter(|record| record.state == VmState::Serving);
+        let addresses: Vec<SmolStr> =
+            serving.filter_map(|record| record.callers_address.clone()).collect();
+        let is_enough = addresses.len() as f64 >= near.len() as f64 * SERVING_SHARE_MIN;
+        (is_enough && !addresses.is_empty()).then_some(addresses)
     };
-    let same_centre = select(&|record| record.data_centre == *data_centre);
-    if !same_centre.is_empty() {
-        return same_centre;
-    }
-    let same_region = select(&|record| record.region == *region);
-    if !same_region.is_empty() {
-        return same_region;
-    }
-    select(&|_| true)
+    let all = |_: &DaemonRecord| true;
+    let nearest = group(&|record| record.data_centre == *data_centre)
+        .or_else(|| group(&|record| record.region == *region))
+        .or_else(|| group(&all));
+    let mut addresses = nearest.unwrap_or_else(|| {
+        let serving = known.iter().filter(|record| record.state == VmState::Serving);
+        serving.filter_map(|record| record.callers_address.clone()).collect()
+    });
+    addresses.truncate(MAX_ADDRESSES);
+    addresses
 }
 
-/// Answers a lookup from what this control VM has heard.
+/// Answers a lookup from what this daemon has heard: a control VM from the entry VMs themselves, an
+/// entry VM from the control VMs.
 pub fn answer(fleet: &Fleet, region: &RegionId, data_centre: &DataCentreId) -> Vec<SmolStr> {
     let now = fleet.now();
-    let entries: Vec<DaemonRecord> =
-        fleet.tables.daemons.lock().running(DaemonRole::Entry, now).cloned().collect();
-    let addresses = nearest_entries(&entries, region, data_centre);
+    let mut known = fleet.tables.daemons.lock().lately(DaemonRole::Entry, fleet.role(), now);
+    if fleet.role() == DaemonRole::Entry {
+        known.push(fleet.own_record());
+    }
+    let addresses = nearest_entries(&known, region, data_centre);
     if addresses.is_empty() {
         log::info!(region = region.as_str(), data_centre = data_centre.as_str(),
-            running = entries.len(); "lookup without an entry VM");
+            known = known.len(); "lookup without an entry VM");
     } else {
         log::debug!(region = region.as_str(), data_centre = data_centre.as_str(),
-            running = entries.len(), addresses = addresses.len(); "lookup answered");
+            known = known.len(), addresses = addresses.len(); "lookup answered");
     }
     addresses
 }
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -22,7 +22,7 @@
 const UNLED_SHARE: f64 = 0.9;
 /// Share for a VM that is cut off: the leader gives the whole rate to the others meanwhile, and the
 /// excess that deployments allow is about a tenth of it.
-const CUT_OFF_SHARE: f64 = 0.4;
+const CUT_OFF_SHARE: f64 = 0.3;
 /// Age up to which the answer of a control VM shows that it can be reached.
 const REACHED_AGE_MAX: Duration = Duration::from_millis(1_200);
 /// Longest wait for a token. A caller that is refused at once comes back sooner than one that is
@@ -122,16 +122,17 @@
 }
 
 /// Returns what this VM may admit without a leader.
-fn unled_allowance(fleet: &Fleet, limit: Limit, now: Instant) -> UnledAllowance {
+fn unled_allowance(fleet: &Fleet, limit: Limit, is_calm: bool, now: Instant) -> UnledAllowance {
     let control_vms = sync::control_vms(fleet).len();
     let recent = |at: &Instant| now.saturating_duration_since(*at) < REACHED_AGE_MAX;
     let targets = fleet.tables.targets.lock();
     let reached = targets.silent.values().filter(|(_, at)| recent(at)).count();
     drop(targets);
-    let share = if reached * 2 > control_vms { UNLED_SHARE } else { CUT_OFF_SHARE };
+    let reaches_most = reached * 2 > control_vms;
+    let share = if reaches_most { UNLED_SHARE } else { CUT_OFF_SHARE };
     let daemons = fleet.tables.daemons.lock();
     let entries = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
-    limit.unled(&quota_window(&fleet.settings), entries.count() + 1, share)
+    limit.unled(&quota_window(&fleet.settings), entries.count() + 1, share, is_calm)
 }
 
 fn decide(
@@ -163,14 +164,11 @@
         }
         Admission::Refuse { retry_after } if is_led => Next::Refuse(retry_after),
         Admission::WaitForTokens { recheck_at } if is_led && now < recheck_at => Next::Wait,
-        Admission::WaitForTokens { .. }
-            if !is_led && now.saturating_duration_since(arrived) < RECHECK =>
-        {
-            Next::Wait
-        }
         Admission::Refuse { .. } | Admission::WaitForTokens { .. } => {
+            let window = Duration::from_millis(fleet.settings.bounds.quota_window_ms);
+            let is_calm = !quota.holder.was_exhausted(organisation, window, now);
             drop(quota);
-            let allowance = unled_allowance(fleet, limit, now);
+            let allowance = unled_allowance(fleet, limit, is_calm, now);
             let mut quota = fleet.tables.quota.lock();
             let bucket = quota
                 .unled
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -247,19 +247,15 @@
         if let Some(known) = daemons.known.get_mut(&from) {
             known.heard_at = Some(now);
         }
-        if fleet.role() == DaemonRole::Entry && !reply.daemons.is_empty() {
-            // Entry VMs do not hear each other; the control VM lists those that run.
-            daemons.known.retain(|vm, known| {
-                known.record.role == DaemonRole::Control
-                    || reply.daemons.iter().any(|record| record.vm == *vm)
-            });
-        }
-        for record in reply.daemons {
-            if record.vm == fleet.settings.vm {
-                continue;
-            }
+        let others = reply.daemons.into_iter().filter(|record| record.vm != fleet.settings.vm);
+        let others: Vec<DaemonRecord> = others.collect();
+        for record in &others {
             let heard = (record.vm == from).then_some(now);
-            daemons.take(record, heard);
+            daemons.take(record.clone(), heard);
+        }
+        if fleet.role() == DaemonRole::Entry {
+            // Entry VMs do not hear each other; the control VMs list those that run.
+            daemons.take_list(&from, others, now);
         }
     }
     let received = reply.targets.len();
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -27,6 +27,9 @@
 /// its messages.
 pub const DAEMON_LEASE: Duration = Duration::from_millis(1_200);
 
+/// Time for which the list of a control VM counts after its last answer: five questions.
+const LIST_AGE_MAX: Duration = Duration::from_secs(2);
+
 /// Time after a request of an organisation for which this VM holds a token for its next one. An
 /// organisation that sends less than one request in this time to a VM waits for the leader.
 const HOLD_TOKENS_FOR: Duration = Duration::from_secs(20);
@@ -54,6 +57,10 @@
 pub struct Daemons {
     /// By id.
     pub known: BTreeMap<VmId, KnownDaemon>,
+    /// Running daemons as each control VM lists them, with the time of its last answer.
+    listed: BTreeMap<VmId, (Vec<DaemonRecord>, Instant)>,
+    /// Daemons that control VMs no longer list, with the time at which that became known.
+    departed: BTreeMap<VmId, (DaemonRecord, Instant)>,
 }
 
 impl Daemons {
@@ -68,11 +75,63 @@
                 }
             }
             None => {
+                self.departed.remove(&record.vm);
                 self.known.insert(record.vm.clone(), KnownDaemon { record, heard_at });
             }
         }
     }
 
+    /// Takes the list of running daemons of a control VM, or that it is still the same, and keeps the
+    /// entry VMs that any control VM lists. A control VM that has just started lists few.
+    pub fn take_list(&mut self, from: &VmId, list: Vec<DaemonRecord>, now: Instant) {
+        let listed = self.listed.entry(from.clone()).or_insert_with(|| (Vec::new(), now));
+        listed.1 = now;
+        if !list.is_empty() {
+            listed.0 = list;
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIST_AGE_MAX;
+        let mut entries: BTreeMap<VmId, DaemonRecord> = BTreeMap::new();
+        for (records, _) in self.listed.values().filter(|(_, at)| is_recent(*at)) {
+            for record in records.iter().filter(|record| record.role == DaemonRole::Entry) {
+                let later = entries.get(&record.vm).is_none_or(|known| {
+                    (record.incarnation, record.state) > (known.incarnation, known.state)
+                });
+                if later {
+                    entries.insert(record.vm.clone(), record.clone());
+                }
+            }
+        }
+        let departed = &mut self.departed;
+        self.known.retain(|vm, known| {
+            let stays = known.record.role == DaemonRole::Control || entries.contains_key(vm);
+            if !stays {
+                departed.insert(vm.clone(), (known.record.clone(), now));
+            }
+            stays
+        });
+        for (vm, record) in entries {
+            departed.remove(&vm);
+            self.known.insert(vm, KnownDaemon { record, heard_at: None });
+        }
+    }
+
+    /// Returns the daemons of a role that ran lately; those that no longer run count as
+    /// leaving. `by` is
+    /// the role of the daemon that asks: control VMs hear the others themselves.
+    pub fn lately(&self, role: DaemonRole, by: DaemonRole, now: Instant) -> Vec<DaemonRecord> {
+        let runs = |known: &KnownDaemon| {
+            by != DaemonRole::Control
+                || known.heard_at.is_some_and(|at| now.saturating_duration_since(at) < DAEMON_LEASE)
+        };
+        let stopped =
+            |record: &DaemonRecord| DaemonRecord { state: VmState::Leaving, ..record.clone() };
+        let known = self.known.values().filter(|known| known.record.role == role);
+        let known = known
+            .map(|known| if runs(known) { known.record.clone() } else { stopped(&known.record) });
+        let departed = self.departed.values().filter(|(record, _)| record.role == role);
+        known.chain(departed.map(|(record, _)| stopped(record))).collect()
+    }
+
     /// Returns the daemons of a role that were heard recently.
     pub fn running(&self, role: DaemonRole, now: Instant) -> impl Iterator<Item = &DaemonRecord> {
         let is_running = move |known: &&KnownDaemon| {
@@ -87,6 +146,7 @@
         self.known.retain(|_, known| {
             known.heard_at.is_none_or(|at| now.saturating_duration_since(at) < after)
         });
+        self.departed.retain(|_, (_, at)| now.saturating_duration_since(*at) < after);
     }
 }
 
@@ -267,3 +327,7 @@
         self.0.requests_running.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+#[cfg(test)]
+#[path = "tables_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/tables_tests.rs
@@ -0,0 +1,58 @@
+//! Guards against lists of daemons that leave callers to few entry VMs.
+
+use celerygate_types::Incarnation;
+
+use super::*;
+
+fn entry(number: u8, state: VmState) -> DaemonRecord {
+    DaemonRecord {
+        vm: format!("10.0.0.{number}").parse().expect("valid id"),
+        incarnation: Incarnation(1),
+        role: DaemonRole::Entry,
+        region: "east".parse().expect("valid id"),
+        data_centre: "east-1".parse().expect("valid id"),
+        callers_address: None,
+        state,
+    }
+}
+
+fn control(number: u8) -> VmId {
+    format!("10.0.1.{number}").parse().expect("valid id")
+}
+
+fn serving(daemons: &Daemons, now: Instant) -> usize {
+    let known = daemons.lately(DaemonRole::Entry, DaemonRole::Entry, now);
+    known.iter().filter(|record| record.state == VmState::Serving).count()
+}
+
+/// A control VM that has just started lists the one entry VM that has asked it so far
+/// (punchlist-ne-grown, trouble-1: 5 of 30 entry VMs took a third of the requests).
+#[test]
+fn take_list_of_started_control_vm_drops_none() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    let all: Vec<_> = (1..=4).map(|number| entry(number, VmState::Serving)).collect();
+    daemons.take_list(&control(1), all.clone(), now);
+    daemons.take_list(&control(2), all[..1].to_vec(), now);
+    daemons.take_list(&control(1), Vec::new(), now);
+    assert_eq!(serving(&daemons, now), 4);
+}
+
+/// Guards against entry VMs that stay in lookups after they have left.
+#[test]
+fn take_list_left_vm_is_gone() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    let all: Vec<_> = (1..=4).map(|number| entry(number, VmState::Serving)).collect();
+    daemons.take_list(&control(1), all.clone(), now);
+    daemons.take_list(&control(2), all.clone(), now);
+    let mut leaving = all.clone();
+    leaving[0].state = VmState::Leaving;
+    daemons.take_list(&control(1), leaving.clone(), now);
+    assert_eq!(serving(&daemons, now), 3);
+    // The other control VM does not answer any more, so its list no longer counts.
+    let later = now + LIST_AGE_MAX;
+    daemons.take_list(&control(1), leaving[1..].to_vec(), later);
+    let known = daemons.lately(DaemonRole::Entry, DaemonRole::Entry, later);
+    assert_eq!((serving(&daemons, later), known.len()), (3, 4));
+}
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -100,6 +100,9 @@
 const UNLED_BURST_S: f64 = 0.3;
 /// Part of the slack that all VMs together admit at once when they lose the leader.
 const UNLED_SLACK_USED: f64 = 0.5;
+/// Seconds of the rate that all VMs together may use at once when they lose the leader, for an
+/// organisation that used little of its rate before.
+const UNLED_CALM_BURST_S: f64 = 1.0;
 
 /// A bucket that a VM uses while no leader grants tokens.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -136,10 +139,22 @@
     }
 
     /// Returns what one of several VMs may admit while no leader grants tokens. `share` is the part
-    /// of the rate that all of them use together.
-    pub fn unled(self, quota: &QuotaWindow, vms: usize, share: f64) -> UnledAllowance {
+    /// of the rate that all of them use together, and `is_calm` whether the organisation used little
+    /// of its rate while a leader counted it.
+    pub fn unled(
+        self,
+        quota: &QuotaWindow,
+        vms: usize,
+        share: f64,
+        is_calm: bool,
+    ) -> UnledAllowance {
         let vms = vms.max(1) as f64;
         let rate_per_s = self.rate.get() as f64 * share / vms;
+        if is_calm {
+            let burst = self.rate.get() as f64 * UNLED_CALM_BURST_S;
+            let level = (burst + quota.slack.get() as f64 * UNLED_SLACK_USED) / vms;
+            return UnledAllowance { rate_per_s, capacity: level.max(1.0), first_level: level };
+        }
         UnledAllowance {
             rate_per_s,
             capacity: (rate_per_s * UNLED_BURST_S).max(1.0),
--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -85,6 +85,7 @@
     demand_per_s: f64,
     inflow_per_s: f64,
     answer: Option<Answer>,
+    exhausted_at: Option<Instant>,
     /// Whether the owner may count tokens here that were used or given up since.
     owes_report: bool,
 }
@@ -275,6 +276,17 @@
         self.recheck(organisation, need, now)
     }
 
+    /// Returns whether the owner has called an organisation exhausted within a time.
+    pub fn was_exhausted(
+        &self,
+        organisation: &OrganisationId,
+        within: Duration,
+        now: Instant,
+    ) -> bool {
+        let at = self.tokens.get(organisation).and_then(|tokens| tokens.exhausted_at);
+        at.is_some_and(|at| now.saturating_duration_since(at) < within)
+    }
+
     /// Returns whether the owner has answered a request that was sent after a time.
     pub fn has_asked_since(&self, at: Instant) -> bool {
         self.answered_request_at.is_some_and(|sent_at| sent_at > at)
@@ -400,6 +412,9 @@
             let inflow = granted as f64 / since_last.as_secs_f64();
             tokens.inflow_per_s += LATEST_WEIGHT * (inflow - tokens.inflow_per_s);
             tokens.answer = Some(Answer { at: now, exhausted: award.exhausted });
+            if award.exhausted {
+                tokens.exhausted_at = Some(now);
+            }
         }
         true
     }
