Reconnect quickly after a loss of power, and set shares anew while targets become known

Change: (1) the first attempt to connect to a peer takes 250 ms at most, and the newest frame is sent with the next one; (2) the shares are set anew while the slots grow by a fifth, for 5 s.

Tests: send_frames_peer_listens_later, object_shares_set_anew_while_targets_become_known.

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -25,24 +25,35 @@
 /// Connections with data that is not acknowledged for this long are closed. Without it, a
 /// connection across a healed partition would wait for the kernel's back-off of up to minutes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest time for connecting; between regions a round trip takes 40 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for the first attempt to connect; between regions a round trip takes 40 ms. A peer
+/// that starts at the same time misses the first packet, and the kernel sends the next one after a
+/// second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time for any attempt; the time doubles after each that fails, as a full link may need it.
+const CONNECT_TIMEOUT_MAX: Duration = Duration::from_secs(1);
 /// Pause after a failed connection.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Sends the frames of one queue to a peer, connecting when there is something to send.
 pub async fn send_frames(address: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
     let mut connection: Option<TcpStream> = None;
-    while let Some(frame) = frames.recv().await {
-        if connection.is_none() {
-            connection = connect(address).await;
+    while let Some(mut frame) = frames.recv().await {
+        let mut within = CONNECT_TIMEOUT;
+        while connection.is_none() {
+            connection = connect(address, within).await;
+            if connection.is_none() {
+                within = (within * 2).min(CONNECT_TIMEOUT_MAX);
+                sleep(RECONNECT_PAUSE).await;
+                // Only the newest frame is worth a new connection.
+                while let Ok(newer) = frames.try_recv() {
+                    frame = newer;
+                }
+                if frames.is_closed() {
+                    return;
+                }
+            }
         }
-        let Some(stream) = connection.as_mut() else {
-            // Drops what queued up meanwhile: it is older than what a new connection should carry.
-            while frames.try_recv().is_ok() {}
-            sleep(RECONNECT_PAUSE).await;
-            continue;
-        };
+        let Some(stream) = connection.as_mut() else { continue };
         if let Err(error) = write_frame(stream, &frame).await {
             log::debug!(peer:% = address, error:% = error; "connection to peer lost");
             connection = None;
@@ -50,8 +61,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+async fn connect(address: SocketAddr, within: Duration) -> Option<TcpStream> {
+    match timeout(within, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
             let socket = socket2::SockRef::from(&stream);
             let configured = stream
--- a/crates/daemon/src/peers/tcp_tests.rs
+++ b/crates/daemon/src/peers/tcp_tests.rs
@@ -21,3 +21,23 @@
     let error = read_frame(&mut reader, 5, MAX_FRAME_BYTES).await.unwrap_err();
     expect_test::expect!["frame is late"].assert_eq(&error.to_string());
 }
+
+/// Both daemons start after a loss of power, and the peer listens a moment later: guards against a
+/// question that is lost with the first attempt to connect, and asked again after a second only.
+#[tokio::test]
+async fn send_frames_peer_listens_later() {
+    let address = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let (sender, frames) = mpsc::channel(4);
+    let sending = tokio::spawn(send_frames(address, frames));
+    sender.send(b"first".to_vec()).await.unwrap();
+    // Long enough for the first attempt to be refused.
+    sleep(RECONNECT_PAUSE / 2).await;
+    sender.send(b"second".to_vec()).await.unwrap();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut frame = [0; 10];
+    stream.read_exact(&mut frame).await.unwrap();
+    assert_eq!(&frame[4..], b"second");
+    drop(sender);
+    sending.await.unwrap();
+}
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -292,7 +292,7 @@
         }
     };
     let mut shares = current.unwrap_or_else(|| ObjectShares::even(&all, key.1, places, now));
-    shares.follow(&all, now);
+    shares.follow(&all, places, now);
     views.shares.insert(key, shares);
     shares
 }
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -56,6 +56,11 @@
 const SHARE_OVER_EVEN: f64 = 1.5;
 /// Time between two changes of the shares.
 pub const SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the first request for a service in which its targets become known: they announce
+/// themselves every few seconds, and the first ones to do so are no measure of the places.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Growth of the slots in that time with which the shares are set anew.
+const SETTLING_GROWTH: f64 = 1.2;
 /// Objects of a target that are remembered as known to it.
 const KNOWN_OBJECTS: usize = 64;
 /// Weight of the latest request in the average times of requests.
@@ -344,6 +349,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ObjectShares {
     locality: Locality,
+    /// Slots of all targets when the shares were last set from them.
+    slots: f64,
+    began_at: Instant,
     data_centre: f64,
     region: f64,
     changed_at: Instant,
@@ -362,6 +370,8 @@
         let neighbour = of(Distance::Region) - 1.0;
         Self {
             locality,
+            slots: all,
+            began_at: now,
             data_centre: own.clamp(SHARE_MIN, 1.0),
             region: neighbour.clamp(SHARE_MIN, 1.0),
             changed_at: now,
@@ -373,11 +383,18 @@
         now.saturating_duration_since(self.changed_at) >= SHARE_INTERVAL
     }
 
-    /// Follows the load of the targets.
-    pub fn follow(&mut self, candidates: &[Candidate], now: Instant) {
+    /// Follows the load of the targets; `places` as for [`Self::even`].
+    pub fn follow(&mut self, candidates: &[Candidate], places: usize, now: Instant) {
         if !self.is_due(now) {
             return;
         }
+        let is_settling = now.saturating_duration_since(self.began_at) < SETTLING_TIME;
+        if is_settling && slots_of(candidates, |_| true) > self.slots * SETTLING_GROWTH {
+            let began_at = self.began_at;
+            *self = Self::even(candidates, self.locality, places, now);
+            self.began_at = began_at;
+            return;
+        }
         self.changed_at = now;
         let rises_by = match self.locality {
             Locality::DataCentre => SHARE_RISES_BY,
--- a/crates/steering/src/placement_tests.rs
+++ b/crates/steering/src/placement_tests.rs
@@ -165,16 +165,16 @@
     let at = |interval: u32| start + SHARE_INTERVAL * interval;
     let first = shares.of(Distance::DataCentre);
     for interval in 1..=4 {
-        shares.follow(&candidates, at(interval));
+        shares.follow(&candidates, 3, at(interval));
     }
     let fallen = shares.of(Distance::DataCentre);
     // 15% of a region's requests may move within two seconds, which are two windows of four steps.
     assert!(fallen < first && first - fallen < 0.15, "{first} to {fallen}");
     candidates.iter_mut().for_each(|candidate| candidate.load = 0.0);
-    shares.follow(&candidates, at(5));
+    shares.follow(&candidates, 3, at(5));
     assert!(shares.of(Distance::DataCentre) > fallen);
     let before = shares;
-    shares.follow(&candidates, at(5));
+    shares.follow(&candidates, 3, at(5));
     assert_eq!(shares, before);
 }
 
@@ -310,3 +310,22 @@
         assert!(within as f64 <= 4.8 * 1.5 + 5.0, "{within} requests in a second");
     }
 }
+
+/// All entry VMs restart while their targets announce themselves one by one (punchlist-ne-grown,
+/// trouble-1 after the loss of all power): guards against a region that keeps all objects because
+/// its own targets were known first.
+#[test]
+fn object_shares_set_anew_while_targets_become_known() {
+    let start = Instant::now();
+    let mut candidates = near(4, 0.0);
+    let mut shares = ObjectShares::even(&candidates, Locality::Region, 3, start);
+    assert_eq!(shares.of(Distance::DataCentre), 1.0);
+    candidates.extend((10..46).map(|number| candidate(number, Distance::Remote, 0.0)));
+    shares.follow(&candidates, 3, start + SHARE_INTERVAL);
+    assert!(shares.of(Distance::DataCentre) < 0.5, "{shares}");
+    // Later growth moves the shares by small steps only.
+    let before = shares.of(Distance::DataCentre);
+    candidates.extend((50..90).map(|number| candidate(number, Distance::Remote, 0.0)));
+    shares.follow(&candidates, 3, start + SETTLING_TIME + SHARE_INTERVAL);
+    assert!((shares.of(Distance::DataCentre) - before).abs() < 0.04, "{shares}");
+}
