Do not lose requests on connections that targets have forgotten

Change: a request of an idempotent kind whose idle connection ends within 80 ms is sent again on a new one, without a part of the retry budget; other kinds use connections that were used lately, once three were lost so. Unacknowledged data for 1.2 s ends a connection, a working target's machine is asked every second, and connecting takes 0.5 s at most. A caller whose request was rejected by targets that have free slots comes back within 0.02 to 0.1 of the target latency.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -25,7 +25,7 @@
 use crate::permits::{self, Admittee};
 use crate::refusal::Refusal;
 use crate::tables::Grant;
-use crate::upstream::{Reach, RelayedBody, RequestBody, SendError};
+use crate::upstream::{Connection, Reach, RelayedBody, RequestBody, SendError};
 
 /// Request header that tells a target whose request it runs.
 const ORGANISATION_HEADER: &str = "celerygate-organisation";
@@ -273,7 +273,7 @@
         Distance::Remote => Reach::OtherRegion,
         Distance::DataCentre | Distance::Region => Reach::SameRegion,
     };
-    let sent = daemon.upstream.send(picked.address, reach, request);
+    let sent = daemon.upstream.send(picked.address, reach, Connection::Any, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
         Ok(Ok(response)) => return AttemptEnd::Response(response),
         Ok(Err(SendError::NotConnected { request, reason })) => {
@@ -284,7 +284,7 @@
             upstream.restore(*request);
             AttemptEnd::failed(Reached::Connected, Ended::TargetFailed, reason)
         }
-        Ok(Err(SendError::NoResponse(error))) => {
+        Ok(Err(SendError::NoResponse { error, .. })) => {
             AttemptEnd::failed(Reached::BytesSent, Ended::TargetFailed, error)
         }
         // How far the attempt got is not known here, so the worse case is assumed.
--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -352,10 +352,9 @@
             }
         }
         Message::OnceRelease(request) => {
-            if at_home(daemon, |home| home.release(&request, &daemon.clock)).is_some() {
-                let released = OnceReleased { request: request.request };
-                send(daemon, from, Message::OnceReleased(released));
-            }
+            let is_home = at_home(daemon, |home| home.release(&request, &daemon.clock)).is_some();
+            let released = OnceReleased { request: request.request };
+            is_home.then(|| send(daemon, from, Message::OnceReleased(released)));
         }
         Message::OnceReleased(released) => {
             let waiting = daemon.tables.once_waiting.lock();
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -7,19 +7,28 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use celerygate_steering::idle::IdleLimit;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpSocket;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-/// Longest time for connecting to a target. Between regions a round trip takes 20 ms, so a target
-/// that does not answer within a second is down or overloaded.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for connecting to a target. Between regions a round trip takes 40 ms; the rest is
+/// for links with queues.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections with data that a target has not acknowledged for this long are closed: its machine
+/// is gone, however slow the target itself may be. Well above the half second for which packets wait
+/// at a full link.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time after which the machine of a target that is at work is asked whether it is still there, the
+/// shortest that the kernel offers.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle connections kept for each target; a target has a few slots, so more are rarely of use.
 const IDLE_PER_TARGET: usize = 16;
 
@@ -62,14 +71,37 @@
         reason: String,
     },
     /// The target may have received the request.
-    #[error("no response from the target: {0}")]
-    NoResponse(hyper::Error),
+    #[error("no response from the target: {error}")]
+    NoResponse {
+        /// What ended the connection.
+        error: hyper::Error,
+        /// Whether the connection was probably lost while it was idle.
+        lost_while_idle: bool,
+    },
+}
+
+/// Which connection a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// An idle one if there is one; the request can be sent again if the connection was lost.
+    Any,
+    /// An idle one that was used lately: the request cannot be sent again.
+    Recent,
+    /// A new one.
+    New,
+}
+
+/// A connection that waits for its next request.
+struct Idle {
+    sender: Sender,
+    since: Instant,
 }
 
 /// Connections that wait for their next request.
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    idle_limit: Mutex<IdleLimit>,
 }
 
 impl Pool {
@@ -83,19 +115,22 @@
         self: &Arc<Self>,
         address: SocketAddr,
         reach: Reach,
+        connection: Connection,
         request: Request<RequestBody>,
     ) -> Result<Response<RelayedBody>, SendError> {
         let mut request = request;
         // An idle connection may have been closed by the target; another one is tried as long as
         // the request was not taken.
-        while let Some(sender) = self.take(address) {
-            match self.send_on(address, sender, request).await {
+        while connection != Connection::New
+            && let Some(idle) = self.take(address, connection)
+        {
+            match self.send_on(address, idle.sender, Some(idle.since), request).await {
                 Err(SendError::NotSent { request: untouched, .. }) => request = *untouched,
                 other => return other,
             }
         }
         match connect(address, reach).await {
-            Ok(sender) => self.send_on(address, sender, request).await,
+            Ok(sender) => self.send_on(address, sender, None, request).await,
             Err(reason) => Err(SendError::NotConnected {
                 request: Box::new(request),
                 reason: reason.to_string(),
@@ -107,8 +142,10 @@
         self: &Arc<Self>,
         address: SocketAddr,
         mut sender: Sender,
+        idle_since: Option<Instant>,
         request: Request<RequestBody>,
     ) -> Result<Response<RelayedBody>, SendError> {
+        let sent_at = Instant::now();
         match sender.try_send_request(request).await {
             Ok(response) => Ok(response.map(|body| RelayedBody {
                 body,
@@ -119,18 +156,30 @@
                     request: Box::new(request),
                     reason: error.error().to_string(),
                 }),
-                None => Err(SendError::NoResponse(error.into_error())),
+                None => {
+                    let now = Instant::now();
+                    let lost_while_idle = idle_since.is_some_and(|since| {
+                        let (idle, after) = (sent_at - since, now - sent_at);
+                        self.idle_limit.lock().note_ended(idle, after, now.into_std())
+                    });
+                    Err(SendError::NoResponse { error: error.into_error(), lost_while_idle })
+                }
             },
         }
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Sender> {
+    fn take(&self, address: SocketAddr, connection: Connection) -> Option<Idle> {
+        let now = Instant::now();
+        let limit = match connection {
+            Connection::Recent => *self.idle_limit.lock(),
+            Connection::Any | Connection::New => IdleLimit::default(),
+        };
         let mut idle = self.idle.lock();
         let senders = idle.get_mut(&address)?;
         // A connection with surplus bytes or an unfinished exchange is not ready and is dropped.
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(idle) = senders.pop() {
+            if idle.sender.is_ready() && limit.allows(now - idle.since, now.into_std()) {
+                return Some(idle);
             }
         }
         idle.remove(&address);
@@ -140,9 +189,9 @@
     fn put(&self, address: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock();
         let senders = idle.entry(address).or_default();
-        senders.retain(|idle| !idle.is_closed());
+        senders.retain(|idle| !idle.sender.is_closed());
         if senders.len() < IDLE_PER_TARGET && !sender.is_closed() {
-            senders.push(sender);
+            senders.push(Idle { sender, since: Instant::now() });
         }
     }
 }
@@ -156,6 +205,10 @@
     }
     let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
     stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
     let (sender, connection) = http.handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_daemon::upstream::{RelayedBody, RequestBody, SendError};
+use celerygate_daemon::upstream::{Connection, RelayedBody, RequestBody, SendError};
 use celerygate_steering::headers::{HeaderFilter, target_reveals_key};
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::outcome::{RetryBudget, RetryLimits};
@@ -36,6 +36,8 @@
 /// Share of a route's target latency after which a refused caller should come back; drawn between
 /// these so that the returns of many callers spread.
 const RETURN_AFTER: std::ops::Range<f64> = 0.25..0.75;
+/// The same after a rejection by targets that have free slots: the next try meets another one.
+const RETURN_AFTER_REJECTION: std::ops::Range<f64> = 0.02..0.1;
 /// Longest wait before a choice is made again.
 const WAIT_RECHECK: Duration = Duration::from_millis(250);
 /// VMs beside the known ones that the retry budget allows for, as entry VMs are added at any time.
@@ -69,6 +71,11 @@
     Response(Response<ResponseBody>),
     /// The target has not run the request.
     NotRun(ResultCode),
+    /// The target has rejected the request, with or without a free slot.
+    Rejected {
+        /// Whether it reported a free slot.
+        had_room: bool,
+    },
     /// The target may have run the request.
     Failed(ResultCode),
 }
@@ -151,12 +158,6 @@
     Ended::Refused(Refusal { code, retry_after: None })
 }
 
-/// Returns a refusal with a time to come back that spreads the returns.
-fn refused_for_now(code: ResultCode, route: &Route) -> Ended {
-    let share = rand::random_range(RETURN_AFTER);
-    Ended::Refused(Refusal { code, retry_after: Some(route.target_latency.mul_f64(share)) })
-}
-
 async fn handle(
     fleet: &Arc<Fleet>,
     parts: &request::Parts,
@@ -234,6 +235,7 @@
     let route = admitted.route;
     let mut tried: SmallVec<[TargetId; 4]> = SmallVec::new();
     let mut may_have_run = false;
+    let mut rejected_with_room = false;
     let mut last = ResultCode::NoCapacity;
     loop {
         let now = fleet.now();
@@ -276,6 +278,10 @@
         match attempt(fleet, parts, body, admitted, &chosen, arrived).await {
             Attempt::Response(response) => return Ended::Response(response),
             Attempt::NotRun(code) => last = code,
+            Attempt::Rejected { had_room } => {
+                last = ResultCode::NoCapacity;
+                rejected_with_room = had_room;
+            }
             Attempt::Failed(code) => {
                 may_have_run = true;
                 last = code;
@@ -289,7 +295,10 @@
         let unknown = last.outcome() == Outcome::Unknown;
         return refused(if unknown { last } else { ResultCode::TargetFailed });
     }
-    refused_for_now(ResultCode::NoCapacity, route)
+    let return_after = if rejected_with_room { RETURN_AFTER_REJECTION } else { RETURN_AFTER };
+    let share = rand::random_range(return_after);
+    let retry_after = Some(route.target_latency.mul_f64(share));
+    Ended::Refused(Refusal { code: ResultCode::NoCapacity, retry_after })
 }
 
 async fn attempt(
@@ -308,9 +317,22 @@
         at_target.end_unreachable();
         return Attempt::NotRun(ResultCode::TargetUnreachable);
     };
-    let request = forwarded_request(fleet, parts, body, admitted, &chosen.instance, started);
+    let send = |connection| {
+        let instance = &chosen.instance;
+        let request = forwarded_request(fleet, parts, body, admitted, instance, fleet.now());
+        fleet.pool.send(address, chosen.reach, connection, request)
+    };
     let deadline = TokioInstant::now() + admitted.deadline.saturating_duration_since(started);
-    let outcome = timeout_at(deadline, fleet.pool.send(address, chosen.reach, request)).await;
+    let is_repeatable = admitted.route.repeatable == Repeatable::Always;
+    let connection = if is_repeatable { Connection::Any } else { Connection::Recent };
+    let mut outcome = timeout_at(deadline, send(connection)).await;
+    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error })) = &outcome
+        && is_repeatable
+    {
+        log::info!(request = admitted.facts.request.as_str(), error:% = error,
+            target_id = chosen.instance.as_str(); "idle connection lost, sent on a new one");
+        outcome = timeout_at(deadline, send(Connection::New)).await;
+    }
     let (attempt, end) = match outcome {
         Err(_) => (Attempt::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
         Ok(Err(SendError::NotConnected { reason, .. } | SendError::NotSent { reason, .. })) => {
@@ -320,7 +342,7 @@
             log_attempt(fleet, admitted, chosen, arrived, "not-reached");
             return Attempt::NotRun(ResultCode::TargetUnreachable);
         }
-        Ok(Err(SendError::NoResponse(error))) => {
+        Ok(Err(SendError::NoResponse { error, .. })) => {
             log::info!(request = admitted.facts.request.as_str(), error:% = error,
                 target_id = chosen.instance.as_str(); "no response from the target");
             at_target.end(AttemptEnd::Failed, None);
@@ -328,7 +350,7 @@
             return Attempt::Failed(ResultCode::TargetFailed);
         }
         Ok(Ok(response)) => {
-            let read = timeout_at(deadline, read_response(fleet, admitted, response)).await;
+            let read = timeout_at(deadline, read_response(fleet, admitted, chosen, response)).await;
             match read {
                 Err(_) => (Attempt::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
                 Ok(Read { attempt, end, load, outcome }) => {
@@ -416,6 +438,7 @@
 async fn read_response(
     fleet: &Fleet,
     admitted: &Admitted<'_>,
+    chosen: &Chosen,
     response: Response<RelayedBody>,
 ) -> Read {
     let (parts, body) = response.into_parts();
@@ -432,7 +455,8 @@
         if body.collect().await.is_err() {
             log::debug!(request = admitted.facts.request.as_str(); "rejection broke off");
         }
-        let attempt = Attempt::NotRun(ResultCode::NoCapacity);
+        let is_below = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
+        let attempt = Attempt::Rejected { had_room: load.is_some_and(is_below) };
         return Read { attempt, end: AttemptEnd::Rejected, load, outcome: "rejected" };
     }
     let is_failure = !facts.is_signed || parts.status.is_server_error();
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -46,6 +46,8 @@
     pub reason: PlacementReason,
     /// Requests at it when it was chosen.
     pub load: f64,
+    /// Requests that it runs at the same time.
+    pub slots: SlotCount,
     /// Number of targets that were considered.
     pub considered: usize,
     /// Whether the target has handled the object before.
@@ -217,6 +219,7 @@
         chosen_at: now,
         reason,
         load: candidate.load,
+        slots: target.slots,
         considered: known.len(),
         knows_object: candidate.knows_object,
         learns,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod grants;
 pub mod headers;
+pub mod idle;
 pub mod instances;
 pub mod keys;
 pub mod links;
