Spread callers earlier, and wait longer for token replies over full links

Replies of the leader took longer than the 250 ms after which the holder asks again and drops them, so that it never took one and refused 378 requests of organisations within their rates. Ruled out: the leader was known there.

Change: the wait for a reply doubles with each that is missed; a lookup names the region's entry VMs while less than 0.7 of a data centre's serve (0.5 before), and all while less than 0.35 of a region's do.

Tests: accept_reply_slower_than_first_wait, nearest_entries_few_left_use_region.

--- a/crates/fleet/src/lookup.rs
+++ b/crates/fleet/src/lookup.rs
@@ -10,9 +10,12 @@
 pub const MAX_ADDRESSES: usize = 64;
 
 /// Part of a data centre's or region's entry VMs that has to serve for callers to stay there. With
-/// fewer, those that are left would take several times their usual load: their links and processors
-/// are sized for the callers of their own data centre.
-const SERVING_SHARE_MIN: f64 = 0.5;
+/// fewer, the load of those that are left grows by half or more: their links and processors are sized
+/// for the callers of their own data centre.
+const SERVING_SHARE_MIN: f64 = 0.7;
+
+/// The same for a region, whose callers would have to go to other regions.
+const REGION_SERVING_SHARE_MIN: f64 = 0.35;
 
 /// Returns the addresses of the entry VMs that a caller should use: the nearest group of which
 /// enough serve. `known` are the entry VMs that ran lately, those that serve among them.
@@ -21,22 +24,17 @@
     region: &RegionId,
     data_centre: &DataCentreId,
 ) -> Vec<SmolStr> {
-    let group = |is_near: &dyn Fn(&DaemonRecord) -> bool| -> Option<Vec<SmolStr>> {
+    let group = |is_near: &dyn Fn(&DaemonRecord) -> bool, share_min| -> Option<Vec<SmolStr>> {
         let near: Vec<&DaemonRecord> = known.iter().filter(|record| is_near(record)).collect();
         let serving = near.iter().filter(|record| record.state == VmState::Serving);
         let addresses: Vec<SmolStr> =
             serving.filter_map(|record| record.callers_address.clone()).collect();
-        let is_enough = addresses.len() as f64 >= near.len() as f64 * SERVING_SHARE_MIN;
+        let is_enough = addresses.len() as f64 >= near.len() as f64 * share_min;
         (is_enough && !addresses.is_empty()).then_some(addresses)
     };
-    let all = |_: &DaemonRecord| true;
-    let nearest = group(&|record| record.data_centre == *data_centre)
-        .or_else(|| group(&|record| record.region == *region))
-        .or_else(|| group(&all));
-    let mut addresses = nearest.unwrap_or_else(|| {
-        let serving = known.iter().filter(|record| record.state == VmState::Serving);
-        serving.filter_map(|record| record.callers_address.clone()).collect()
-    });
+    let nearest = group(&|record| record.data_centre == *data_centre, SERVING_SHARE_MIN)
+        .or_else(|| group(&|record| record.region == *region, REGION_SERVING_SHARE_MIN));
+    let mut addresses = nearest.or_else(|| group(&|_| true, 0.0)).unwrap_or_default();
     addresses.truncate(MAX_ADDRESSES);
     addresses
 }
--- a/crates/steering/src/grants/ahead_tests.rs
+++ b/crates/steering/src/grants/ahead_tests.rs
@@ -145,3 +145,27 @@
         assert!(share > 0.95, "rate {rate}: {share}");
     }
 }
+
+/// A VM whose link is full, so that each reply takes 400 ms (hurma-kapi-grown scale-1): guards
+/// against a holder that asks again each time before the reply arrives, and so never takes one.
+#[test]
+fn accept_reply_slower_than_first_wait() {
+    let organisation: OrganisationId = "orchard".parse().unwrap();
+    let start = Instant::now();
+    let mut holder = GrantHolder::new(Term(1)).holding_for(Duration::from_secs(20));
+    let need = TokenNeed { arrived: start, deadline: start, ahead: 0 };
+    holder.admit(&organisation, &need, start);
+    let mut replies: Vec<(u64, GrantReply)> = Vec::new();
+    let mut accepted = 0;
+    for ms in (0..4_000).step_by(STEP_MS as usize) {
+        let now = start + Duration::from_millis(ms);
+        if let Some(request) = holder.poll(|_| 1, now) {
+            let reply = GrantReply { sequence: request.sequence, term: Term(1), awards: vec![] };
+            replies.push((ms + 400, reply));
+        }
+        for (_, reply) in replies.extract_if(.., |(at, _)| *at <= ms) {
+            accepted += usize::from(holder.accept(&reply, now));
+        }
+    }
+    assert!(accepted >= 5, "{accepted}");
+}
--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -193,6 +193,8 @@
 struct Pending {
     sequence: u64,
     sent_at: Instant,
+    /// How long its reply is waited for.
+    wait: Duration,
 }
 
 /// Holds the tokens of every organisation on one VM.
@@ -206,6 +208,8 @@
     /// When the last request that was replied to was sent.
     answered_request_at: Option<Instant>,
     round_trip: Duration,
+    /// How long the next reply is waited for.
+    reply_wait: Duration,
     /// Whether the owner may count tokens that this VM no longer has.
     report_due: bool,
     hold_for: Duration,
@@ -223,6 +227,7 @@
             replied_at: None,
             answered_request_at: None,
             round_trip: Duration::ZERO,
+            reply_wait: RESEND_AFTER,
             report_due: true,
             hold_for: Duration::ZERO,
             tokens: HashMap::new(),
@@ -341,7 +346,7 @@
     /// Returns the earliest time at which [`Self::poll`] can return a request; none before the first.
     pub fn next_poll(&self) -> Option<Instant> {
         match (self.pending, self.sent_at) {
-            (Some(pending), _) => Some(pending.sent_at + RESEND_AFTER),
+            (Some(pending), _) => Some(pending.sent_at + pending.wait),
             (None, sent_at) => sent_at.map(|at| at + REQUEST_INTERVAL),
         }
     }
@@ -369,7 +374,12 @@
             return None;
         }
         self.sequence += 1;
-        self.pending = Some(Pending { sequence: self.sequence, sent_at: now });
+        if self.pending.is_some() {
+            // A reply over a full link may take longer than the first wait.
+            self.reply_wait = (self.reply_wait * 2).min(HOLDER_EXPIRY);
+        }
+        let (sequence, wait) = (self.sequence, self.reply_wait);
+        self.pending = Some(Pending { sequence, sent_at: now, wait });
         self.sent_at = Some(now);
         // The request after the last one with asks tells the owner that nothing is held.
         self.report_due = !asks.is_empty();
@@ -389,6 +399,7 @@
         let round_trip = now.saturating_duration_since(pending.sent_at);
         self.round_trip =
             self.round_trip.mul_f64(1.0 - LATEST_WEIGHT) + round_trip.mul_f64(LATEST_WEIGHT);
+        self.reply_wait = RESEND_AFTER.max(self.round_trip * 2).min(HOLDER_EXPIRY);
         let since_last = self
             .replied_at
             .replace(now)
