--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -20,8 +20,8 @@
 use tokio::time::{Instant, timeout};
 
 /// Longest time for connecting to a target. Between regions a round trip takes 40 ms; the rest is
-/// for links with queues.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// for full links, on which packets wait for more than half a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections with data that a target has not acknowledged for this long are closed: its machine
 /// is gone, however slow the target itself may be. Well above the half second for which packets wait
 /// at a full link.
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -523,7 +523,8 @@
     let vms = fleet.tables.daemons.lock().known.len() + 1 + SPARE_VMS;
     RetryLimits {
         share: bounds.retry_share,
-        min_retries: bounds.retry_slack_requests / vms as u64,
+        min_retries: 0,
+        extra_retries: bounds.retry_slack_requests / vms as u64,
         window: Duration::from_millis(bounds.retry_window_ms),
     }
 }
--- a/crates/steering/src/outcome.rs
+++ b/crates/steering/src/outcome.rs
@@ -125,13 +125,20 @@
     pub share: f64,
     /// Retries within the window that are allowed however few requests there were.
     pub min_retries: u64,
+    /// Retries within the window that are allowed beside the share.
+    pub extra_retries: u64,
     /// Time over which requests and retries are counted.
     pub window: Duration,
 }
 
 impl Default for RetryLimits {
     fn default() -> Self {
-        Self { share: RETRY_PERCENT as f64 / 100.0, min_retries: MIN_RETRIES, window: RETRY_WINDOW }
+        Self {
+            share: RETRY_PERCENT as f64 / 100.0,
+            min_retries: MIN_RETRIES,
+            extra_retries: 0,
+            window: RETRY_WINDOW,
+        }
     }
 }
 
@@ -170,7 +177,7 @@
         let requests: u64 = self.requests.iter().sum();
         let retries: u64 = self.retries.iter().sum();
         let shared = (requests as f64 * self.limits.share) as u64;
-        let allowed = retries < self.limits.min_retries.max(shared);
+        let allowed = retries < self.limits.min_retries.max(shared) + self.limits.extra_retries;
         if allowed {
             self.retries[bucket] += 1;
         }
--- a/crates/steering/src/outcome_tests.rs
+++ b/crates/steering/src/outcome_tests.rs
@@ -115,3 +115,17 @@
         }
     }
 }
+
+/// Targets that reject two of five requests though they have free slots (scale-1 of the grown sites):
+/// guards against repeats that a fleet allows and its VMs refuse.
+#[test]
+fn take_retry_extra_beside_share() {
+    let now = Instant::now();
+    let limits =
+        RetryLimits { share: 0.2, min_retries: 0, extra_retries: 6, ..RetryLimits::default() };
+    let mut budget = RetryBudget::with_limits(limits, now);
+    for _ in 0..100 {
+        budget.count_request(now);
+    }
+    assert_eq!((0..100).filter(|_| budget.take_retry(now)).count(), 26);
+}
