Stop taking requests in time, and keep rates within their windows while daemons restart

Causes: (1) a stopping entry VM took requests until 3.6 s after SIGTERM and ended after 5.6 s; one that was taken at 3.2 s waited 2.2 s at its target. (2) VMs that restart knew few others and divided rates by a small number. (3) A VM that restarts used its own allowance for 1.2 s beside an owner that had been there all the while. (4) A new owner granted tokens while the VMs still used their own allowances.

Change: (1) requests are taken for 0.45 of the grace time, then refused with 1205. (2) Control VMs remember the number of entry VMs on disk and tell it. (3) A reply says whether its owner withholds; an owner that has just become known gets 0.6 s to answer. (4) The bucket of a new owner fills from the end of withholding on. The data folder of the control log leaves out folders of other parts. A placed request's line names the source of its token.

Tests: stop_taking_requests_is_final, count_after_restart_is_kept, token_source_restarted_vm_waits_for_owner, new_owner_grants_nothing_while_it_withholds, list_leaves_out_folders.

--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -94,7 +94,12 @@
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
-            let name = entry?.file_name().to_string_lossy().into_owned();
+            let entry = entry?;
+            // Other parts keep their files in folders of their own.
+            if entry.file_type()?.is_dir() {
+                continue;
+            }
+            let name = entry.file_name().to_string_lossy().into_owned();
             if name != LOCK_FILE && !name.ends_with(REPLACEMENT_SUFFIX) {
                 names.push(name);
             }
--- a/crates/control/src/storage_tests.rs
+++ b/crates/control/src/storage_tests.rs
@@ -44,3 +44,13 @@
     open_folder(&path).unwrap();
     fs::remove_dir_all(&path).unwrap();
 }
+
+/// Guards against a control VM that takes the folder of another part for a damaged log.
+#[test]
+fn list_leaves_out_folders() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::create_dir(folder.path().join("other")).unwrap();
+    let mut storage = open_folder(folder.path()).unwrap();
+    (storage.replace)("a", b"1").unwrap();
+    assert_eq!((storage.list)().unwrap(), ["a"]);
+}
--- a/crates/daemon/examples/control_load/follower.rs
+++ b/crates/daemon/examples/control_load/follower.rs
@@ -209,7 +209,6 @@
                     organisation: organisation(index),
                     used_requests: RequestCount(*used),
                     wanted_requests: RequestCount(WANTED),
-                    waiting_requests: RequestCount(0),
                     waiting_requests: RequestCount::ZERO,
                 };
                 let asks = state.used.iter().enumerate().map(ask).collect();
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use celerygate_daemon::upstream::{Connection, RelayedBody, RequestBody, SendError};
+use celerygate_steering::grants::{Limit, TokenSource};
 use celerygate_steering::headers::{HeaderFilter, target_reveals_key};
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::outcome::{RetryBudget, RetryLimits};
 use celerygate_steering::placement::{AttemptEnd, ReportedLoad};
 use celerygate_steering::routing::{Repeatable, Route, part_for};
 use celerygate_types::wire::{Outcome, VmState};
-use celerygate_types::{OrganisationId, RegionId, ResultCode, ServiceId, TargetId};
+use celerygate_types::{OrganisationId, RegionId, ResultCode, Revision, ServiceId, TargetId};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes};
@@ -51,6 +52,8 @@
     organisation: Option<&'a OrganisationId>,
     organisation_homes: &'a [RegionId],
     object: Option<u64>,
+    /// Where its token came from; none without a rate.
+    token: Option<TokenSource>,
     deadline: Instant,
 }
 
@@ -165,6 +168,11 @@
     facts: &RequestFacts,
     arrived: Instant,
 ) -> Ended {
+    if !fleet.tables.takes_requests() {
+        // Another VM can take it at once.
+        let retry_after = Some(Duration::ZERO);
+        return Ended::Refused(Refusal { code: ResultCode::Stopping, retry_after });
+    }
     let Some(content) = fleet.tables.content() else {
         return refused(ResultCode::ConfigurationStale);
     };
@@ -185,13 +193,15 @@
     let waits = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived + waits;
     let rule = organisation.and_then(|organisation| content.routing.organisation(organisation));
-    if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit))
-        && let Err(refusal) = quota::admit(fleet, organisation, limit, deadline).await
-    {
-        log::info!(request = facts.request.as_str(), organisation = organisation.as_str(),
-            rate_per_s = limit.rate.get(), burst = limit.burst.get(),
-            revision = content.replicated.revision.0; "organisation has used its rate");
-        return Ended::Refused(refusal);
+    let mut token = None;
+    if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit)) {
+        match quota::admit(fleet, organisation, limit, deadline).await {
+            Ok(source) => token = Some(source),
+            Err(refusal) => {
+                log_over_rate(facts, organisation, &limit, content.replicated.revision);
+                return Ended::Refused(refusal);
+            }
+        }
     }
     let service = if route.parts.len() > 1 {
         part_for(route, fleet.tables.next_split_number(&route.name))
@@ -206,12 +216,24 @@
         organisation,
         organisation_homes: rule.map_or(&[], |rule| &rule.home_regions),
         object: object.map(|object| rendezvous::id_hash(object)),
+        token,
         deadline,
     };
     count_request(fleet, service);
     attempts(fleet, &content, parts, body, &admitted, arrived).await
 }
 
+fn log_over_rate(
+    facts: &RequestFacts,
+    organisation: &OrganisationId,
+    limit: &Limit,
+    revision: Revision,
+) {
+    log::info!(request = facts.request.as_str(), organisation = organisation.as_str(),
+        rate_per_s = limit.rate.get(), burst = limit.burst.get(), revision = revision.0;
+        "organisation has used its rate");
+}
+
 fn identify<'a>(
     content: &'a Content,
     route: &Route,
@@ -387,6 +409,7 @@
     let elapsed = fleet.now().saturating_duration_since(arrived);
     log::info!(request = admitted.facts.request.as_str(), route = admitted.route.name.as_str(),
         organisation = organisation_text(admitted.organisation), object = admitted.object,
+        token = admitted.token.map(|token| token.to_string()),
         sent_ms = chosen.chosen_at.saturating_duration_since(arrived).as_millis() as u64,
         target_id = chosen.instance.as_str(), reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
         considered = chosen.considered, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
@@ -520,7 +543,7 @@
 /// Returns this VM's part of the fleet's budget.
 fn retry_limits(fleet: &Fleet) -> RetryLimits {
     let bounds = &fleet.settings.bounds;
-    let vms = fleet.tables.daemons.lock().known.len() + 1 + SPARE_VMS;
+    let vms = fleet.tables.entry_vms() + SPARE_VMS;
     RetryLimits {
         share: bounds.retry_share,
         min_retries: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod clock;
 pub mod dialect;
+pub mod entry_count;
 pub mod fleet;
 pub mod forward;
 pub mod group;
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -7,7 +7,7 @@
     Admission, Limit, TokenNeed, TokenSource, UnledAllowance, token_source,
 };
 use celerygate_steering::placement::TokenBucket;
-use celerygate_types::wire::{DaemonRole, FleetMessage, Message};
+use celerygate_types::wire::{FleetMessage, Message};
 use celerygate_types::{OrganisationId, ResultCode};
 use tokio::time::{sleep, timeout};
 
@@ -47,7 +47,7 @@
             let mut quota = fleet.tables.quota.lock();
             if leader.term > quota.term {
                 quota.term = leader.term;
-                quota.term_began_at = Some(now);
+                quota.owner.known_since = Some(now);
             }
             quota.holder.set_term(leader.term);
             let quota = &mut *quota;
@@ -83,12 +83,13 @@
 }
 
 enum Next {
-    Admit,
+    Admit(TokenSource),
     Wait,
     Refuse(Duration),
 }
 
-/// Takes a token of an organisation, waiting for one if the leader is about to send some.
+/// Takes a token of an organisation, waiting for one if the leader is about to send some, and returns
+/// where it came from.
 ///
 /// # Errors
 ///
@@ -98,14 +99,14 @@
     organisation: &OrganisationId,
     limit: Limit,
     deadline: Instant,
-) -> Result<(), Refusal> {
+) -> Result<TokenSource, Refusal> {
     let arrived = fleet.now();
     let deadline = deadline.min(arrived + TOKEN_WAIT);
     let mut waiting = None;
     loop {
         let arriving = fleet.tables.tokens_arrived.notified();
         match decide(fleet, organisation, limit, arrived, deadline, waiting.is_some()) {
-            Next::Admit => return Ok(()),
+            Next::Admit(source) => return Ok(source),
             Next::Refuse(retry_after) => {
                 return Err(Refusal {
                     code: ResultCode::RateExceeded,
@@ -130,9 +131,7 @@
     drop(targets);
     let reaches_most = reached * 2 > control_vms;
     let share = if reaches_most { UNLED_SHARE } else { CUT_OFF_SHARE };
-    let daemons = fleet.tables.daemons.lock();
-    let entries = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
-    limit.unled(&quota_window(&fleet.settings), entries.count() + 1, share, is_calm)
+    limit.unled(&quota_window(&fleet.settings), fleet.tables.entry_vms(), share, is_calm)
 }
 
 fn decide(
@@ -151,10 +150,10 @@
     } else {
         quota.holder.admit(organisation, &need, now)
     };
-    let source = token_source(quota.answered_at, quota.term_began_at, now);
+    let source = token_source(&quota.owner, now);
     let is_led = source == TokenSource::Leader;
     match admission {
-        Admission::Admit => Next::Admit,
+        Admission::Admit => Next::Admit(TokenSource::Leader),
         // Tokens that are scarce go to requests that wait; the leader has not been asked for this
         // one yet.
         Admission::Refuse { .. }
@@ -175,7 +174,7 @@
                 .entry(organisation.clone())
                 .or_insert_with(|| TokenBucket::with_level(allowance.first_level, now));
             if bucket.take(allowance.rate_per_s, allowance.capacity, now) {
-                Next::Admit
+                Next::Admit(TokenSource::OwnAllowance)
             } else {
                 Next::Refuse(Duration::from_secs_f64(1.0 / allowance.rate_per_s.max(1.0)))
             }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,6 +1,6 @@
 //! Start and stop of a daemon.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,13 +21,14 @@
 use crate::group::{self, Effects, GroupStart};
 use crate::mesh::{Inbound, Mesh};
 use crate::sync::{self, Spread};
-use crate::{callers, clock, forward, listen, quota, targets};
+use crate::{callers, clock, entry_count, forward, listen, quota, targets};
 
 /// Time between two looks whether the last request has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Part of the time until the kill for which a leaving entry VM still accepts connections: callers
-/// hold lookup answers that name it.
-const ACCEPT_SHARE: f64 = 0.6;
+/// Part of the time until the kill for which a leaving entry VM still takes requests: callers hold
+/// lookup answers that name it. What it takes after half of the time must not be cut any more.
+const ACCEPT_SHARE: f64 = 0.45;
+const _: () = assert!(ACCEPT_SHARE < 0.5);
 /// Time before the kill at which the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a leaving control VM still answers.
@@ -90,6 +91,9 @@
     });
     if let Some(start_group) = start_group {
         start_group(effects(&fleet))?;
+        if let Some(folder) = &fleet.settings.data_folder {
+            entry_count::start(&fleet, Path::new(folder.as_str()))?;
+        }
         fleet.tables.set_state(VmState::Serving);
     }
     let spread = Arc::new(Spread::default());
@@ -202,6 +206,7 @@
         DaemonRole::Control => CONTROL_LINGER,
     };
     sleep(accepts_for).await;
+    fleet.tables.stop_taking_requests();
     // The receivers end with the process.
     let _ = close.send(true);
     let exit_at = asked_at + grace.saturating_sub(EXIT_MARGIN);
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -19,6 +19,7 @@
 
 use self::cursor::{Answered, Ask, Cursor, Position};
 use self::source::ContentSource;
+use crate::entry_count::EntryCount;
 use crate::fleet::Fleet;
 use crate::group::{GroupInput, note_leader, put_in_force};
 
@@ -126,7 +127,8 @@
             let now = fleet.now();
             let mut quota = fleet.tables.quota.lock();
             if quota.holder.accept(&reply, now) {
-                quota.answered_at = Some(now);
+                quota.owner.answered_at = Some(now);
+                quota.owner.withholds = reply.withholds;
                 fleet.tables.tokens_arrived.notify_waiters();
             }
         }
@@ -195,6 +197,7 @@
         content: content.map(|content| content.replicated.clone()),
         daemons: if digest == request.daemons_digest { Vec::new() } else { running },
         daemons_digest: digest,
+        entry_vms: fleet.tables.entry_count.lock().get(),
         leader: leader.vm,
         revision,
         silent,
@@ -245,6 +248,13 @@
 
 fn take_reply(fleet: &Fleet, spread: &Spread, from: VmId, reply: SyncReply) {
     let now = fleet.now();
+    if fleet.role() == DaemonRole::Entry {
+        // Before the content, with which requests are admitted. The largest number is the safe one.
+        let mut count = fleet.tables.entry_count.lock();
+        if reply.entry_vms > count.get() {
+            *count = EntryCount::restored(reply.entry_vms);
+        }
+    }
     if let Some(content) = reply.content {
         let before = fleet.tables.content();
         if put_in_force(&fleet.tables, &fleet.dialect, content) {
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -1,14 +1,14 @@
 //! Tables that the tasks of a daemon share.
 //!
 //! Lock order: `content`, `instances`, `target_index`, `targets`, `daemons`, `quota`, `retries`,
-//! `leader`. A task that holds a lock takes only later ones, and no lock is held across an await.
+//! `leader`, `entry_count`. A task that holds a lock takes only later ones, and no lock is held across an await.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use celerygate_steering::grants::GrantHolder;
+use celerygate_steering::grants::{GrantHolder, OwnerContact};
 use celerygate_steering::instances::InstanceTable;
 use celerygate_steering::outcome::RetryBudget;
 use celerygate_steering::placement::{
@@ -21,6 +21,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::entry_count::EntryCount;
 use crate::targets::TargetIndex;
 
 /// Time after its last message for which a daemon counts as running: three times the interval of
@@ -178,10 +179,8 @@
     pub waiting: HashMap<OrganisationId, u64>,
     /// Term of the leader that tokens are asked of.
     pub term: Term,
-    /// When that term became known here.
-    pub term_began_at: Option<Instant>,
-    /// When the leader last answered.
-    pub answered_at: Option<Instant>,
+    /// What is known of that leader.
+    pub owner: OwnerContact,
     /// Allowance while the leader does not answer.
     pub unled: HashMap<OrganisationId, TokenBucket>,
 }
@@ -222,9 +221,13 @@
     pub target_answered: Notify,
     /// Told when something is to be fetched from the control VMs at once.
     pub sync_now: Notify,
+    /// Number of entry VMs that is remembered; taken for a moment only.
+    pub entry_count: Mutex<EntryCount>,
     /// State of this daemon as other daemons are told.
     state: Mutex<VmState>,
     requests_running: AtomicU64,
+    /// Whether requests are still sent to targets.
+    takes_requests: AtomicBool,
 }
 
 impl Tables {
@@ -240,8 +243,7 @@
                 holder: GrantHolder::new(Term::ZERO).holding_for(HOLD_TOKENS_FOR),
                 waiting: HashMap::new(),
                 term: Term::ZERO,
-                term_began_at: None,
-                answered_at: None,
+                owner: OwnerContact::default(),
                 unled: HashMap::new(),
             }),
             retries: Mutex::default(),
@@ -251,8 +253,10 @@
             tokens_arrived: Notify::new(),
             target_answered: Notify::new(),
             sync_now: Notify::new(),
+            entry_count: Mutex::default(),
             state: Mutex::new(VmState::Starting),
             requests_running: AtomicU64::new(0),
+            takes_requests: AtomicBool::new(true),
         }
     }
 
@@ -301,6 +305,26 @@
         *number
     }
 
+    /// Returns the number of entry VMs that share what is divided without a leader, this one
+    /// included.
+    pub fn entry_vms(&self) -> usize {
+        let daemons = self.daemons.lock();
+        let known = daemons.known.values();
+        let entries = known.filter(|known| known.record.role == DaemonRole::Entry).count();
+        drop(daemons);
+        (entries + 1).max(self.entry_count.lock().get() as usize)
+    }
+
+    /// Returns whether requests are still sent to targets.
+    pub fn takes_requests(&self) -> bool {
+        self.takes_requests.load(Ordering::Acquire)
+    }
+
+    /// Refuses all further requests: they could not end before the process does.
+    pub fn stop_taking_requests(&self) {
+        self.takes_requests.store(false, Ordering::Release);
+    }
+
     /// Counts a running request until the returned guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RunningRequest {
         self.requests_running.fetch_add(1, Ordering::AcqRel);
--- a/crates/fleet/src/tables_tests.rs
+++ b/crates/fleet/src/tables_tests.rs
@@ -56,3 +56,15 @@
     let known = daemons.lately(DaemonRole::Entry, DaemonRole::Entry, later);
     assert_eq!((serving(&daemons, later), known.len()), (3, 4));
 }
+
+/// Guards against requests that a stopping VM takes too late to end them (hurma-kapi-grown, trouble-2
+/// with seed 1031483153138: taken 3.2 s after SIGTERM, cut after 5.6 s).
+#[test]
+fn stop_taking_requests_is_final() {
+    let tables = Tables::new();
+    assert!(tables.takes_requests());
+    tables.set_state(VmState::Leaving);
+    assert!(tables.takes_requests(), "callers still hold lookup answers");
+    tables.stop_taking_requests();
+    assert!(!tables.takes_requests());
+}
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -314,7 +314,7 @@
     }
     let senders = cold_senders(fleet);
     let rate = content.routing.service(service).map_or(0.0, |rule| rule.cold_requests_per_s);
-    let senders_max = COLD_SENDERS.min(senders.len());
+    let senders_max = COLD_SENDERS.min(fleet.tables.entry_vms());
     cold.retain(|target| {
         let observed = views.observed.get(&target.instance);
         !observed.is_some_and(|observed| observed.is_avoided(now))
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -56,7 +56,8 @@
 const UNLED_AFTER: Duration = Duration::from_millis(600);
 
 /// Where a VM takes tokens from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum TokenSource {
     /// From the owner; without tokens, requests wait or are refused.
     Leader,
@@ -64,20 +65,27 @@
     OwnAllowance,
 }
 
+/// What a VM knows of the owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnerContact {
+    /// When the owner became known here.
+    pub known_since: Option<Instant>,
+    /// When it last answered.
+    pub answered_at: Option<Instant>,
+    /// Whether it still withheld tokens then, as it counts the grants of an earlier owner.
+    pub withholds: bool,
+}
+
 /// Returns where a VM takes tokens from. An owner that answers decides alone, however late each
-/// answer is; an owner of a new term counts old grants first and grants nothing meanwhile.
-pub fn token_source(
-    answered_at: Option<Instant>,
-    term_began_at: Option<Instant>,
-    now: Instant,
-) -> TokenSource {
-    let within =
-        |at: Option<Instant>, time| at.is_some_and(|at| now.saturating_duration_since(at) < time);
-    if within(answered_at, UNLED_AFTER) && !within(term_began_at, OWNER_EXPIRY) {
-        TokenSource::Leader
-    } else {
-        TokenSource::OwnAllowance
+/// answer is, and one that has just become known gets the time to do so: a VM that restarts beside
+/// it must not add an allowance of its own.
+pub fn token_source(owner: &OwnerContact, now: Instant) -> TokenSource {
+    let is_recent =
+        |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) < UNLED_AFTER);
+    if is_recent(owner.answered_at) {
+        return if owner.withholds { TokenSource::OwnAllowance } else { TokenSource::Leader };
     }
+    if is_recent(owner.known_since) { TokenSource::Leader } else { TokenSource::OwnAllowance }
 }
 
 /// How a deployment counts the requests of an organisation.
--- a/crates/steering/src/grants/ahead_tests.rs
+++ b/crates/steering/src/grants/ahead_tests.rs
@@ -175,7 +175,8 @@
     for ms in (0..4_000).step_by(STEP_MS as usize) {
         let now = start + Duration::from_millis(ms);
         if let Some(request) = holder.poll(|_| 1, now) {
-            let reply = GrantReply { sequence: request.sequence, term: Term(1), awards: vec![] };
+            let (sequence, term) = (request.sequence, Term(1));
+            let reply = GrantReply { sequence, term, withholds: false, awards: vec![] };
             replies.push((ms + 400, reply));
         }
         for (_, reply) in replies.extract_if(.., |(at, _)| *at <= ms) {
@@ -184,3 +185,13 @@
     }
     assert!(accepted >= 5, "{accepted}");
 }
+
+/// VMs use their own allowances while a new owner withholds tokens: guards against an owner that
+/// grants beside them (soak seeds 29 to 39, up to 172 of 152 requests in 5 s).
+#[test]
+fn new_owner_grants_nothing_while_it_withholds() {
+    let run = play(limit(40), 3, |_| 80.0);
+    let withheld = OWNER_EXPIRY.as_millis() as u64;
+    assert_eq!(run.admitted_ms.iter().filter(|ms| **ms < withheld).count(), 0);
+    assert!(run.admitted_ms.len() > 40, "{}", run.admitted_ms.len());
+}
--- a/crates/steering/src/grants/limit_tests.rs
+++ b/crates/steering/src/grants/limit_tests.rs
@@ -36,13 +36,27 @@
 fn token_source_late_answers_leave_it_to_leader() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let source = |answered_ms, now_ms| token_source(Some(at(answered_ms)), Some(start), at(now_ms));
-    assert_eq!(source(5_000, 5_500), TokenSource::Leader);
-    assert_eq!(source(5_000, 5_700), TokenSource::OwnAllowance);
+    let source = |answered_ms, withholds, now_ms| {
+        let (known_since, answered_at) = (Some(start), Some(at(answered_ms)));
+        token_source(&OwnerContact { known_since, answered_at, withholds }, at(now_ms))
+    };
+    assert_eq!(source(5_000, false, 5_500), TokenSource::Leader);
+    assert_eq!(source(5_000, false, 5_700), TokenSource::OwnAllowance);
     // The owner of a new term grants nothing yet.
-    assert_eq!(source(1_000, 1_100), TokenSource::OwnAllowance);
-    assert_eq!(source(1_250, 1_300), TokenSource::Leader);
-    assert_eq!(token_source(None, None, start), TokenSource::OwnAllowance);
+    assert_eq!(source(1_000, true, 1_100), TokenSource::OwnAllowance);
+    assert_eq!(source(1_250, false, 1_300), TokenSource::Leader);
+    assert_eq!(token_source(&OwnerContact::default(), start), TokenSource::OwnAllowance);
+}
+
+/// Guards against an own allowance of each VM that restarts, beside the tokens of an owner that has
+/// been there all the while (soak seeds 29, 30, 34 and 36: up to 158 of 152 requests in 5 s).
+#[test]
+fn token_source_restarted_vm_waits_for_owner() {
+    let start = Instant::now();
+    let owner = OwnerContact { known_since: Some(start), ..OwnerContact::default() };
+    let after = |ms| token_source(&owner, start + Duration::from_millis(ms));
+    assert_eq!(after(100), TokenSource::Leader);
+    assert_eq!(after(700), TokenSource::OwnAllowance);
 }
 
 /// Guards against an organisation that gets more than its window while the leader changes.
--- a/crates/steering/src/grants/owner.rs
+++ b/crates/steering/src/grants/owner.rs
@@ -449,6 +449,10 @@
                 bucket.leases.insert((*vm).clone(), lease);
             }
             bucket.count_leases();
+            if limit.window.is_some() {
+                // The VMs use their own allowances until then.
+                bucket.refilled_at = old_grants_end;
+            }
             bucket.recovering_until = Some(old_grants_end + RECOVERY_TIME);
             bucket
         };
@@ -544,6 +548,8 @@
                 });
             }
         }
-        GrantAnswer::Reply(GrantReply { sequence: request.sequence, term: self.term, awards })
+        let withholds = now < self.old_grants_end;
+        let (sequence, term) = (request.sequence, self.term);
+        GrantAnswer::Reply(GrantReply { sequence, term, withholds, awards })
     }
 }
