--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -255,7 +255,7 @@
             started_at: now,
             heard_at: None,
             timer_at: now,
-            election_timeout: draw_timeout(
+            election_timeout: election::draw_timeout(
                 start.random,
                 ELECTION_TIMEOUT_MIN,
                 ELECTION_TIMEOUT_MAX,
@@ -451,12 +451,6 @@
     Action::Send { to, message: Box::new(message.into()) }
 }
 
-/// Returns a time between two limits.
-fn draw_timeout(random: u64, min: Duration, max: Duration) -> Duration {
-    let spread_ms = (max - min).as_millis() as u64;
-    min + Duration::from_millis(random % (spread_ms + 1))
-}
-
 /// Reacts to one input.
 pub fn step(replica: &mut Replica, input: Input, now: Instant) -> Vec<Action> {
     let mut actions = Vec::new();
--- a/crates/control/src/replica/election.rs
+++ b/crates/control/src/replica/election.rs
@@ -1,14 +1,14 @@
 //! Pre-vote, votes and candidacy.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use celerygate_types::wire::{VoteReply, VoteRequest};
 use celerygate_types::{Term, VmId};
 
 use super::{
     Action, ELECTION_RETRY_MAX, ELECTION_RETRY_MIN, ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN,
-    Replica, Role, VOTE_REFUSAL, draw_timeout, founding, leader, send,
+    Replica, Role, VOTE_REFUSAL, founding, leader, send,
 };
 use crate::membership;
 
@@ -154,3 +154,9 @@
         leader::begin(replica, now, actions);
     }
 }
+
+/// Returns a time between two limits.
+pub(super) fn draw_timeout(random: u64, min: Duration, max: Duration) -> Duration {
+    let spread_ms = (max - min).as_millis() as u64;
+    min + Duration::from_millis(random % (spread_ms + 1))
+}
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -4,36 +4,36 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_daemon::upstream::{Connection, RelayedBody, RequestBody, SendError};
+use celerygate_daemon::upstream::{Connection, RequestBody, SendError};
 use celerygate_steering::grants::{Limit, TokenSource};
 use celerygate_steering::headers::{HeaderFilter, target_reveals_key};
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::outcome::{RetryBudget, RetryLimits};
-use celerygate_steering::placement::{AttemptEnd, ReportedLoad};
+use celerygate_steering::placement::AttemptEnd;
 use celerygate_steering::routing::{Repeatable, Route, part_for};
 use celerygate_types::wire::{Outcome, VmState};
 use celerygate_types::{OrganisationId, RegionId, ResultCode, Revision, ServiceId, TargetId};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Bytes};
+use hyper::body::Bytes;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
-use hyper::http::{request, response};
+use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use smallvec::SmallVec;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
+use self::response::{Read, read_response};
 use crate::dialect::{ForwardFacts, Refusal, RequestFacts};
 use crate::fleet::Fleet;
 use crate::quota;
 use crate::tables::Content;
 use crate::targets::{self, AtTarget, Choice, Chosen, Observation, WaitsForTarget, Wanted};
 
+mod response;
+
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
 
-/// Response bodies up to this size are read whole before the caller gets the first byte, so that a
-/// response that breaks off can be replaced by another target's.
-const WHOLE_RESPONSE_BYTES: u64 = 1_024 * 1_024;
 /// Share of a route's target latency after which a refused caller should come back; drawn between
 /// these so that the returns of many callers spread.
 const RETURN_AFTER: std::ops::Range<f64> = 0.25..0.75;
@@ -450,83 +450,6 @@
     request
 }
 
-/// A response as far as it concerns the attempt.
-struct Read {
-    attempt: Attempt,
-    end: AttemptEnd,
-    load: Option<ReportedLoad>,
-    outcome: &'static str,
-}
-
-async fn read_response(
-    fleet: &Fleet,
-    admitted: &Admitted<'_>,
-    chosen: &Chosen,
-    response: Response<RelayedBody>,
-) -> Read {
-    let (parts, body) = response.into_parts();
-    let facts = (fleet.dialect.read_response)(&parts);
-    if facts.request.as_ref() != Some(&admitted.facts.request) {
-        // A surplus response of an earlier request; the own one may follow on the connection.
-        body.discard();
-        let load = None;
-        let attempt = Attempt::Failed(ResultCode::TargetFailed);
-        return Read { attempt, end: AttemptEnd::Failed, load, outcome: "foreign-response" };
-    }
-    let load = facts.load;
-    if facts.is_not_run {
-        if body.collect().await.is_err() {
-            log::debug!(request = admitted.facts.request.as_str(); "rejection broke off");
-        }
-        let is_below = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
-        let attempt = Attempt::Rejected { had_room: load.is_some_and(is_below) };
-        return Read { attempt, end: AttemptEnd::Rejected, load, outcome: "rejected" };
-    }
-    let is_failure = !facts.is_signed || parts.status.is_server_error();
-    if is_failure && (!facts.is_signed || admitted.route.repeatable == Repeatable::Always) {
-        drop(body);
-        let attempt = Attempt::Failed(ResultCode::TargetFailed);
-        return Read { attempt, end: AttemptEnd::Failed, load, outcome: "target-error" };
-    }
-    let headers = response_headers(&parts);
-    match read_body(body).await {
-        Ok(body) => {
-            let mut response = Response::new(body);
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = headers;
-            let end = if is_failure { AttemptEnd::Failed } else { AttemptEnd::Answered };
-            Read { attempt: Attempt::Response(response), end, load, outcome: "answered" }
-        }
-        Err(error) => {
-            log::info!(request = admitted.facts.request.as_str(), error:% = error;
-                "response of the target broke off");
-            let attempt = Attempt::Failed(ResultCode::TargetFailed);
-            Read { attempt, end: AttemptEnd::Failed, load, outcome: "broken-response" }
-        }
-    }
-}
-
-fn response_headers(parts: &response::Parts) -> HeaderMap {
-    let all = || parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
-    let filter = HeaderFilter::for_response(all());
-    let mut headers = HeaderMap::with_capacity(parts.headers.len());
-    for (name, value) in &parts.headers {
-        if filter.keeps(name.as_str(), value.as_bytes()) {
-            headers.append(name.clone(), value.clone());
-        }
-    }
-    headers
-}
-
-/// Reads a body of bounded size whole; a larger one is relayed as it arrives.
-async fn read_body(body: RelayedBody) -> Result<ResponseBody, hyper::Error> {
-    let is_bounded = body.size_hint().upper().is_none_or(|bytes| bytes <= WHOLE_RESPONSE_BYTES);
-    if is_bounded {
-        return Ok(whole(body.collect().await?.to_bytes()));
-    }
-    Ok(body.boxed_unsync())
-}
-
 fn count_request(fleet: &Fleet, service: &ServiceId) {
     let now = fleet.now();
     let limits = retry_limits(fleet);
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -16,19 +16,22 @@
 use celerygate_control::replica::{Input, LEASE};
 use celerygate_control::state::{self, Applied};
 use celerygate_control::storage::open_folder;
-use celerygate_steering::grants::{GrantAnswer, GrantOwner, Limit};
+use celerygate_steering::grants::GrantOwner;
 use celerygate_types::wire::{
     ChangeNotice, Command, Configuration, DaemonRecord, FleetContent, FleetMessage, FleetSettings,
-    GrantRequest, Member, MemberRole, MembershipChange, Message,
+    Member, Message,
 };
-use celerygate_types::{Clock, Incarnation, LogIndex, OrganisationId, Term, VmId};
+use celerygate_types::{Clock, Incarnation, LogIndex, Term, VmId};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+use self::members::first_configuration;
 use crate::dialect::Dialect;
-use crate::fleet::quota_window;
 use crate::tables::{Content, Leader, Tables};
 
+mod grants;
+mod members;
+
 /// Time between two steps without input; a fraction of the leader's heartbeat interval.
 const TICK: Duration = Duration::from_millis(50);
 /// Pause before the data folder is opened again after a failed write.
@@ -417,73 +420,6 @@
         }
     }
 
-    fn grants_follow(&mut self) {
-        let Some(grants) = &mut self.grants else { return };
-        if let Some(content) = self.start.tables.content() {
-            let limits = windowed_limits(&self.start.settings, &content);
-            grants.configure(limits, self.start.clock.now());
-        }
-    }
-
-    /// Returns the owner of the rates while this VM has the lease. It exists from the election on: an
-    /// owner that has seen a window pass grants tokens ahead.
-    fn grant_owner(&mut self, now: Instant) -> Option<&mut GrantOwner> {
-        let replica = self.node.replica();
-        let lease_end = replica.lease_end().filter(|end| now < *end)?;
-        let term = replica.term();
-        let is_current = self.grants.as_ref().is_some_and(|grants| grants.term() == term);
-        if !is_current {
-            let content = self.start.tables.content()?;
-            let vms = (self.effects.daemons)();
-            let limits = windowed_limits(&self.start.settings, &content);
-            self.grants = Some(GrantOwner::new(term, &vms, limits, lease_end, now));
-        }
-        let grants = self.grants.as_mut()?;
-        grants.extend_lease(lease_end);
-        Some(grants)
-    }
-
-    fn grant(&mut self, vm: &VmId, incarnation: Incarnation, request: &GrantRequest) {
-        let now = self.start.clock.now();
-        let Some(grants) = self.grant_owner(now) else { return };
-        match grants.answer(vm, incarnation, request, now) {
-            GrantAnswer::Reply(reply) => {
-                (self.effects.send)(vm, FleetMessage::Agreement(Message::GrantReply(reply)));
-            }
-            GrantAnswer::Ignore(reason) => {
-                log::debug!(vm = vm.as_str(), reason:% = reason; "token request not answered");
-            }
-        }
-    }
-
-    fn join(&mut self, record: DaemonRecord, store_id: u64) {
-        let recorded = membership::find(self.node.replica().members(), &record.vm);
-        if self.node.replica().is_leader() && recorded.is_none() {
-            self.joining.insert(record.vm.clone(), member(&record, store_id));
-        }
-    }
-
-    fn change_members(&mut self) -> Result<()> {
-        if !self.node.replica().is_leader() {
-            self.joining.clear();
-            return Ok(());
-        }
-        let now = self.start.clock.now();
-        let size = GroupSize::for_lost_disks(self.start.settings.lost_disks_max as usize);
-        let replica = self.node.replica();
-        let next = size.next_change(replica.members(), replica.next_membership_change(now), |vm| {
-            replica.unheard_for(vm, now)
-        });
-        let change = match (next, self.joining.pop_first()) {
-            (Some(change), _) => change,
-            (None, Some((_, member))) => MembershipChange::AddLearner(member),
-            (None, None) => return Ok(()),
-        };
-        log::info!(change:? = change; "changing the control group");
-        self.proposing = None;
-        self.handle(Input::Propose(Command::Membership(change)))
-    }
-
     /// Answers the reads that a quorum has confirmed after their arrival.
     fn answer_reads(&mut self) {
         if self.reads.is_empty() {
@@ -535,12 +471,6 @@
     }
 }
 
-/// Returns the limits of the organisations' buckets.
-fn windowed_limits(settings: &FleetSettings, content: &Content) -> Vec<(OrganisationId, Limit)> {
-    let quota = quota_window(settings);
-    content.routing.limits().map(|(id, limit)| (id, limit.per_window(&quota))).collect()
-}
-
 /// Records the leader of a term that is not earlier than the known one.
 pub fn note_leader(tables: &Tables, term: Term, vm: Option<VmId>) {
     let mut leader = tables.leader.lock();
@@ -554,37 +484,6 @@
     }
 }
 
-/// Returns the configuration with which the seeds found the group.
-fn first_configuration(settings: &FleetSettings) -> Configuration {
-    let mut configuration = state::empty_configuration();
-    for seed in &settings.seeds {
-        configuration.members.push(Member {
-            vm: seed.clone(),
-            region: settings.region.clone(),
-            data_centre: settings.data_centre.clone(),
-            role: MemberRole::Learner,
-            store_id: None,
-            callers_address: Default::default(),
-            operators_address: Default::default(),
-            peer_address: Default::default(),
-        });
-    }
-    configuration
-}
-
-fn member(record: &DaemonRecord, store_id: u64) -> Member {
-    Member {
-        vm: record.vm.clone(),
-        region: record.region.clone(),
-        data_centre: record.data_centre.clone(),
-        role: MemberRole::Learner,
-        store_id: Some(store_id),
-        callers_address: Default::default(),
-        operators_address: Default::default(),
-        peer_address: Default::default(),
-    }
-}
-
 #[cfg(test)]
 #[path = "group_tests.rs"]
 mod tests;
--- /dev/null
+++ b/crates/fleet/src/group/grants.rs
@@ -0,0 +1,58 @@
+//! The leader's part in the rates: it owns the buckets and answers the VMs.
+
+use std::time::Instant;
+
+use celerygate_steering::grants::{GrantAnswer, GrantOwner, Limit};
+use celerygate_types::wire::{FleetMessage, FleetSettings, GrantRequest, Message};
+use celerygate_types::{Incarnation, OrganisationId, VmId};
+
+use super::Driver;
+use crate::fleet::quota_window;
+use crate::tables::Content;
+
+impl Driver<'_> {
+    pub(super) fn grants_follow(&mut self) {
+        let Some(grants) = &mut self.grants else { return };
+        if let Some(content) = self.start.tables.content() {
+            let limits = windowed_limits(&self.start.settings, &content);
+            grants.configure(limits, self.start.clock.now());
+        }
+    }
+
+    /// Returns the owner of the rates while this VM has the lease. It exists from the election on: an
+    /// owner that has seen a window pass grants tokens ahead.
+    pub(super) fn grant_owner(&mut self, now: Instant) -> Option<&mut GrantOwner> {
+        let replica = self.node.replica();
+        let lease_end = replica.lease_end().filter(|end| now < *end)?;
+        let term = replica.term();
+        let is_current = self.grants.as_ref().is_some_and(|grants| grants.term() == term);
+        if !is_current {
+            let content = self.start.tables.content()?;
+            let vms = (self.effects.daemons)();
+            let limits = windowed_limits(&self.start.settings, &content);
+            self.grants = Some(GrantOwner::new(term, &vms, limits, lease_end, now));
+        }
+        let grants = self.grants.as_mut()?;
+        grants.extend_lease(lease_end);
+        Some(grants)
+    }
+
+    pub(super) fn grant(&mut self, vm: &VmId, incarnation: Incarnation, request: &GrantRequest) {
+        let now = self.start.clock.now();
+        let Some(grants) = self.grant_owner(now) else { return };
+        match grants.answer(vm, incarnation, request, now) {
+            GrantAnswer::Reply(reply) => {
+                (self.effects.send)(vm, FleetMessage::Agreement(Message::GrantReply(reply)));
+            }
+            GrantAnswer::Ignore(reason) => {
+                log::debug!(vm = vm.as_str(), reason:% = reason; "token request not answered");
+            }
+        }
+    }
+}
+
+/// Returns the limits of the organisations' buckets.
+fn windowed_limits(settings: &FleetSettings, content: &Content) -> Vec<(OrganisationId, Limit)> {
+    let quota = quota_window(settings);
+    content.routing.limits().map(|(id, limit)| (id, limit.per_window(&quota))).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/group/members.rs
@@ -0,0 +1,72 @@
+//! Who belongs to the control group: its founding, and the replacement of lost VMs.
+
+use anyhow::Result;
+use celerygate_control::membership::{self, GroupSize};
+use celerygate_control::replica::Input;
+use celerygate_control::state;
+use celerygate_types::wire::{
+    Command, Configuration, DaemonRecord, FleetSettings, Member, MemberRole, MembershipChange,
+};
+
+use super::Driver;
+
+impl Driver<'_> {
+    pub(super) fn join(&mut self, record: DaemonRecord, store_id: u64) {
+        let recorded = membership::find(self.node.replica().members(), &record.vm);
+        if self.node.replica().is_leader() && recorded.is_none() {
+            self.joining.insert(record.vm.clone(), member(&record, store_id));
+        }
+    }
+
+    pub(super) fn change_members(&mut self) -> Result<()> {
+        if !self.node.replica().is_leader() {
+            self.joining.clear();
+            return Ok(());
+        }
+        let now = self.start.clock.now();
+        let size = GroupSize::for_lost_disks(self.start.settings.lost_disks_max as usize);
+        let replica = self.node.replica();
+        let next = size.next_change(replica.members(), replica.next_membership_change(now), |vm| {
+            replica.unheard_for(vm, now)
+        });
+        let change = match (next, self.joining.pop_first()) {
+            (Some(change), _) => change,
+            (None, Some((_, member))) => MembershipChange::AddLearner(member),
+            (None, None) => return Ok(()),
+        };
+        log::info!(change:? = change; "changing the control group");
+        self.proposing = None;
+        self.handle(Input::Propose(Command::Membership(change)))
+    }
+}
+
+/// Returns the configuration with which the seeds found the group.
+pub(super) fn first_configuration(settings: &FleetSettings) -> Configuration {
+    let mut configuration = state::empty_configuration();
+    for seed in &settings.seeds {
+        configuration.members.push(Member {
+            vm: seed.clone(),
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+            role: MemberRole::Learner,
+            store_id: None,
+            callers_address: Default::default(),
+            operators_address: Default::default(),
+            peer_address: Default::default(),
+        });
+    }
+    configuration
+}
+
+fn member(record: &DaemonRecord, store_id: u64) -> Member {
+    Member {
+        vm: record.vm.clone(),
+        region: record.region.clone(),
+        data_centre: record.data_centre.clone(),
+        role: MemberRole::Learner,
+        store_id: Some(store_id),
+        callers_address: Default::default(),
+        operators_address: Default::default(),
+        peer_address: Default::default(),
+    }
+}
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -12,17 +12,17 @@
 };
 use celerygate_steering::routing::{Route, allows_region};
 use celerygate_steering::targets::Distance;
-use celerygate_types::wire::{DaemonRole, InstanceState};
+use celerygate_types::wire::InstanceState;
 use celerygate_types::{DataCentreId, RegionId, Revision, ServiceId, SlotCount, TargetId};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use self::cold::{may_be_cold, paced};
 use crate::fleet::Fleet;
 use crate::tables::{Content, TargetViews};
 
-/// Entry VMs that send to one cold target. Each may send one request at once beside its share of
-/// the target's rate, so few of them stay within the slack of the smallest deployments.
-const COLD_SENDERS: usize = 4;
+mod cold;
+
 /// Age up to which a control VM's list of silent targets counts.
 const SILENT_LIST_AGE_MAX: Duration = Duration::from_secs(2);
 /// Time beside two heartbeats after which a target that could not be reached and has not announced
@@ -300,34 +300,6 @@
     shares
 }
 
-/// Returns the cold targets that may get a request now.
-fn paced<'a>(
-    fleet: &Fleet,
-    content: &Content,
-    views: &mut TargetViews,
-    service: &ServiceId,
-    mut cold: Vec<&'a Known>,
-    now: Instant,
-) -> Vec<&'a Known> {
-    if cold.is_empty() {
-        return cold;
-    }
-    let senders = cold_senders(fleet);
-    let rate = content.routing.service(service).map_or(0.0, |rule| rule.cold_requests_per_s);
-    let senders_max = COLD_SENDERS.min(fleet.tables.entry_vms());
-    cold.retain(|target| {
-        let observed = views.observed.get(&target.instance);
-        !observed.is_some_and(|observed| observed.is_avoided(now))
-            && is_sender(fleet, &senders, &target.instance)
-    });
-    // Only the nearest one: each takes a part of its own pace.
-    cold.sort_by_key(|target| target.distance);
-    let taken = cold
-        .into_iter()
-        .find(|target| views.cold_pace.take(&target.instance, rate, senders_max, now));
-    taken.into_iter().collect()
-}
-
 fn log_full(
     wanted: &Wanted<'_>,
     need: &Need,
@@ -365,39 +337,6 @@
     lists.peek().is_some() && lists.all(|(silent, _)| silent.contains(instance))
 }
 
-fn may_be_cold(
-    views: &TargetViews,
-    instance: &TargetId,
-    data_centre: &DataCentreId,
-    now: Instant,
-) -> bool {
-    let later = |until: Option<&Instant>| until.is_some_and(|until| *until > now);
-    later(views.suspected_cold_until.get(instance)) || later(views.resumed_until.get(data_centre))
-}
-
-/// Returns the hashes of the entry VMs, this one included.
-fn cold_senders(fleet: &Fleet) -> SmallVec<[u64; 32]> {
-    let daemons = fleet.tables.daemons.lock();
-    let others = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
-    let mut senders: SmallVec<[u64; 32]> =
-        others.map(|known| rendezvous::id_hash(known.record.vm.as_str())).collect();
-    senders.push(rendezvous::id_hash(fleet.settings.vm.as_str()));
-    senders.sort_unstable();
-    senders.dedup();
-    senders
-}
-
-/// Returns whether this VM is one of those that send to a cold target.
-fn is_sender(fleet: &Fleet, senders: &[u64], instance: &TargetId) -> bool {
-    let own = rendezvous::id_hash(fleet.settings.vm.as_str());
-    let subject = rendezvous::id_hash(instance.as_str());
-    let own_score = rendezvous::score(subject, own, 1.0);
-    let ahead = senders
-        .iter()
-        .filter(|sender| **sender != own && rendezvous::score(subject, **sender, 1.0) > own_score);
-    ahead.count() < COLD_SENDERS
-}
-
 /// A request that waits until a target has room, until it is dropped.
 pub struct WaitsForTarget<'a> {
     fleet: &'a Fleet,
--- /dev/null
+++ b/crates/fleet/src/targets/cold.rs
@@ -0,0 +1,77 @@
+//! Cold targets: which of them get a request, and from which entry VMs.
+
+use std::time::Instant;
+
+use celerygate_steering::lookup::rendezvous;
+use celerygate_types::wire::DaemonRole;
+use celerygate_types::{DataCentreId, ServiceId, TargetId};
+use smallvec::SmallVec;
+
+use super::Known;
+use crate::fleet::Fleet;
+use crate::tables::{Content, TargetViews};
+
+/// Entry VMs that send to one cold target. Each may send one request at once beside its share of
+/// the target's rate, so few of them stay within the slack of the smallest deployments.
+const COLD_SENDERS: usize = 4;
+
+/// Returns the cold targets that may get a request now.
+pub(super) fn paced<'a>(
+    fleet: &Fleet,
+    content: &Content,
+    views: &mut TargetViews,
+    service: &ServiceId,
+    mut cold: Vec<&'a Known>,
+    now: Instant,
+) -> Vec<&'a Known> {
+    if cold.is_empty() {
+        return cold;
+    }
+    let senders = cold_senders(fleet);
+    let rate = content.routing.service(service).map_or(0.0, |rule| rule.cold_requests_per_s);
+    let senders_max = COLD_SENDERS.min(fleet.tables.entry_vms());
+    cold.retain(|target| {
+        let observed = views.observed.get(&target.instance);
+        !observed.is_some_and(|observed| observed.is_avoided(now))
+            && is_sender(fleet, &senders, &target.instance)
+    });
+    // Only the nearest one: each takes a part of its own pace.
+    cold.sort_by_key(|target| target.distance);
+    let taken = cold
+        .into_iter()
+        .find(|target| views.cold_pace.take(&target.instance, rate, senders_max, now));
+    taken.into_iter().collect()
+}
+
+pub(super) fn may_be_cold(
+    views: &TargetViews,
+    instance: &TargetId,
+    data_centre: &DataCentreId,
+    now: Instant,
+) -> bool {
+    let later = |until: Option<&Instant>| until.is_some_and(|until| *until > now);
+    later(views.suspected_cold_until.get(instance)) || later(views.resumed_until.get(data_centre))
+}
+
+/// Returns the hashes of the entry VMs, this one included.
+fn cold_senders(fleet: &Fleet) -> SmallVec<[u64; 32]> {
+    let daemons = fleet.tables.daemons.lock();
+    let others = daemons.known.values().filter(|known| known.record.role == DaemonRole::Entry);
+    let mut senders: SmallVec<[u64; 32]> =
+        others.map(|known| rendezvous::id_hash(known.record.vm.as_str())).collect();
+    senders.push(rendezvous::id_hash(fleet.settings.vm.as_str()));
+    senders.sort_unstable();
+    senders.dedup();
+    senders
+}
+
+/// Returns whether this VM is one of those that send to a cold target.
+fn is_sender(fleet: &Fleet, senders: &[u64], instance: &TargetId) -> bool {
+    let own = rendezvous::id_hash(fleet.settings.vm.as_str());
+    let subject = rendezvous::id_hash(instance.as_str());
+    let own_score = rendezvous::score(subject, own, 1.0);
+    let ahead = senders
+        .iter()
+        .filter(|sender| **sender != own && rendezvous::score(subject, **sender, 1.0) > own_score);
+    ahead.count() < COLD_SENDERS
+}
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -5,9 +5,7 @@
 //! without any message about it. A target above its bound passes the object on to the next one in
 //! the order, and a data centre without room to the next nearest one.
 
-use std::collections::{HashMap, VecDeque};
-use std::fmt;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use celerygate_types::{SlotCount, TargetId};
 use smallvec::SmallVec;
@@ -15,6 +13,16 @@
 use crate::lookup::rendezvous;
 use crate::targets::Distance;
 
+mod observed;
+mod pace;
+mod shares;
+mod times;
+
+pub use observed::{AttemptEnd, Observed, ReportedLoad};
+pub use pace::{ColdPace, TokenBucket};
+pub use shares::{ObjectShares, SHARE_INTERVAL};
+pub use times::WorkTimes;
+
 /// Targets of an object's order that are tried in each group of equally distant targets.
 const TARGETS_PER_OBJECT: usize = 2;
 /// The same for the own region, when objects keep to regions and other regions have targets: a
@@ -37,193 +45,10 @@
 /// Requests per slot up to which a target takes requests of objects that belong to other targets.
 /// Each of them displaces an object that the target knows, so only targets with room take them.
 const FILL_FOR_OTHERS: f64 = 0.7;
-/// Requests per slot above which a group of targets gets fewer objects.
-const FILL_SHARE_FALLS: f64 = 0.8;
-/// Requests per slot below which a group of targets gets more objects.
-const FILL_SHARE_RISES: f64 = 0.55;
-/// Change of a share at once. Objects that move are unknown to their new targets, and a region's
-/// traffic may move by 15% in two seconds.
-const SHARE_FALLS_BY: f64 = 0.035;
-/// See [`SHARE_FALLS_BY`]; a share returns more slowly than it falls.
-const SHARE_RISES_BY: f64 = 0.02;
-/// Rise of a region's share: small responses cost little on their way from another region, and each
-/// object that returns is met for the first time again.
-const REGION_SHARE_RISES_BY: f64 = 0.004;
-/// Smallest share, so that a group that has room again is noticed.
-const SHARE_MIN: f64 = 0.05;
-/// Factor of the first share over an even spread of the demand; targets that know their objects
-/// take more than the average.
-const SHARE_OVER_EVEN: f64 = 1.5;
-/// Time between two changes of the shares.
-pub const SHARE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the first request for a service in which its targets become known: they announce
-/// themselves every few seconds, and the first ones to do so are no measure of the places.
-const SETTLING_TIME: Duration = Duration::from_secs(5);
-/// Growth of the slots in that time with which the shares are set anew.
-const SETTLING_GROWTH: f64 = 1.2;
-/// Objects of a target that are remembered as known to it.
-const KNOWN_OBJECTS: usize = 64;
-/// Weight of the latest request in the average times of requests.
-const TIME_WEIGHT: f64 = 0.05;
-/// First guesses of the times of requests, as parts of the route's target latency.
-const KNOWN_TIME_GUESS: f64 = 0.4;
-/// See [`KNOWN_TIME_GUESS`].
-const UNKNOWN_TIME_GUESS: f64 = 1.2;
-/// Time for which a target's report of its load counts.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(1_000);
-/// First time for which a target is avoided after a failure; it doubles with each further one.
-const AVOID_FIRST: Duration = Duration::from_millis(500);
-/// Longest such time.
-const AVOID_MAX: Duration = Duration::from_secs(8);
-/// Weight of the latest answer in the average share of failures.
-const FAILURE_WEIGHT: f64 = 0.1;
 /// Time that a failed or rejected attempt costs a request, in target latencies of its route: it is
 /// repeated elsewhere at best.
 const FAILURE_COST: f64 = 3.0;
 
-/// What this VM has observed of a target.
-#[derive(Clone, Debug)]
-pub struct Observed {
-    /// Requests of this VM that are at the target.
-    pub in_flight: u32,
-    /// Requests of this VM that wait here until the target has room.
-    pub waiting: u32,
-    /// Requests of other VMs at the target, from its latest report.
-    others: f64,
-    reported_at: Option<Instant>,
-    failures_in_row: u32,
-    failure_share: f64,
-    avoided_until: Option<Instant>,
-    /// Objects that it has handled, the latest one last.
-    objects: VecDeque<u64>,
-    /// Objects that it does not know and of which a request is under way.
-    arriving: Vec<u64>,
-}
-
-/// How an attempt at a target ended, for its observation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptEnd {
-    /// The target answered.
-    Answered,
-    /// The target rejected the request without running it.
-    Rejected,
-    /// There was no usable answer.
-    Failed,
-    /// The caller left or the deadline passed; this says nothing about the target.
-    Abandoned,
-}
-
-/// Load that a target states of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
-impl Default for Observed {
-    fn default() -> Self {
-        Self {
-            in_flight: 0,
-            waiting: 0,
-            others: 0.0,
-            reported_at: None,
-            failures_in_row: 0,
-            failure_share: 0.0,
-            avoided_until: None,
-            objects: VecDeque::new(),
-            arriving: Vec::new(),
-        }
-    }
-}
-
-impl Observed {
-    /// Returns the requests at the target, over all VMs, as far as they are known.
-    pub fn load(&self, now: Instant) -> f64 {
-        let others = match self.reported_at {
-            Some(at) if now.saturating_duration_since(at) < REPORT_AGE_MAX => self.others,
-            _ => 0.0,
-        };
-        f64::from(self.in_flight) + others
-    }
-
-    /// Takes the load that came with an answer; the answered request is no longer in flight.
-    pub fn report(&mut self, load: ReportedLoad, now: Instant) {
-        let total = f64::from(load.running + load.waiting);
-        self.others = (total - f64::from(self.in_flight)).max(0.0);
-        self.reported_at = Some(now);
-    }
-
-    /// Counts the end of an attempt.
-    pub fn end(&mut self, end: AttemptEnd, now: Instant) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        let failed = match end {
-            AttemptEnd::Abandoned => return,
-            AttemptEnd::Answered => false,
-            AttemptEnd::Rejected | AttemptEnd::Failed => true,
-        };
-        self.failure_share += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_share);
-        if !failed {
-            self.failures_in_row = 0;
-            self.avoided_until = None;
-            return;
-        }
-        self.failures_in_row += 1;
-        if end == AttemptEnd::Failed {
-            let doublings = self.failures_in_row.saturating_sub(1).min(8);
-            let avoid = (AVOID_FIRST * 2_u32.pow(doublings)).min(AVOID_MAX);
-            self.avoided_until = Some(now + avoid);
-        }
-    }
-
-    /// Remembers that the target has handled an object.
-    pub fn note_object(&mut self, object: u64) {
-        if let Some(position) = self.objects.iter().rposition(|known| *known == object) {
-            self.objects.remove(position);
-        } else if self.objects.len() == KNOWN_OBJECTS {
-            self.objects.pop_front();
-        }
-        self.objects.push_back(object);
-    }
-
-    /// Notes that the first request for an object is under way; returns false for a known object.
-    pub fn begin_object(&mut self, object: u64) -> bool {
-        let is_first = !self.knows(object);
-        if is_first {
-            self.arriving.push(object);
-        }
-        is_first
-    }
-
-    /// Notes that a request that was noted as the first has ended.
-    pub fn end_object(&mut self, object: u64) {
-        if let Some(position) = self.arriving.iter().position(|arriving| *arriving == object) {
-            self.arriving.swap_remove(position);
-        }
-    }
-
-    /// Returns whether a first request for an object is under way.
-    pub fn is_arriving(&self, object: u64) -> bool {
-        self.arriving.contains(&object)
-    }
-
-    /// Returns whether the target has handled an object recently.
-    pub fn knows(&self, object: u64) -> bool {
-        self.objects.contains(&object)
-    }
-
-    /// Returns the average share of attempts that failed or were rejected lately.
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
-    }
-
-    /// Returns whether the target is avoided because of recent failures.
-    pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoided_until.is_some_and(|until| now < until)
-    }
-}
-
 /// Within which bounds an object keeps to one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Locality {
@@ -290,157 +115,6 @@
     }
 }
 
-/// An average that follows the latest values, and the plain mean while there are few.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Average {
-    value_s: f64,
-    count: u32,
-}
-
-impl Average {
-    fn observe(&mut self, time: Duration) {
-        self.count = self.count.saturating_add(1);
-        let weight = (1.0 / f64::from(self.count)).max(TIME_WEIGHT);
-        self.value_s += weight * (time.as_secs_f64() - self.value_s);
-    }
-
-    fn value(&self) -> Duration {
-        Duration::from_secs_f64(self.value_s)
-    }
-}
-
-/// Average times of a service's requests at a target, without their wait.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct WorkTimes {
-    known: Average,
-    unknown: Average,
-    all: Average,
-}
-
-impl WorkTimes {
-    /// Returns first guesses for a route; the first observation replaces them.
-    pub fn guess(target_latency: Duration) -> Self {
-        let guess =
-            |part: f64| Average { value_s: target_latency.mul_f64(part).as_secs_f64(), count: 0 };
-        let unknown = guess(UNKNOWN_TIME_GUESS);
-        Self { known: guess(KNOWN_TIME_GUESS), unknown, all: unknown }
-    }
-
-    /// Takes the time of a request that found a free slot.
-    pub fn observe(&mut self, time: Duration, knew_object: bool) {
-        let average = if knew_object { &mut self.known } else { &mut self.unknown };
-        average.observe(time);
-        self.all.observe(time);
-    }
-
-    /// Returns the average over all requests.
-    pub fn mean(&self) -> Duration {
-        self.all.value()
-    }
-
-    /// Returns the expected time of a request.
-    pub fn expected(&self, knows_object: bool) -> Duration {
-        if knows_object { self.known.value() } else { self.unknown.value() }
-    }
-}
-
-/// Shares of the objects that belong to the targets of this data centre and of this region; the
-/// others belong to targets of all regions.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ObjectShares {
-    locality: Locality,
-    /// Slots of all targets when the shares were last set from them.
-    slots: f64,
-    began_at: Instant,
-    data_centre: f64,
-    region: f64,
-    changed_at: Instant,
-}
-
-impl ObjectShares {
-    /// Returns the shares for an even demand of all places: data centres or regions, whichever
-    /// objects keep to.
-    pub fn even(candidates: &[Candidate], locality: Locality, places: usize, now: Instant) -> Self {
-        let all = slots_of(candidates, |_| true).max(1.0);
-        let of = |distance| {
-            let slots = slots_of(candidates, |candidate| candidate.distance == distance);
-            slots * places as f64 / all
-        };
-        let own = of(Distance::DataCentre) * SHARE_OVER_EVEN;
-        let neighbour = of(Distance::Region) - 1.0;
-        Self {
-            locality,
-            slots: all,
-            began_at: now,
-            data_centre: own.clamp(SHARE_MIN, 1.0),
-            region: neighbour.clamp(SHARE_MIN, 1.0),
-            changed_at: now,
-        }
-    }
-
-    /// Returns whether the shares should look at the load again.
-    pub fn is_due(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.changed_at) >= SHARE_INTERVAL
-    }
-
-    /// Follows the load of the targets; `places` as for [`Self::even`].
-    pub fn follow(&mut self, candidates: &[Candidate], places: usize, now: Instant) {
-        if !self.is_due(now) {
-            return;
-        }
-        let is_settling = now.saturating_duration_since(self.began_at) < SETTLING_TIME;
-        if is_settling && slots_of(candidates, |_| true) > self.slots * SETTLING_GROWTH {
-            let began_at = self.began_at;
-            *self = Self::even(candidates, self.locality, places, now);
-            self.began_at = began_at;
-            return;
-        }
-        self.changed_at = now;
-        let rises_by = match self.locality {
-            Locality::DataCentre => SHARE_RISES_BY,
-            Locality::Region => REGION_SHARE_RISES_BY,
-        };
-        self.data_centre = followed(self.data_centre, rises_by, candidates, Distance::DataCentre);
-        self.region = followed(self.region, rises_by, candidates, Distance::Region);
-    }
-
-    fn of(&self, distance: Distance) -> f64 {
-        match distance {
-            Distance::DataCentre => self.data_centre,
-            Distance::Region => self.region,
-            Distance::Remote => 1.0,
-        }
-    }
-}
-
-impl fmt::Display for ObjectShares {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.2}/{:.2}", self.data_centre, self.region)
-    }
-}
-
-fn slots_of(candidates: &[Candidate], selects: impl Fn(&Candidate) -> bool) -> f64 {
-    candidates.iter().filter(|candidate| selects(candidate)).map(Candidate::slots).sum()
-}
-
-fn followed(share: f64, rises_by: f64, candidates: &[Candidate], distance: Distance) -> f64 {
-    let is_in_group =
-        |candidate: &Candidate| candidate.distance == distance && !candidate.is_avoided;
-    let slots = slots_of(candidates, is_in_group);
-    if slots == 0.0 {
-        return share;
-    }
-    let group = candidates.iter().filter(|candidate| is_in_group(candidate));
-    let fill = group.map(|candidate| candidate.load).sum::<f64>() / slots;
-    if fill > FILL_SHARE_FALLS {
-        (share - SHARE_FALLS_BY).max(SHARE_MIN)
-    } else if fill < FILL_SHARE_RISES {
-        (share + rises_by).min(1.0)
-    } else {
-        share
-    }
-}
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -645,66 +319,6 @@
     open.min_by(|(_, a), (_, b)| a.fill().total_cmp(&b.fill())).map(|(index, _)| index)
 }
 
-/// A bucket of tokens that fills at a steady rate.
-#[derive(Clone, Copy, Debug)]
-pub struct TokenBucket {
-    level: f64,
-    filled_at: Instant,
-}
-
-impl TokenBucket {
-    /// Returns a bucket with one token.
-    pub fn new(now: Instant) -> Self {
-        Self::with_level(1.0, now)
-    }
-
-    /// Returns a bucket with a number of tokens.
-    pub fn with_level(level: f64, now: Instant) -> Self {
-        Self { level, filled_at: now }
-    }
-
-    /// Takes a token if there is one.
-    pub fn take(&mut self, rate_per_s: f64, capacity: f64, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.filled_at = self.filled_at.max(now);
-        self.level = (self.level + elapsed * rate_per_s).min(capacity.max(1.0));
-        let available = self.level >= 1.0;
-        if available {
-            self.level -= 1.0;
-        }
-        available
-    }
-}
-
-/// Paces requests to cold targets, so that all VMs together stay within what such a target bears.
-#[derive(Clone, Debug, Default)]
-pub struct ColdPace {
-    buckets: HashMap<TargetId, TokenBucket>,
-}
-
-impl ColdPace {
-    /// Takes the right to send one request to a cold target; `senders` is the number of VMs that
-    /// may send to it.
-    pub fn take(
-        &mut self,
-        instance: &TargetId,
-        cold_requests_per_s: f64,
-        senders: usize,
-        now: Instant,
-    ) -> bool {
-        let share = cold_requests_per_s / senders.max(1) as f64;
-        if !self.buckets.contains_key(instance) {
-            self.buckets.insert(instance.clone(), TokenBucket::new(now));
-        }
-        self.buckets.get_mut(instance).is_some_and(|bucket| bucket.take(share, 1.0, now))
-    }
-
-    /// Forgets targets that are no longer cold.
-    pub fn retain(&mut self, mut keep: impl FnMut(&TargetId) -> bool) {
-        self.buckets.retain(|instance, _| keep(instance));
-    }
-}
-
 #[cfg(test)]
 #[path = "placement_tests.rs"]
 mod tests;
--- a/crates/steering/src/placement_tests.rs
+++ b/crates/steering/src/placement_tests.rs
@@ -1,6 +1,10 @@
 //! Guards against objects that wander between targets, and against queues at full targets while
 //! other targets have free slots.
 
+use std::time::Instant;
+
+use super::observed::{AVOID_FIRST, KNOWN_OBJECTS, REPORT_AGE_MAX};
+use super::shares::SETTLING_TIME;
 use super::*;
 
 const LATENCY: Duration = Duration::from_millis(200);
@@ -242,7 +246,8 @@
 #[test]
 fn observed_counts_others_until_report_is_old() {
     let now = Instant::now();
-    let mut observed = Observed { in_flight: 2, ..Observed::default() };
+    let mut observed = Observed::default();
+    observed.in_flight = 2;
     observed.report(ReportedLoad { running: 4, waiting: 1 }, now);
     assert_eq!(observed.load(now), 5.0);
     observed.in_flight = 3;
