Let shares of objects fall in smaller steps

Cause: a region with a tenth of the targets is overloaded while all objects are unknown; its share fell by 14% in two seconds, and requests without room at home moved on top.

Change: 0.012 for each 0.5 s, in place of 0.035.

Test: object_shares_follow_load_in_small_steps holds; it has no bound on the sum of shares and spills, which is open.

--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -11,8 +11,8 @@
 /// Requests per slot below which a group of targets gets more objects.
 const FILL_SHARE_RISES: f64 = 0.55;
 /// Change of a share at once. Objects that move are unknown to their new targets, and a region's
-/// traffic may move by 15% in two seconds.
-const SHARE_FALLS_BY: f64 = 0.035;
+/// traffic may move by 15% in two seconds; requests that find no room at home move beside that.
+const SHARE_FALLS_BY: f64 = 0.012;
 /// See [`SHARE_FALLS_BY`]; a share returns more slowly than it falls.
 const SHARE_RISES_BY: f64 = 0.02;
 /// Rise of a region's share: small responses cost little on their way from another region, and each
