Take the revision that a control VM has now, not the highest that it ever had

Found on reading the change: a control VM that announces a change and loses its disk answers with a lower revision, but kept counting as a source of the higher one. An entry VM would ask it again with each answer, and no other one meanwhile, so that a change could come late.

Change: an answer replaces what was offered. Doc comments in tables.rs are wrapped again. Test: offer_after_lost_disk_frees_others, which asks the other control VM at once.

--- a/crates/fleet/src/sync/source.rs
+++ b/crates/fleet/src/sync/source.rs
@@ -20,10 +20,9 @@
 }
 
 impl ContentSource {
-    /// Notes the revision that a control VM has.
+    /// Notes the revision that a control VM has; a lower one than before after the loss of its disk.
     pub fn offer(&mut self, vm: &VmId, revision: Revision) {
-        let known = self.offered.entry(vm.clone()).or_default();
-        *known = revision.max(*known);
+        self.offered.insert(vm.clone(), revision);
     }
 
     /// Notes an answer of a control VM.
--- a/crates/fleet/src/sync/source_tests.rs
+++ b/crates/fleet/src/sync/source_tests.rs
@@ -34,3 +34,18 @@
     assert!(!source.asks(&vm(2), Revision(6), now));
     assert!(source.asks(&vm(2), Revision(6), now + FETCH_TIMEOUT));
 }
+
+/// Guards against a control VM that announces a change, loses its disk, and is asked again and again
+/// while the others have the content.
+#[test]
+fn offer_after_lost_disk_frees_others() {
+    let now = Instant::now();
+    let mut source = ContentSource::default();
+    source.offer(&vm(1), Revision(7));
+    source.offer(&vm(2), Revision(7));
+    assert!(source.asks(&vm(1), Revision(6), now));
+    source.offer(&vm(1), Revision::ZERO);
+    source.answered(&vm(1));
+    assert!(!source.is_next(&vm(1), Revision(6), now));
+    assert!(source.asks(&vm(2), Revision(6), now));
+}
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -1,7 +1,8 @@
 //! Tables that the tasks of a daemon share.
 //!
 //! Lock order: `content`, `instances`, `target_index`, `targets`, `daemons`, `quota`, `retries`,
-//! `leader`, `entry_count`. A task that holds a lock takes only later ones, and no lock is held across an await.
+//! `leader`, `entry_count`. A task that holds a lock takes only later ones, and no lock is held across
+//! an await.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -116,9 +117,8 @@
         }
     }
 
-    /// Returns the daemons of a role that ran lately; those that no longer run count as
-    /// leaving. `by` is
-    /// the role of the daemon that asks: control VMs hear the others themselves.
+    /// Returns the daemons of a role that ran lately; those that no longer run count as leaving. `by`
+    /// is the role of the daemon that asks: control VMs hear the others themselves.
     pub fn lately(&self, role: DaemonRole, by: DaemonRole, now: Instant) -> Vec<DaemonRecord> {
         let runs = |known: &KnownDaemon| {
             by != DaemonRole::Control
