--- /dev/null
+++ b/crates/daemon/src/connections.rs
@@ -0,0 +1,84 @@
+//! Open connections of a listener, and how a connection is closed without losing its last response.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Maximum time for which bytes of the peer are discarded after the last response. Covers a round
+/// trip between regions and the queue of a saturated link.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the buffer for discarded bytes.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1_024;
+
+/// Number of open connections. A daemon that stops waits until it is zero: a connection is open
+/// until the peer's kernel has its last response, while a count of running requests would end when
+/// the response is ready.
+#[derive(Debug)]
+pub struct OpenConnections {
+    count: watch::Sender<usize>,
+}
+
+impl Default for OpenConnections {
+    fn default() -> Self {
+        Self { count: watch::Sender::new(0) }
+    }
+}
+
+impl OpenConnections {
+    /// Counts a connection until the returned guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> OpenConnection {
+        self.count.send_modify(|count| *count += 1);
+        OpenConnection(Arc::clone(self))
+    }
+
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        *self.count.borrow()
+    }
+
+    /// Waits until no connection is open.
+    pub async fn wait_until_closed(&self) {
+        let mut count = self.count.subscribe();
+        // The wait fails only if the sender is dropped, and `self` owns the sender.
+        let _ = count.wait_for(|count| *count == 0).await;
+    }
+}
+
+/// Guard that counts a connection as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenConnection(Arc<OpenConnections>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Closes a connection after its last response: ends the sending direction, then discards what the
+/// peer still sends until it closes.
+///
+/// The kernel resets a connection that is closed while received bytes are unread, and the peer's
+/// kernel then drops the part of the response that the peer has not read yet.
+pub async fn close_gracefully(
+    mut reader: impl AsyncRead + Unpin,
+    mut writer: impl AsyncWrite + Unpin,
+) {
+    let discard = async {
+        writer.shutdown().await?;
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        while reader.read(&mut buffer).await? > 0 {}
+        Ok::<(), std::io::Error>(())
+    };
+    match timeout(LINGER_TIMEOUT, discard).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(error:% = error; "peer reset the connection"),
+        Err(_) => log::debug!("peer has not closed the connection"),
+    }
+}
+
+#[cfg(test)]
+#[path = "connections_tests.rs"]
+mod tests;
