Log responses that a caller does not get completely

The log had no line for the end of a response at the caller and no count of open connections, so an early exit (H1) could not be told from a reset (H2) or the end of the grace period (H3).

`response cut off` names the request, the bytes written and the time since the response began, also when the process exits; `daemon stopping` shows the open connections of callers beside the running requests.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -15,6 +15,7 @@
 use hyper::Response;
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
+use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,7 +23,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::forward::ResponseBody;
+use crate::forward::{AttemptId, ResponseBody};
 use crate::http1::{self, ParseError, ParseOutcome, RequestMessage};
 use crate::listen;
 
@@ -72,6 +73,11 @@
         Self { max: max.max(1), open: AtomicU64::new(0) }
     }
 
+    /// Returns the number of open connections.
+    pub fn open_count(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Returns the current pressure on file descriptors.
     pub fn descriptor_pressure(&self) -> DescriptorPressure {
         let used = self.open.load(Ordering::Relaxed) as f64 / self.max as f64;
@@ -311,6 +317,37 @@
     }
 }
 
+/// Logs a response that the caller did not get completely if it is dropped before the end of the
+/// response, for example when the process exits.
+struct WriteGuard {
+    request: SmolStr,
+    started_at: Instant,
+    written_bytes: usize,
+    is_complete: bool,
+}
+
+impl WriteGuard {
+    fn new(response: &Response<ResponseBody>) -> Self {
+        let request = response.extensions().get().map(|AttemptId(id)| id.clone());
+        Self {
+            request: request.unwrap_or_default(),
+            started_at: Instant::now(),
+            written_bytes: 0,
+            is_complete: false,
+        }
+    }
+}
+
+impl Drop for WriteGuard {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            log::info!(request = self.request.as_str(), written_bytes = self.written_bytes,
+                elapsed_ms = self.started_at.elapsed().as_millis() as u64;
+                "response cut off");
+        }
+    }
+}
+
 /// Writes a response. After an error the caller of this function must close the connection, so that
 /// a truncated response does not look complete.
 async fn write_response(
@@ -318,6 +355,7 @@
     response: Response<ResponseBody>,
     close: bool,
 ) -> std::io::Result<()> {
+    let mut guard = WriteGuard::new(&response);
     let (parts, mut body) = response.into_parts();
     let length = body.size_hint().exact();
     let mut buffer = Vec::with_capacity(512 + length.unwrap_or_default().min(1 << 20) as usize);
@@ -333,10 +371,13 @@
             buffer.extend_from_slice(b"\r\n");
         }
         write(writer, &buffer).await?;
+        guard.written_bytes += buffer.len();
         buffer.clear();
     }
     if length.is_none() {
         buffer.extend_from_slice(b"0\r\n\r\n");
     }
-    write(writer, &buffer).await
+    write(writer, &buffer).await?;
+    guard.is_complete = true;
+    Ok(())
 }
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -20,6 +20,7 @@
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use smallvec::SmallVec;
+use smol_str::SmolStr;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use self::response::{ResponseResult, read_response};
@@ -36,6 +37,10 @@
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
 
+/// Id of the caller's attempt that a response belongs to, as an extension of the response.
+#[derive(Clone, Debug)]
+pub struct AttemptId(pub SmolStr);
+
 /// Range of the `retry-after` time as a share of the route's target latency; drawn at random so
 /// that the retries of many callers spread.
 const RETRY_AFTER_RANGE: std::ops::Range<f64> = 0.25..0.75;
@@ -114,7 +119,7 @@
     let handled = handle_request(&daemon, &parts, &body, &metadata, arrived_at).await;
     disconnect_guard.completed = true;
     drop(disconnect_guard);
-    let response = match handled {
+    let mut response = match handled {
         RequestOutcome::Response(response) => response,
         RequestOutcome::Refused(refusal) => {
             let elapsed = daemon.now().saturating_duration_since(arrived_at);
@@ -126,6 +131,7 @@
             refusal_response(&daemon, &refusal)
         }
     };
+    response.extensions_mut().insert(AttemptId(metadata.request));
     add_connection_close(&daemon, response)
 }
 
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -103,6 +103,7 @@
     let (close, shutdown) = watch::channel(false);
     spawn_tasks(&daemon, &sync_state);
     serve_metrics(&daemon, shutdown.clone())?;
+    let connections = Arc::new(callers::ConnectionCounter::new(daemon.settings.descriptors_max));
     let handle =
         DaemonHandle { daemon: Arc::clone(&daemon), sync_state, shutdown: shutdown.clone() };
     if let Some(address) = &daemon.settings.listeners.callers {
@@ -110,14 +111,14 @@
         let daemon = Arc::clone(&daemon);
         let tables = Arc::clone(&daemon.tables);
         let service = callers::Service {
-            connections: Arc::new(callers::ConnectionCounter::new(daemon.settings.descriptors_max)),
+            connections: Arc::clone(&connections),
             idle_timeout: Box::new(move || tables.content()?.routing.idle_timeout()),
             handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
         };
         tokio::spawn(callers::serve(listener, shutdown, service));
     }
     serve_front_end(handle)?;
-    stop_on_signal(&daemon, &close).await
+    stop_on_signal(&daemon, &close, &connections).await
 }
 
 fn callbacks(daemon: &Arc<Daemon>) -> Callbacks {
@@ -185,7 +186,11 @@
     Ok(())
 }
 
-async fn stop_on_signal(daemon: &Daemon, close: &watch::Sender<bool>) -> Result<()> {
+async fn stop_on_signal(
+    daemon: &Daemon,
+    close: &watch::Sender<bool>,
+    connections: &callers::ConnectionCounter,
+) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("wait for SIGINT")?;
     let mut reload = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
@@ -219,6 +224,7 @@
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     sleep(DRAIN_POLL_INTERVAL).await;
-    log::info!(running = daemon.tables.requests_running(); "daemon stopping");
+    log::info!(running = daemon.tables.requests_running(), connections = connections.open_count();
+        "daemon stopping");
     Ok(())
 }
