Install the signal handlers before the first listener opens

What callers see: a VM that gets SIGTERM or SIGHUP right after its start is gone at once, with the requests that it has read. Cause: the handlers were installed at the end of the start, after the listeners, and the default action of both signals ends the process.

The handlers are now the first thing that 'run' does; signals that arrive before they are awaited are kept. Open: a signal before 'run', while settings are read, still ends the process; no listener is open then.

--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -13,7 +13,8 @@
 }
 
 /// What a signal asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Request {
     /// Stop gracefully (SIGTERM or SIGINT).
     Stop,
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use celerygate_daemon::signals::{self, Signals};
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
 use celerygate_types::Incarnation;
@@ -12,7 +13,6 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, Response};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant as TokioInstant, sleep};
 
@@ -60,6 +60,7 @@
     adapter: ProtocolAdapter,
     serve_front_end: impl FnOnce(DaemonHandle) -> Result<()>,
 ) -> Result<()> {
+    let signals = Signals::install()?;
     let clock = clock::suspend_aware();
     let incarnation = Incarnation(clock.unix_ms());
     let tables = Arc::new(crate::tables::Tables::new());
@@ -118,7 +119,8 @@
         tokio::spawn(callers::serve(listener, shutdown, service));
     }
     serve_front_end(handle)?;
-    stop_on_signal(&daemon, &close, &connections).await
+    stop_on_signal(&daemon, signals, &close, &connections).await;
+    Ok(())
 }
 
 fn callbacks(daemon: &Arc<Daemon>) -> Callbacks {
@@ -188,22 +190,14 @@
 
 async fn stop_on_signal(
     daemon: &Daemon,
+    mut signals: Signals,
     close: &watch::Sender<bool>,
     connections: &callers::ConnectionCounter,
-) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("wait for SIGINT")?;
-    let mut reload = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => {
-                // Addresses and bounds do not change while the process runs, and seeds are only
-                // used at startup.
-                log::info!("received SIGHUP, settings take effect at the next start");
-            }
-        }
+) {
+    while signals.next().await != signals::Request::Stop {
+        // Addresses and bounds do not change while the process runs, and seeds are only used at
+        // startup.
+        log::info!("received SIGHUP, settings take effect at the next start");
     }
     let signalled_at = TokioInstant::now();
     let grace = Duration::from_millis(daemon.settings.bounds.grace_ms);
@@ -226,5 +220,4 @@
     sleep(DRAIN_POLL_INTERVAL).await;
     log::info!(running = daemon.tables.requests_running(), connections = connections.open_count();
         "daemon stopping");
-    Ok(())
 }
