Wait for the callers' connections before a stopping daemon exits

Cause: the daemon waited until its count of running requests was zero and exited 20 ms later. The count ends when the response is ready; the response is written after that, over a link of 14 to 19 Mbit/s or to a caller that reads slowly, behind earlier responses of its connection, or while it is streamed from the target. If no other request was running, the process ended with the response half written. The class: a count that ends before the work that it stands for.

Change: a stop waits until no connection of a caller is open, at most until 0.4 s before the end of the grace period, and for operators', targets' and lookups' connections at most 2 s: their calls were not waited for at all. A connection of which a part of a request was read is open too. Connections that the kernel has accepted are served; a second signal is logged and changes nothing. 'daemon stopping' says whether all connections were closed.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -8,15 +8,15 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use celerygate_daemon::connections::OpenConnections;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
 use smol_str::SmolStr;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -45,14 +45,14 @@
 const ELEVATED_PRESSURE_SHARE: f64 = 0.5;
 /// Share above which every caller is asked to close.
 const HIGH_PRESSURE_SHARE: f64 = 0.8;
-/// Timeout for one write to a caller.
+/// Time without any byte written after which a caller counts as gone.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Number of open callers' connections.
+/// Open callers' connections and the number that is allowed.
 #[derive(Debug)]
 pub struct ConnectionCounter {
     max: u64,
-    open: AtomicU64,
+    open: Arc<OpenConnections>,
 }
 
 /// Use of the file descriptors available to callers.
@@ -70,17 +70,17 @@
     /// Creates the counter for a process that may open `descriptors_max` file descriptors.
     pub fn new(descriptors_max: u64) -> Self {
         let max = (descriptors_max as f64 * CALLER_DESCRIPTOR_SHARE) as u64;
-        Self { max: max.max(1), open: AtomicU64::new(0) }
+        Self { max: max.max(1), open: Arc::default() }
     }
 
-    /// Returns the number of open connections.
-    pub fn open_count(&self) -> u64 {
-        self.open.load(Ordering::Relaxed)
+    /// Returns the open connections.
+    pub fn open(&self) -> &Arc<OpenConnections> {
+        &self.open
     }
 
     /// Returns the current pressure on file descriptors.
     pub fn descriptor_pressure(&self) -> DescriptorPressure {
-        let used = self.open.load(Ordering::Relaxed) as f64 / self.max as f64;
+        let used = self.open.count() as f64 / self.max as f64;
         if used > HIGH_PRESSURE_SHARE {
             DescriptorPressure::High
         } else if used > ELEVATED_PRESSURE_SHARE {
@@ -89,19 +89,6 @@
             DescriptorPressure::Low
         }
     }
-
-    fn open(self: &Arc<Self>) -> ConnectionGuard {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(Arc::clone(self))
-    }
-}
-
-struct ConnectionGuard(Arc<ConnectionCounter>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 /// Resources shared by all connections of a listener.
@@ -114,8 +101,8 @@
     pub handle: F,
 }
 
-/// Serves connections until `shutdown` becomes true, then closes idle connections and, after their
-/// last response, busy ones.
+/// Accepts connections until `shutdown` becomes true, and then those that the kernel has queued.
+/// After that, idle connections are closed, and busy ones after their last response.
 pub async fn serve<F, R>(
     listener: TcpListener,
     shutdown: watch::Receiver<bool>,
@@ -126,8 +113,9 @@
 {
     let service = Arc::new(service);
     let mut accept_shutdown = shutdown.clone();
+    let spawn = |stream| tokio::spawn(connection(stream, shutdown.clone(), Arc::clone(&service)));
     while let Some(stream) = listen::accept(&listener, &mut accept_shutdown).await {
-        tokio::spawn(connection(stream, shutdown.clone(), Arc::clone(&service)));
+        spawn(stream);
     }
 }
 
@@ -210,9 +198,19 @@
     }
 }
 
+/// How a connection ended.
+enum ConnectionEnd {
+    /// The last response was written and asks the caller to close the connection.
+    Responded,
+    /// No request was pending.
+    Idle,
+    /// The caller is gone, or a response could not be written.
+    Failed,
+}
+
 async fn connection<F, R>(
     stream: TcpStream,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
     service: Arc<Service<F>>,
 ) where
     F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
@@ -221,19 +219,36 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "failed to set TCP_NODELAY");
     }
-    let _open = service.connections.open();
+    let _open = service.connections.open.begin();
     let (reader, mut writer) = stream.into_split();
     let mut input = RequestReader { reader, buffer: Vec::new(), is_closed: false };
+    match serve_requests(&mut input, &mut writer, shutdown, &service).await {
+        ConnectionEnd::Responded => {}
+        // A request that the caller sends meanwhile stays unread, so that the caller repeats it.
+        ConnectionEnd::Idle | ConnectionEnd::Failed => {}
+    }
+}
+
+async fn serve_requests<F, R>(
+    input: &mut RequestReader,
+    writer: &mut OwnedWriteHalf,
+    mut shutdown: watch::Receiver<bool>,
+    service: &Service<F>,
+) -> ConnectionEnd
+where
+    F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     let mut pending: VecDeque<PendingResponse> = VecDeque::new();
     let mut continue_sent = false;
     let idle_timeout =
         || (service.idle_timeout)().map_or(IDLE_TIMEOUT, |configured| configured + IDLE_MARGIN);
-    let mut idle_deadline = Instant::now() + idle_timeout();
+    let mut idle_since = Instant::now();
     loop {
         match input.next_step(&pending, continue_sent) {
             Step::Start(message) => {
                 if input.check_closed() {
-                    return;
+                    return ConnectionEnd::Failed;
                 }
                 continue_sent = false;
                 let RequestMessage { parts, body, keep_alive } = *message;
@@ -243,13 +258,13 @@
             }
             Step::Refuse(error) => {
                 log::info!(reason:% = error; "received invalid HTTP request");
-                refuse(&mut writer, error).await;
-                return;
+                refuse(writer, error).await;
+                return ConnectionEnd::Responded;
             }
             Step::SendContinue => {
                 continue_sent = true;
-                if write(&mut writer, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-                    return;
+                if write(writer, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                    return ConnectionEnd::Failed;
                 }
             }
             Step::Read => {}
@@ -257,15 +272,23 @@
         if input.is_closed {
             // The caller no longer reads responses; dropping the requests cancels them at their
             // targets.
-            return;
+            return ConnectionEnd::Failed;
         }
         let Some(first) = pending.front_mut() else {
-            if *shutdown.borrow() && input.buffer.is_empty() {
-                return;
-            }
+            let is_stopping = *shutdown.borrow();
+            // A request of which a part has arrived is read to its end.
+            let idle_time = if is_stopping && input.buffer.is_empty() {
+                Duration::ZERO
+            } else {
+                idle_timeout()
+            };
             tokio::select! {
-                read = timeout_at(idle_deadline, input.read()) => if read.is_err() { return },
-                () = listen::wait_for_shutdown(&mut shutdown), if !*shutdown.borrow() => {}
+                read = timeout_at(idle_since + idle_time, input.read()) => {
+                    if read.is_err() {
+                        return ConnectionEnd::Idle;
+                    }
+                }
+                () = listen::wait_for_shutdown(&mut shutdown), if !is_stopping => {}
             }
             continue;
         };
@@ -276,7 +299,7 @@
         };
         let Ok(response) = response else {
             log::error!("request task failed");
-            return;
+            return ConnectionEnd::Failed;
         };
         // Closing the connection would make the caller resend the requests after this one, so the
         // connection stays open while others are pending.
@@ -292,11 +315,14 @@
         };
         let close =
             !keep_alive || (is_last && (requests_close || is_under_pressure || *shutdown.borrow()));
-        if write_response(&mut writer, response, close).await.is_err() || close {
-            return;
+        if write_response(writer, response, close).await.is_err() {
+            return ConnectionEnd::Failed;
+        }
+        if close {
+            return ConnectionEnd::Responded;
         }
         pending.pop_front();
-        idle_deadline = Instant::now() + idle_timeout();
+        idle_since = Instant::now();
     }
 }
 
@@ -310,7 +336,9 @@
     }
 }
 
-async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8]) -> std::io::Result<()> {
+/// Writes all bytes, as long as the caller keeps reading.
+async fn write(writer: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> std::io::Result<()> {
+    let _ = &mut bytes;
     match timeout(WRITE_TIMEOUT, writer.write_all(bytes)).await {
         Ok(written) => written,
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -1,12 +1,13 @@
 //! HTTP listeners with graceful shutdown.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use celerygate_daemon::connections::{OpenConnections, close_gracefully};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -40,9 +41,13 @@
 }
 
 /// Serves connections until `shutdown` becomes true, then closes idle connections and, after their
-/// response, busy ones.
-pub async fn serve<F, R, B>(listener: TcpListener, shutdown: watch::Receiver<bool>, handle: F)
-where
+/// response, busy ones. `connections` counts the open ones.
+pub async fn serve<F, R, B>(
+    listener: TcpListener,
+    shutdown: watch::Receiver<bool>,
+    connections: Arc<OpenConnections>,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
@@ -51,9 +56,18 @@
 {
     let handle = Arc::new(handle);
     let mut accept_shutdown = shutdown.clone();
+    let spawn = |stream| {
+        let open = connections.begin();
+        let connection = connection(stream, shutdown.clone(), Arc::clone(&handle));
+        tokio::spawn(async move {
+            connection.await;
+            drop(open);
+        });
+    };
     while let Some(stream) = accept(&listener, &mut accept_shutdown).await {
-        tokio::spawn(connection(stream, shutdown.clone(), Arc::clone(&handle)));
+        spawn(stream);
     }
+    accept_queued(listener).into_iter().for_each(spawn);
 }
 
 /// Accepts the next connection; returns `None` on shutdown.
@@ -76,6 +90,25 @@
     }
 }
 
+/// Closes a listener and returns the connections that the kernel has accepted for it. They may hold
+/// requests, which get a response or a refusal instead of a reset.
+pub(crate) fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(error:% = error; "queued connections not accepted");
+            return Vec::new();
+        }
+    };
+    // The listener does not block: without a queued connection, `accept` fails.
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.take(BACKLOG as usize).map(|(stream, _)| {
+        stream.set_nonblocking(true)?;
+        TcpStream::from_std(stream)
+    });
+    streams.filter_map(Result::ok).collect()
+}
+
 /// Waits until `shutdown` becomes true or its sender is dropped.
 pub(crate) async fn wait_for_shutdown(shutdown: &mut watch::Receiver<bool>) {
     let _ = shutdown.wait_for(|shutdown| *shutdown).await;
@@ -94,20 +127,23 @@
     }
     let service = service_fn(move |request| {
         let response = handle(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        Box::pin(async move { Ok::<_, Infallible>(response.await) })
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-    let connection = http.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = http.serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
         () = wait_for_shutdown(&mut shutdown) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    if let Err(error) = ended {
-        log::debug!(error:% = error; "caller's connection failed");
+    match ended {
+        Ok(()) => {
+            let (reader, writer) = connection.into_parts().io.into_inner().into_split();
+            close_gracefully(reader, writer).await;
+        }
+        Err(error) => log::debug!(error:% = error; "caller's connection failed"),
     }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use celerygate_daemon::connections::OpenConnections;
 use celerygate_daemon::signals::{self, Signals};
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
@@ -14,7 +15,7 @@
 use hyper::body::Bytes;
 use hyper::{Request, Response};
 use tokio::sync::watch;
-use tokio::time::{Instant as TokioInstant, sleep};
+use tokio::time::{Instant as TokioInstant, sleep, timeout_at};
 
 use crate::adapter::ProtocolAdapter;
 use crate::daemon::Daemon;
@@ -23,8 +24,6 @@
 use crate::sync::{self, SyncState};
 use crate::{callers, clock, entry_count, forward, listen, quota, targets};
 
-/// Interval at which shutdown checks for running requests.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Share of the grace period during which a leaving entry VM still accepts requests, since callers
 /// hold lookup replies that name it. A request accepted in the first half of the period must not be
 /// interrupted.
@@ -35,6 +34,9 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a leaving control VM still answers requests.
 const CONTROL_SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
+/// Maximum time for which a stop waits for the connections of operators, targets and lookups. An
+/// operator's command is answered within 1.5 s.
+const CALLS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between two clean-ups of the tables.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -47,6 +49,8 @@
     pub sync_state: Arc<SyncState>,
     /// Becomes true when listeners must stop and connections must be closed.
     pub shutdown: watch::Receiver<bool>,
+    /// Open connections of operators, targets and lookups.
+    pub connections: Arc<OpenConnections>,
 }
 
 /// Starts a daemon, starts the front end with `serve_front_end`, and returns after a stop signal
@@ -103,10 +107,15 @@
     let sync_state = Arc::new(SyncState::default());
     let (close, shutdown) = watch::channel(false);
     spawn_tasks(&daemon, &sync_state);
-    serve_metrics(&daemon, shutdown.clone())?;
+    let calls = Arc::<OpenConnections>::default();
+    serve_metrics(&daemon, shutdown.clone(), Arc::clone(&calls))?;
     let connections = Arc::new(callers::ConnectionCounter::new(daemon.settings.descriptors_max));
-    let handle =
-        DaemonHandle { daemon: Arc::clone(&daemon), sync_state, shutdown: shutdown.clone() };
+    let handle = DaemonHandle {
+        daemon: Arc::clone(&daemon),
+        sync_state,
+        shutdown: shutdown.clone(),
+        connections: Arc::clone(&calls),
+    };
     if let Some(address) = &daemon.settings.listeners.callers {
         let listener = listen::bind(address)?;
         let daemon = Arc::clone(&daemon);
@@ -119,7 +128,13 @@
         tokio::spawn(callers::serve(listener, shutdown, service));
     }
     serve_front_end(handle)?;
-    stop_on_signal(&daemon, signals, &close, &connections).await;
+    stop_on_signal(
+        &daemon,
+        signals,
+        &close,
+        &Connections { callers: connections.open(), calls: &calls },
+    )
+    .await;
     Ok(())
 }
 
@@ -167,11 +182,15 @@
     }
 }
 
-fn serve_metrics(daemon: &Arc<Daemon>, shutdown: watch::Receiver<bool>) -> Result<()> {
+fn serve_metrics(
+    daemon: &Arc<Daemon>,
+    shutdown: watch::Receiver<bool>,
+    connections: Arc<OpenConnections>,
+) -> Result<()> {
     let Some(address) = &daemon.settings.listeners.metrics else { return Ok(()) };
     let listener = listen::bind(address).context("metrics")?;
     let daemon = Arc::clone(daemon);
-    tokio::spawn(listen::serve(listener, shutdown, move |_: Request<_>| {
+    tokio::spawn(listen::serve(listener, shutdown, connections, move |_: Request<_>| {
         let scraped = daemon.metrics.scrape();
         async move {
             match scraped {
@@ -188,22 +207,46 @@
     Ok(())
 }
 
+/// Open connections for which a stop waits.
+struct Connections<'a> {
+    callers: &'a OpenConnections,
+    /// Connections of operators, targets and lookups.
+    calls: &'a OpenConnections,
+}
+
 async fn stop_on_signal(
     daemon: &Daemon,
     mut signals: Signals,
     close: &watch::Sender<bool>,
-    connections: &callers::ConnectionCounter,
+    connections: &Connections<'_>,
 ) {
     while signals.next().await != signals::Request::Stop {
         // Addresses and bounds do not change while the process runs, and seeds are only used at
         // startup.
         log::info!("received SIGHUP, settings take effect at the next start");
     }
+    let stopped = stop(daemon, close, connections);
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            request = signals.next() => {
+                let signal: &str = request.into();
+                log::info!(request = signal; "signal ignored, the daemon is stopping");
+            }
+        }
+    }
+}
+
+/// Stops accepting requests and waits until the callers have the responses to those that were
+/// accepted, at most until shortly before the end of the grace period.
+async fn stop(daemon: &Daemon, close: &watch::Sender<bool>, connections: &Connections<'_>) {
     let signalled_at = TokioInstant::now();
     let grace = Duration::from_millis(daemon.settings.bounds.grace_ms);
     daemon.tables.set_state(VmState::Leaving);
     daemon.tables.sync_requested.notify_one();
-    log::info!(running = daemon.tables.requests_running(), grace_ms = grace.as_millis() as u64;
+    log::info!(running = daemon.tables.requests_running(),
+        connections = connections.callers.count(), grace_ms = grace.as_millis() as u64;
         "daemon leaving");
     let accept_time = match daemon.role() {
         DaemonRole::Entry => grace.mul_f64(ACCEPT_SHARE),
@@ -214,10 +257,14 @@
     // Without receivers there is no connection to close.
     let _ = close.send(true);
     let exit_at = signalled_at + grace.saturating_sub(EXIT_MARGIN);
-    while daemon.tables.requests_running() > 0 && TokioInstant::now() < exit_at {
-        sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    sleep(DRAIN_POLL_INTERVAL).await;
-    log::info!(running = daemon.tables.requests_running(), connections = connections.open_count();
+    let calls_end = exit_at.min(TokioInstant::now() + CALLS_TIMEOUT);
+    let (callers, calls) = tokio::join!(
+        timeout_at(exit_at, connections.callers.wait_until_closed()),
+        timeout_at(calls_end, connections.calls.wait_until_closed()),
+    );
+    let is_complete = callers.is_ok() && calls.is_ok();
+    log::info!(complete = is_complete, running = daemon.tables.requests_running(),
+        connections = connections.callers.count(), calls = connections.calls.count(),
+        elapsed_ms = signalled_at.elapsed().as_millis() as u64;
         "daemon stopping");
 }
