Close callers' connections without discarding the last response

What callers see: a response ends in the middle, or not a byte of it arrives, although the daemon has written all of it. A caller that pipelines, or that sends its next request while it reads, loses the response before it. It happens outside stops too, whenever a response closes its connection.

Change: after a response that asks the caller to close, the daemon ends the sending direction and discards what the caller sends until it closes, 2 s at most. Requests behind such a response count as not sent. An idle connection is closed without reading, because callers repeat a request that was not read; a stopping daemon does so at the earliest 1 s after the last response, and refuses what comes in between.

Tests, each seen failing with its part of the change off: serve_request_behind_closing_response and serve_request_crosses_stop (both 'Connection reset by peer'); serve_idle_connection_on_stop.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use celerygate_daemon::connections::OpenConnections;
+use celerygate_daemon::connections::{OpenConnections, close_gracefully};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Bytes};
@@ -38,6 +38,10 @@
 /// Added to the configured idle timeout, because a caller may send a request just before it
 /// expires.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for which a stopping daemon keeps a connection open after its last response. If the caller
+/// has sent another request, closing the connection resets it, and the caller would lose a response
+/// that is still on its way.
+const STOP_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Share of the file descriptors that callers' connections may use; the rest is for targets,
 /// daemons and control requests.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.7;
@@ -223,7 +227,7 @@
     let (reader, mut writer) = stream.into_split();
     let mut input = RequestReader { reader, buffer: Vec::new(), is_closed: false };
     match serve_requests(&mut input, &mut writer, shutdown, &service).await {
-        ConnectionEnd::Responded => {}
+        ConnectionEnd::Responded => close_gracefully(input.reader, writer).await,
         // A request that the caller sends meanwhile stays unread, so that the caller repeats it.
         ConnectionEnd::Idle | ConnectionEnd::Failed => {}
     }
@@ -278,7 +282,7 @@
             let is_stopping = *shutdown.borrow();
             // A request of which a part has arrived is read to its end.
             let idle_time = if is_stopping && input.buffer.is_empty() {
-                Duration::ZERO
+                STOP_IDLE_TIME
             } else {
                 idle_timeout()
             };
@@ -337,8 +341,7 @@
 }
 
 /// Writes all bytes, as long as the caller keeps reading.
-async fn write(writer: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> std::io::Result<()> {
-    let _ = &mut bytes;
+async fn write(writer: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> std::io::Result<()> {
     match timeout(WRITE_TIMEOUT, writer.write_all(bytes)).await {
         Ok(written) => written,
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
@@ -409,3 +412,7 @@
     guard.is_complete = true;
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "callers_tests.rs"]
+mod tests;
