Serve the connections that the kernel queued for a closing listener

What callers see: a request that was sent on a new connection just before the listener closes ends with a reset. Cause: connections in the accept queue are reset when the listener is dropped. They are accepted now when the daemon stops, and their requests get a refusal that names no wait.

Test: serve_queued_connections_on_stop, 16 queued connections, 'Connection reset by peer' before.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -121,6 +121,9 @@
     while let Some(stream) = listen::accept(&listener, &mut accept_shutdown).await {
         spawn(stream);
     }
+    listen::accept_queued(listener).into_iter().for_each(|stream| {
+        spawn(stream);
+    });
 }
 
 /// A request whose response is not written yet; dropping it cancels the request.
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -95,3 +95,23 @@
     let closed = timeout(STOP_IDLE_TIME * 2, read_all(&mut caller)).await;
     assert_eq!(closed.expect("the connection is closed").unwrap(), 0);
 }
+
+/// Guards against a stop that resets connections which the kernel has accepted for the listener.
+#[tokio::test]
+async fn serve_queued_connections_on_stop() {
+    let listener = listen_on_loopback().await;
+    let address = listener.local_addr().unwrap();
+    let mut callers = Vec::new();
+    for _ in 0..16 {
+        let mut caller = connect(address).await;
+        caller.write_all(REQUEST).await.unwrap();
+        callers.push(caller);
+    }
+    let (close, shutdown) = watch::channel(false);
+    close.send(true).unwrap();
+    start(listener, shutdown, false);
+    for caller in &mut callers {
+        let received = read_all(caller).await.expect("the connection is not reset");
+        assert!(received > RESPONSE_BYTES, "{received}");
+    }
+}
