Time out a response only when the caller reads nothing of it

What callers see: a response of up to 1 MiB is cut off after 10 s although the caller reads it all the time, over a link that it shares with many others. Cause: the timeout covered the whole buffer. It now covers each write, that is the time without progress.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -344,11 +344,16 @@
 }
 
 /// Writes all bytes, as long as the caller keeps reading.
-async fn write(writer: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> std::io::Result<()> {
-    match timeout(WRITE_TIMEOUT, writer.write_all(bytes)).await {
-        Ok(written) => written,
-        Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+async fn write(writer: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match timeout(WRITE_TIMEOUT, writer.write(bytes)).await {
+            Ok(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
+            Ok(Ok(written)) => bytes = &bytes[written..],
+            Ok(Err(error)) => return Err(error),
+            Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
+        }
     }
+    Ok(())
 }
 
 /// Logs a response that the caller did not get completely if it is dropped before the end of the
