Refuse requests that wait for a target when a stopping daemon closes

What callers see: a request that has reached no target ends with its connection when the daemon exits, neither answered nor refused. Cause: the stop refused new requests only; one that waited for a target of its object went on waiting until the process ended. It is refused as not run at the same time as new ones, and at once at another VM. Requests that may have run keep their attempts.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -181,6 +181,13 @@
     RequestOutcome::Refused(Refusal { code, retry_after: None })
 }
 
+/// Returns the refusal of a request that reaches no target because the daemon is stopping.
+fn stopping_refusal() -> RequestOutcome {
+    // Another VM can serve the request at once.
+    let retry_after = Some(Duration::ZERO);
+    RequestOutcome::Refused(Refusal { code: ResultCode::Stopping, retry_after })
+}
+
 async fn handle_request(
     daemon: &Arc<Daemon>,
     parts: &request::Parts,
@@ -189,9 +196,7 @@
     arrived_at: Instant,
 ) -> RequestOutcome {
     if !daemon.tables.accepts_requests() {
-        // Another VM can serve the request at once.
-        let retry_after = Some(Duration::ZERO);
-        return RequestOutcome::Refused(Refusal { code: ResultCode::Stopping, retry_after });
+        return stopping_refusal();
     }
     let Some(content) = daemon.tables.content() else {
         return refusal(ResultCode::ConfigurationStale);
@@ -290,6 +295,9 @@
             };
             return refusal(code);
         }
+        if !may_have_run && !daemon.tables.accepts_requests() {
+            return stopping_refusal();
+        }
         let is_retry = !tried.is_empty();
         if is_retry
             && (tried.len() >= route.attempts_max.max(1) as usize
