--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -20,6 +20,7 @@
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use smallvec::SmallVec;
+use smol_str::SmolStr;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use self::response::{ResponseResult, read_response};
@@ -36,6 +37,10 @@
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
 
+/// Id of the caller's attempt that a response belongs to, as an extension of the response.
+#[derive(Clone, Debug)]
+pub struct AttemptId(pub SmolStr);
+
 /// Range of the `retry-after` time as a share of the route's target latency; drawn at random so
 /// that the retries of many callers spread.
 const RETRY_AFTER_RANGE: std::ops::Range<f64> = 0.25..0.75;
@@ -114,7 +119,7 @@
     let handled = handle_request(&daemon, &parts, &body, &metadata, arrived_at).await;
     disconnect_guard.completed = true;
     drop(disconnect_guard);
-    let response = match handled {
+    let mut response = match handled {
         RequestOutcome::Response(response) => response,
         RequestOutcome::Refused(refusal) => {
             let elapsed = daemon.now().saturating_duration_since(arrived_at);
@@ -126,6 +131,7 @@
             refusal_response(&daemon, &refusal)
         }
     };
+    response.extensions_mut().insert(AttemptId(metadata.request));
     add_connection_close(&daemon, response)
 }
 
@@ -175,6 +181,13 @@
     RequestOutcome::Refused(Refusal { code, retry_after: None })
 }
 
+/// Returns the refusal of a request that reaches no target because the daemon is stopping.
+fn stopping_refusal() -> RequestOutcome {
+    // Another VM can serve the request at once.
+    let retry_after = Some(Duration::ZERO);
+    RequestOutcome::Refused(Refusal { code: ResultCode::Stopping, retry_after })
+}
+
 async fn handle_request(
     daemon: &Arc<Daemon>,
     parts: &request::Parts,
@@ -183,9 +196,7 @@
     arrived_at: Instant,
 ) -> RequestOutcome {
     if !daemon.tables.accepts_requests() {
-        // Another VM can serve the request at once.
-        let retry_after = Some(Duration::ZERO);
-        return RequestOutcome::Refused(Refusal { code: ResultCode::Stopping, retry_after });
+        return stopping_refusal();
     }
     let Some(content) = daemon.tables.content() else {
         return refusal(ResultCode::ConfigurationStale);
@@ -284,6 +295,9 @@
             };
             return refusal(code);
         }
+        if !may_have_run && !daemon.tables.accepts_requests() {
+            return stopping_refusal();
+        }
         let is_retry = !tried.is_empty();
         if is_retry
             && (tried.len() >= route.attempts_max.max(1) as usize
