Sync the data folder before its contents count as stored

Callers could lose an acknowledged change. A voter that was killed between the append of a batch and its sync, or whose sync failed, reopened the folder, read the batch from the page cache and acknowledged it to the leader. A loss of power took it away. With two other disks lost at the same moment no copy was left.

Cause: Log::open, IdempotencyLog::open and the count of entry VMs took what the kernel holds for what the disk holds. All three now sync every file and the folder before they read. That costs one sync for each file at a start or reopening; no file is rewritten, so it also works on a full disk.

MemoryDisk now tells the end of a process from a loss of power, and undoes a rename or removal whose folder was not synced. A replacement counts as two writes there, the rename and the sync of the folder.

Open: after a failed sync, Linux may report the next sync of the same pages as done without writing them.

--- a/crates/control/src/idempotency_log.rs
+++ b/crates/control/src/idempotency_log.rs
@@ -59,6 +59,8 @@
     ///
     /// When the file cannot be read or is damaged before its end.
     pub fn open(mut storage: Storage, now_unix_ms: u64) -> Result<OpenedIdempotencyLog> {
+        // An ended process can have left records unsynced; they count as stored from here on.
+        (storage.sync_all)().context("sync the idempotency keys")?;
         let contents = (storage.read)(FILE).context("read the idempotency keys")?;
         let Some(bytes) = contents else {
             let coverage = Coverage::UnknownBefore { unix_ms: now_unix_ms };
--- a/crates/control/src/idempotency_log_tests.rs
+++ b/crates/control/src/idempotency_log_tests.rs
@@ -53,6 +53,19 @@
     assert!(opened.log.append(&record(1, RecordKind::Started)).is_err());
 }
 
+/// Guards against a key that a restarted process has relied on and that a loss of power takes away.
+#[test]
+fn open_unsynced_record() {
+    let disk = MemoryDisk::new();
+    let mut opened = open(&disk, 500);
+    disk.stop_at_write(1, false);
+    opened.log.append(&record(1, RecordKind::Started)).unwrap_err();
+    disk.end_process();
+    let reopened = open(&disk, 900).records;
+    disk.crash(TornWrite::Discard);
+    assert_eq!(open(&disk, 1_000).records, reopened);
+}
+
 fn any_torn_write() -> impl Strategy<Value = TornWrite> {
     prop_oneof![
         Just(TornWrite::Discard),
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -114,6 +114,9 @@
         new_store_id: u64,
         segment_bytes: u64,
     ) -> Result<OpenedLog> {
+        // What an ended process or an earlier opening left unsynced is read below and acknowledged
+        // as stored.
+        (storage.sync_all)().context("sync the data folder")?;
         let names = (storage.list)().context("list the data folder")?;
         let identity = open_identity(&mut storage, &names, vm, new_store_id)?;
         let numbers: Vec<u64> = names.iter().filter_map(|name| segment_number(name)).collect();
--- a/crates/control/src/log_tests.rs
+++ b/crates/control/src/log_tests.rs
@@ -80,6 +80,63 @@
     }
 }
 
+/// Guards against acknowledging entries that an ended process has written but not synced, which a
+/// later loss of power takes away.
+#[test]
+fn open_unsynced_entries() {
+    let disk = MemoryDisk::new();
+    let mut log = open(&disk).unwrap().log;
+    log.append(&[entry(1, 1)]).unwrap();
+    disk.stop_at_write(1, false);
+    log.append(&entries(2..=3, 1)).unwrap_err();
+    disk.end_process();
+    let reopened = stored_entries(&disk);
+    disk.crash(TornWrite::Discard);
+    assert_eq!(stored_entries(&disk), reopened);
+}
+
+/// Guards against a new segment, snapshot or vote whose name a loss of power takes away after the
+/// restarted process has relied on it.
+#[test]
+fn open_unsynced_names() {
+    for write in 0..8 {
+        let disk = MemoryDisk::new();
+        let mut log = open(&disk).unwrap().log;
+        (1..=6).for_each(|index| log.append(&[entry(index, 1)]).unwrap());
+        disk.stop_at_write(write, true);
+        let vote = VoteRecord { term: Term(7), voted_for: None };
+        let _ = log.store_vote(&vote);
+        let _ = log.install_snapshot(&snapshot(9, 2));
+        disk.end_process();
+        let mut reopened = open(&disk).unwrap();
+        let next = reopened.log.last_index().0 + 1;
+        reopened.log.append(&[entry(next, 7)]).unwrap();
+        let snapshot_index = reopened.log.snapshot_index();
+        disk.crash(TornWrite::Discard);
+        let after = open(&disk).unwrap();
+        assert_eq!(after.vote, reopened.vote, "write {write}");
+        assert_eq!(after.log.snapshot_index(), snapshot_index, "write {write}");
+        assert_eq!(after.log.last_index(), LogIndex(next), "write {write}");
+    }
+}
+
+/// Guards against losing entries that a restarted process has acknowledged when the write of the
+/// next batch is interrupted.
+#[test]
+fn open_unsynced_batch_then_another() {
+    let disk = MemoryDisk::new();
+    let mut log = open(&disk).unwrap().log;
+    log.append(&[entry(1, 1)]).unwrap();
+    disk.stop_at_write(1, false);
+    log.append(&[entry(2, 1)]).unwrap_err();
+    disk.end_process();
+    let mut log = open(&disk).unwrap().log;
+    disk.stop_at_write(1, false);
+    log.append(&[entry(3, 1)]).unwrap_err();
+    disk.crash(TornWrite::Prefix(7));
+    assert_eq!(stored_entries(&disk), [(1, 1), (2, 1)]);
+}
+
 /// Guards against dropping acknowledged entries because damage is taken for a torn last write.
 #[test]
 fn open_damaged() {
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -19,6 +19,7 @@
 pub const REPLACEMENT_SUFFIX: &str = ".new";
 
 type FileOperation<T> = Box<dyn FnMut(&str) -> io::Result<T> + Send>;
+type FolderOperation = Box<dyn FnMut() -> io::Result<()> + Send>;
 type FileLengthOperation = Box<dyn FnMut(&str, u64) -> io::Result<()> + Send>;
 type FileBytesOperation = Box<dyn FnMut(&str, &[u8]) -> io::Result<()> + Send>;
 
@@ -28,6 +29,9 @@
     pub append: FileBytesOperation,
     /// Makes the contents of a file durable.
     pub sync: FileOperation<()>,
+    /// Makes the contents and the names of all files durable, including changes that an earlier
+    /// process left unsynced.
+    pub sync_all: FolderOperation,
     /// Returns the contents of a file, `None` when it does not exist.
     pub read: FileOperation<Option<Vec<u8>>>,
     /// Truncates a file to a length, durably.
@@ -66,6 +70,13 @@
         File::open(&self.path)?.sync_all()
     }
 
+    fn sync_all(&self) -> io::Result<()> {
+        for name in self.list()? {
+            File::open(self.path(&name))?.sync_all()?;
+        }
+        self.sync_folder()
+    }
+
     fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.append_handles.remove(name);
         let replacement = self.path(&format!("{name}{REPLACEMENT_SUFFIX}"));
@@ -123,11 +134,12 @@
     let folder = DataFolder { path: path.to_owned(), _lock: lock, append_handles: HashMap::new() };
     // The closures share the folder; only the owner of the `Storage` calls them.
     let folder = Arc::new(Mutex::new(folder));
-    let [append, sync, read, truncate, replace, remove, list] =
+    let [append, sync, sync_all, read, truncate, replace, remove, list] =
         std::array::from_fn(|_| Arc::clone(&folder));
     Ok(Storage {
         append: Box::new(move |name, bytes| append.lock().append_handle(name)?.write_all(bytes)),
         sync: Box::new(move |name| sync.lock().append_handle(name)?.sync_data()),
+        sync_all: Box::new(move || sync_all.lock().sync_all()),
         read: Box::new(move |name| match fs::read(read.lock().path(name)) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
             other => other.map(Some),
--- a/crates/control/src/storage/memory.rs
+++ b/crates/control/src/storage/memory.rs
@@ -11,19 +11,33 @@
 /// Unit in which a simulated disk writes; a torn write can lack any sector.
 pub const SECTOR_BYTES: usize = 512;
 
-/// Effect of a crash on bytes that were appended but not synced.
+/// Effect of a crash on bytes that were appended but not synced, and on names that were changed
+/// without a sync of the folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TornWrite {
     /// All of them are lost.
     Discard,
-    /// A prefix remains; its length is the number modulo the unsynced length.
+    /// A prefix of the bytes remains; its length is the number modulo the unsynced length. Each
+    /// changed name is kept or lost according to one bit of the number.
     Prefix(usize),
-    /// All of them remain, except that one sector, selected by the number, reads as zeros.
+    /// All bytes remain, except that one sector, selected by the number, reads as zeros. Each
+    /// changed name is kept or lost according to one bit of the number.
     ZeroSector(usize),
     /// All of them remain.
     Keep,
 }
 
+impl TornWrite {
+    /// Returns whether the crash keeps the changed name at this position.
+    fn keeps_name(self, position: usize) -> bool {
+        match self {
+            Self::Discard => false,
+            Self::Keep => true,
+            Self::Prefix(bits) | Self::ZeroSector(bits) => bits >> (position % 8) & 1 == 1,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct MemoryFile {
     bytes: Vec<u8>,
@@ -34,6 +48,9 @@
 #[derive(Debug, Default)]
 struct Disk {
     files: BTreeMap<String, MemoryFile>,
+    /// The files that a crash can bring back under the names changed since the last sync of the
+    /// folder.
+    replaced_files: BTreeMap<String, Option<MemoryFile>>,
     /// Number of writes that still succeed before the disk stops.
     writes_left: Option<u64>,
     /// Whether the write at which the disk stops takes effect.
@@ -84,6 +101,33 @@
         self.files.get_mut(name).ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
+    /// Changes the file of a name; a crash can undo it until the folder is synced.
+    fn set_name(&mut self, name: &str, file: Option<MemoryFile>) -> io::Result<()> {
+        self.write(|disk| {
+            let before = match file {
+                Some(file) => disk.files.insert(name.to_owned(), file),
+                None => disk.files.remove(name),
+            };
+            disk.replaced_files.entry(name.to_owned()).or_insert(before);
+            Ok(())
+        })
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.write(|disk| {
+            if !disk.ignore_syncs {
+                disk.replaced_files.clear();
+            }
+            Ok(())
+        })
+    }
+
+    fn sync_all(&mut self) -> io::Result<()> {
+        let names: Vec<String> = self.files.keys().cloned().collect();
+        names.iter().try_for_each(|name| self.sync(name))?;
+        self.sync_folder()
+    }
+
     fn sync(&mut self, name: &str) -> io::Result<()> {
         if std::mem::take(&mut self.fail_next_sync) {
             return Err(io::Error::other("the simulated disk has failed a sync"));
@@ -116,7 +160,7 @@
 
     /// Returns the operations on this disk.
     pub fn storage(&self) -> Storage {
-        let [append, sync, read, truncate, replace, remove, list] =
+        let [append, sync, sync_all, read, truncate, replace, remove, list] =
             std::array::from_fn(|_| Arc::clone(&self.disk));
         Storage {
             append: Box::new(move |name, bytes| {
@@ -126,22 +170,21 @@
                 })
             }),
             sync: Box::new(move |name| sync.lock().sync(name)),
+            sync_all: Box::new(move || sync_all.lock().sync_all()),
             read: Box::new(move |name| {
                 Ok(read.lock().files.get(name).map(|file| file.bytes.clone()))
             }),
             truncate: Box::new(move |name, length| truncate.lock().truncate(name, length)),
             replace: Box::new(move |name, bytes| {
                 let file = MemoryFile { bytes: bytes.to_vec(), synced_len: bytes.len() };
-                replace.lock().write(|disk| {
-                    disk.files.insert(name.to_owned(), file);
-                    Ok(())
-                })
+                let mut disk = replace.lock();
+                disk.set_name(name, Some(file))?;
+                disk.sync_folder()
             }),
             remove: Box::new(move |name| {
-                remove.lock().write(|disk| {
-                    disk.files.remove(name);
-                    Ok(())
-                })
+                let mut disk = remove.lock();
+                disk.set_name(name, None)?;
+                disk.sync_folder()
             }),
             list: Box::new(move || Ok(list.lock().files.keys().cloned().collect())),
         }
@@ -170,12 +213,28 @@
         self.disk.lock().attempted_writes
     }
 
-    /// Simulates a crash: tears unsynced writes, then lets the disk work again.
-    pub fn crash(&self, torn_write: TornWrite) {
+    /// Simulates the end of the process: files remain as they are, unsynced changes stay unsynced,
+    /// and the disk works again.
+    pub fn end_process(&self) {
         let mut disk = self.disk.lock();
         disk.stopped = false;
         disk.writes_left = None;
         disk.fail_next_sync = false;
+    }
+
+    /// Simulates a loss of power: tears unsynced writes and undoes unsynced changes of names, then
+    /// lets the disk work again.
+    pub fn crash(&self, torn_write: TornWrite) {
+        self.end_process();
+        let mut disk = self.disk.lock();
+        let replaced_files = std::mem::take(&mut disk.replaced_files);
+        for (position, (name, before)) in replaced_files.into_iter().enumerate() {
+            match before {
+                _ if torn_write.keeps_name(position) => {}
+                Some(file) => drop(disk.files.insert(name, file)),
+                None => drop(disk.files.remove(&name)),
+            }
+        }
         for file in disk.files.values_mut() {
             let unsynced = file.bytes.len() - file.synced_len;
             match torn_write {
--- a/crates/fleet/src/entry_count.rs
+++ b/crates/fleet/src/entry_count.rs
@@ -79,6 +79,8 @@
     let folder = data_folder.join(FOLDER);
     let mut storage =
         open_folder(&folder).with_context(|| format!("open the folder {}", folder.display()))?;
+    // An ended process can have left the number unsynced; an equal count is not stored again.
+    (storage.sync_all)().context("sync the number of entry VMs")?;
     let stored = (storage.read)(FILE).context("read the number of entry VMs")?;
     let text = stored.and_then(|bytes| String::from_utf8(bytes).ok());
     let stored_count = text.and_then(|text| text.trim().parse().ok()).unwrap_or_default();
