Replace a control VM that leaves as soon as its successor has caught up

A control VM that is replaced with SIGTERM stayed one of the five voters until it had been silent for 2.5 s, counted from the next election if it led. By then the deployment no longer counts it as lost: its successor has run for catch_up_s. Two more disks may be lost, and then two voters of five remain, so no leader is elected again and everything acknowledged is out of reach.

Fix: the leader knows from the synchronisation which VMs leave, including itself. If a caught-up learner waits, it is promoted first and the leaving voter is removed next, while that VM still answers. A restart with no learner changes nothing. A VM that leaves no longer joins as a learner. No change is proposed while another is in progress, which also keeps a waiting VM from being dropped from the queue.

What remains: the 0.1 to 0.2 s between SIGTERM and the removal. A majority of five cannot cover a voter that is gone and two lost disks at once.

The line `change applied` now has the number of voters and whether the VM leads, and a change refused for too few voters is logged.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -4,6 +4,7 @@
 //! store id is a new member with the same address: it becomes a learner, receives the log, and is
 //! promoted once it has stored everything that is committed.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use celerygate_types::VmId;
@@ -204,25 +205,31 @@
         quorum(members) > self.lost_disks_max
     }
 
-    /// Returns the next change, given the one that [`next_change`] proposes. While there are enough
-    /// voters, no learner is promoted; a voter that is lost is removed to make room for it.
+    /// Returns the next change, given the one that [`next_change`] proposes.
+    ///
+    /// While there are enough voters, no learner is promoted, except to replace a voter that is
+    /// lost or leaves. A lost voter is removed before the promotion. A leaving voter is removed
+    /// after it: it still answers, so that no moment has fewer voters than the group's size.
     pub fn next_change(
         self,
         members: &[Member],
         proposed: Option<MembershipChange>,
         time_since_reply: impl Fn(&VmId) -> Option<Duration>,
+        is_leaving: impl Fn(&VmId) -> bool,
     ) -> Option<MembershipChange> {
-        let is_full = voters(members).count() >= self.voters();
-        match proposed {
-            Some(MembershipChange::Promote(_)) if is_full => {
+        let leaving = voters(members).find(|voter| is_leaving(&voter.vm));
+        let remove = |voter: &Member| MembershipChange::Remove(voter.vm.clone());
+        match (proposed, voters(members).count().cmp(&self.voters())) {
+            (Some(MembershipChange::Promote(vm)), Ordering::Equal) => {
                 let is_lost = |voter: &&Member| {
                     time_since_reply(&voter.vm)
                         .is_some_and(|time| time >= VOTER_REPLACEMENT_TIMEOUT)
                 };
-                let lost = voters(members).find(is_lost)?;
-                Some(MembershipChange::Remove(lost.vm.clone()))
+                let lost = voters(members).find(is_lost).map(remove);
+                lost.or_else(|| leaving.map(|_| MembershipChange::Promote(vm)))
             }
-            other => other,
+            (Some(MembershipChange::Promote(_)) | None, Ordering::Greater) => leaving.map(remove),
+            (other, _) => other,
         }
     }
 }
--- a/crates/control/src/membership_tests.rs
+++ b/crates/control/src/membership_tests.rs
@@ -98,17 +98,42 @@
     let members = three_voters_and_learner();
     let promote = || Some(MembershipChange::Promote(vm(4)));
     let last_reply_before = |time: Duration| move |id: &VmId| (*id == vm(2)).then_some(time);
-    let next = |time| size.next_change(&members, promote(), last_reply_before(time));
+    let stays = |_: &VmId| false;
+    let next = |time| size.next_change(&members, promote(), last_reply_before(time), stays);
     assert_eq!(next(Duration::from_secs(1)), None);
     assert_eq!(next(VOTER_REPLACEMENT_TIMEOUT), Some(MembershipChange::Remove(vm(2))));
     let two_voters: Vec<Member> =
         members.iter().filter(|member| member.vm != vm(2)).cloned().collect();
     assert_eq!(
-        size.next_change(&two_voters, promote(), last_reply_before(VOTER_REPLACEMENT_TIMEOUT)),
+        size.next_change(
+            &two_voters,
+            promote(),
+            last_reply_before(VOTER_REPLACEMENT_TIMEOUT),
+            stays
+        ),
         promote()
     );
 }
 
+/// Guards against a VM that has left and counts as a voter until it is silent for 2.5 s, so that too
+/// few voters remain when disks are lost meanwhile.
+#[test]
+fn group_size_learner_replaces_leaving_voter() {
+    let size = GroupSize::for_lost_disks(1);
+    let mut members = three_voters_and_learner();
+    let promote = || Some(MembershipChange::Promote(vm(4)));
+    let replies = |_: &VmId| Some(Duration::ZERO);
+    let next = |members: &[Member], proposed, leaving: u64| {
+        size.next_change(members, proposed, replies, |id| *id == vm(leaving))
+    };
+    assert_eq!(next(&members, promote(), 9), None);
+    assert_eq!(next(&members, None, 2), None, "a restarting voter was removed without successor");
+    assert_eq!(next(&members, promote(), 2), promote());
+    members[3].role = MemberRole::Voter;
+    assert_eq!(next(&members, None, 2), Some(MembershipChange::Remove(vm(2))));
+    assert_eq!(next(&members, None, 9), None, "a voter that stays was removed");
+}
+
 /// Guards against accepting a change while the loss of as many disks as tolerated could undo it.
 #[test]
 fn group_size_commits_survive_disk_loss() {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use celerygate_types::wire::{
-    Command, Configuration, LogEntry, Member, MembershipChange, Message, SnapshotRecord, VoteRecord,
+    Command, Configuration, LogEntry, Member, Message, SnapshotRecord, VoteRecord,
 };
 use celerygate_types::{LogIndex, Term, VmId};
 use thiserror::Error;
@@ -334,15 +334,6 @@
         self.lease_end().is_some_and(|end| now < end)
     }
 
-    /// Returns the membership change that the leader should propose next.
-    pub fn next_membership_change(&self, now: Instant) -> Option<MembershipChange> {
-        let Role::Leader(leadership) = &self.role else { return None };
-        if self.commit < leadership.first_index || self.has_change_in_progress() {
-            return None;
-        }
-        membership::next_change(&self.members, |vm| self.member_progress(leadership, vm, now))
-    }
-
     /// Returns the time since the last reply of another member to this leader; `None` for the
     /// leader itself and on VMs that do not lead.
     pub fn time_since_reply(&self, vm: &VmId, now: Instant) -> Option<Duration> {
@@ -361,13 +352,6 @@
         }
     }
 
-    fn has_change_in_progress(&self) -> bool {
-        let changes = |entry: &LogEntry| {
-            matches!(entry.command, Command::Membership(_) | Command::Bootstrap(_))
-        };
-        self.tail.between(self.commit, self.tail.last_index()).any(changes)
-    }
-
     /// Returns the index up to which the log is synced.
     fn synced_index(&self) -> LogIndex {
         let last = self.tail.last_index();
--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
-use celerygate_types::wire::{AppendReply, AppendRequest, Command, LogEntry, Member};
+use celerygate_types::wire::{
+    AppendReply, AppendRequest, Command, LogEntry, Member, MembershipChange,
+};
 use celerygate_types::{LogIndex, VmId};
 
 use super::{
@@ -280,6 +282,29 @@
 }
 
 impl Replica {
+    /// Returns whether this replica leads and may propose a membership change: it has committed
+    /// an entry of its term, and no earlier change is in progress.
+    pub fn can_change_members(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        self.commit >= leadership.first_index && !self.has_change_in_progress()
+    }
+
+    /// Returns the membership change that the leader should propose next.
+    pub fn next_membership_change(&self, now: Instant) -> Option<MembershipChange> {
+        let Role::Leader(leadership) = &self.role else { return None };
+        if !self.can_change_members() {
+            return None;
+        }
+        membership::next_change(&self.members, |vm| self.member_progress(leadership, vm, now))
+    }
+
+    fn has_change_in_progress(&self) -> bool {
+        let changes = |entry: &LogEntry| {
+            matches!(entry.command, Command::Membership(_) | Command::Bootstrap(_))
+        };
+        self.tail.between(self.commit, self.tail.last_index()).any(changes)
+    }
+
     /// Returns the replication progress of a member; `None` for the leader itself.
     pub(super) fn member_progress(
         &self,
--- a/crates/control/src/replica_tests.rs
+++ b/crates/control/src/replica_tests.rs
@@ -2,7 +2,8 @@
 
 use celerygate_types::ManualClock;
 use celerygate_types::wire::{
-    AppendReply, AppendRequest, InstallSnapshot, MemberRole, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, InstallSnapshot, MemberRole, MembershipChange, VoteReply,
+    VoteRequest,
 };
 
 use super::*;
--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -6,6 +6,8 @@
 
 #[path = "support/cluster.rs"]
 mod cluster;
+#[path = "agreement/disk_losses.rs"]
+mod disk_losses;
 
 use celerygate_control::storage::memory::TornWrite;
 use cluster::Cluster;
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use celerygate_control::log::Log;
-use celerygate_control::membership;
+use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::node::{Node, Output};
 use celerygate_control::replica::Input;
 use celerygate_control::storage::memory::{MemoryDisk, TornWrite};
@@ -13,6 +13,8 @@
 };
 use celerygate_types::{ManualClock, VmId};
 
+#[path = "losses.rs"]
+mod losses;
 #[path = "state.rs"]
 mod state;
 
@@ -41,7 +43,8 @@
     members: Vec<Member>,
     restart_at: Option<Duration>,
     paused_until: Duration,
-    torn_write: TornWrite,
+    /// Effect of a failed write on unsynced data; without one, only the process ends.
+    torn_write: Option<TornWrite>,
     clock_rate_permille: u32,
     next_tick: Duration,
 }
@@ -62,6 +65,10 @@
     pub loss_percent: u64,
     pub delay_ms: u64,
     pub excluded_vms: BTreeSet<VmId>,
+    /// VMs that have received a stop signal.
+    pub leaving_vms: BTreeSet<VmId>,
+    /// Size at which the group is kept as a driver does; without one, all VMs become voters.
+    pub group_size: Option<GroupSize>,
     random: u64,
     /// All entries that any VM applied, in order.
     pub applied_entries: Vec<LogEntry>,
@@ -88,7 +95,7 @@
             members: vec![],
             restart_at: Some(Duration::ZERO),
             paused_until: Duration::ZERO,
-            torn_write: TornWrite::Discard,
+            torn_write: Some(TornWrite::Discard),
             clock_rate_permille: CLOCK_RATES_PERMILLE[number % CLOCK_RATES_PERMILLE.len()],
             next_tick: Duration::ZERO,
         };
@@ -101,6 +108,8 @@
             loss_percent: 0,
             delay_ms: 10,
             excluded_vms: BTreeSet::new(),
+            leaving_vms: BTreeSet::new(),
+            group_size: None,
             random: seed,
             applied_entries: vec![],
             accepted: BTreeMap::new(),
@@ -146,60 +155,6 @@
         }
     }
 
-    /// Crashes a process; it restarts after `down_ms`.
-    pub fn crash(&mut self, number: usize, torn_write: TornWrite, down_ms: u64) {
-        let restart_at = self.clock.elapsed() + Duration::from_millis(down_ms);
-        let vm = &mut self.vms[number];
-        vm.node = None;
-        vm.disk.crash(torn_write);
-        vm.restart_at = Some(restart_at);
-        self.proposals.retain(|(proposer, ..)| *proposer != number);
-    }
-
-    /// Makes a VM crash at a later write.
-    pub fn crash_at_write(
-        &mut self,
-        number: usize,
-        before: u64,
-        takes_effect: bool,
-        torn_write: TornWrite,
-    ) {
-        self.vms[number].disk.stop_at_write(before, takes_effect);
-        self.vms[number].torn_write = torn_write;
-    }
-
-    /// Replaces the disk by an empty one or by an earlier one of the VM, unless too few intact
-    /// voters would remain. Membership changes in the log of any VM count, because they may still
-    /// be committed.
-    pub fn lose_disk(&mut self, number: usize) -> bool {
-        let Some(members) = self.committed_members() else { return false };
-        let keeps_quorum = |members: &[Member]| {
-            let is_intact =
-                |voter: &&Member| voter.vm != self.vms[number].id && self.has_recorded_store(voter);
-            let intact = membership::voters(members).filter(is_intact).count();
-            membership::voters(members).count() >= 3 && intact >= membership::quorum(members)
-        };
-        let in_use = self.vms.iter().filter(|vm| !self.excluded_vms.contains(&vm.id));
-        let mut known = in_use.map(|vm| &vm.members).filter(|known| !known.is_empty());
-        if !keeps_quorum(&members) || !known.all(|members| keeps_quorum(members)) {
-            return false;
-        }
-        self.crash(number, TornWrite::Discard, 300);
-        let reuses_previous = self.random_below(3) == 0;
-        let vm = &mut self.vms[number];
-        let old = if reuses_previous { vm.previous_disks.pop() } else { None };
-        let lost = std::mem::replace(&mut vm.disk, old.unwrap_or_default());
-        vm.previous_disks.push(lost);
-        vm.store_id = None;
-        vm.members.clear();
-        true
-    }
-
-    fn has_recorded_store(&self, member: &Member) -> bool {
-        let Some(vm) = self.vms.iter().find(|vm| vm.id == member.vm) else { return false };
-        !self.excluded_vms.contains(&member.vm) && vm.store_id == member.store_id
-    }
-
     /// Returns the members after all entries that any VM has applied.
     fn committed_members(&self) -> Option<Vec<Member>> {
         let mut members = vec![];
@@ -209,14 +164,6 @@
         (!members.is_empty()).then_some(members)
     }
 
-    pub fn restart(&mut self, number: usize) {
-        self.vms[number].restart_at = Some(self.clock.elapsed());
-    }
-
-    pub fn pause(&mut self, number: usize, ms: u64) {
-        self.vms[number].paused_until = self.clock.elapsed() + Duration::from_millis(ms);
-    }
-
     fn handle(&mut self, number: usize, input: Input) {
         let now = self.local_now(number);
         let vm = &mut self.vms[number];
@@ -232,8 +179,7 @@
                     node.handle(Input::Tick { random: 0 }, now).is_err(),
                     "a node accepted input after a failed write"
                 );
-                let torn_write = vm.torn_write;
-                return self.crash(number, torn_write, 200);
+                return self.crash_after_failed_write(number);
             }
         };
         let members = node.replica().members();
@@ -347,6 +293,13 @@
     }
 
     pub fn propose(&mut self, number: usize) {
+        let survives_loss = |node: &Node| {
+            let members = node.replica().members();
+            self.group_size.is_none_or(|size| size.commits_survive_disk_loss(members))
+        };
+        if !self.vms[number].node.as_ref().is_some_and(survives_loss) {
+            return;
+        }
         self.next_command += 1;
         let intent = id(&format!("c-{}", self.next_command));
         let command = Command::Hold(HoldCommand { intent, reason: None });
@@ -359,12 +312,26 @@
         let Some(node) = &self.vms[number].node else { return };
         let replica = node.replica();
         let members = replica.members();
-        let is_missing =
-            |id: &VmId| !self.excluded_vms.contains(id) && membership::find(members, id).is_none();
-        let change = replica.next_membership_change(now).or_else(|| {
-            let mut leaving = members.iter().filter(|m| self.excluded_vms.contains(&m.vm));
-            leaving.next().map(|m| MembershipChange::Remove(m.vm.clone()))
-        });
+        let is_missing = |id: &VmId| {
+            let joins = !self.excluded_vms.contains(id) && !self.leaving_vms.contains(id);
+            joins && membership::find(members, id).is_none()
+        };
+        if !replica.can_change_members() {
+            return;
+        }
+        let next = replica.next_membership_change(now);
+        let change = match self.group_size {
+            Some(size) => size.next_change(
+                members,
+                next,
+                |vm| replica.time_since_reply(vm, now),
+                |vm| self.leaving_vms.contains(vm),
+            ),
+            None => next.or_else(|| {
+                let mut leaving = members.iter().filter(|m| self.excluded_vms.contains(&m.vm));
+                leaving.next().map(|m| MembershipChange::Remove(m.vm.clone()))
+            }),
+        };
         let change = change.or_else(|| {
             let id = (0..self.vms.len()).map(vm_id).find(is_missing)?;
             Some(MembershipChange::AddLearner(member(id, MemberRole::Learner, None)))
@@ -404,8 +371,7 @@
             if node.store_snapshot(vm.state.clone()).is_ok() {
                 return;
             }
-            let torn_write = vm.torn_write;
-            self.crash(number, torn_write, 200);
+            self.crash_after_failed_write(number);
         }
     }
 
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -322,6 +322,7 @@
         }
         let size = GroupSize::for_lost_disks(self.context.settings.lost_disks_max as usize);
         if !size.commits_survive_disk_loss(replica.members()) {
+            log::warn!(voters = self.voter_count(); "proposal refused, the control group is too small");
             let _ = reply.send(GroupReply::TooSmall);
             return Ok(());
         }
@@ -383,6 +384,7 @@
         let applied = state::apply(&mut self.configuration, command);
         if matches!(command, Command::Document(_) | Command::Evacuate(_)) {
             log::info!(index = index.0, term = term.0, revision = self.configuration.revision.0,
+                voters = self.voter_count(), leads = self.node.replica().is_leader(),
                 version = self.configuration.document.version, outcome:? = applied;
                 "change applied");
         }
--- a/crates/fleet/src/group/members.rs
+++ b/crates/fleet/src/group/members.rs
@@ -4,8 +4,10 @@
 use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::replica::Input;
 use celerygate_control::state;
+use celerygate_types::VmId;
 use celerygate_types::wire::{
     Command, Configuration, DaemonRecord, FleetSettings, Member, MemberRole, MembershipChange,
+    VmState,
 };
 
 use super::ReplicaDriver;
@@ -13,11 +15,25 @@
 impl ReplicaDriver<'_> {
     pub(super) fn join(&mut self, record: DaemonRecord, store_id: u64) {
         let recorded = membership::find(self.node.replica().members(), &record.vm);
-        if self.node.replica().is_leader() && recorded.is_none() {
+        let joins = recorded.is_none() && record.state != VmState::Leaving;
+        if self.node.replica().is_leader() && joins {
             self.joining.insert(record.vm.clone(), member(&record, store_id));
         }
     }
 
+    pub(super) fn voter_count(&self) -> usize {
+        membership::voters(self.node.replica().members()).count()
+    }
+
+    pub(super) fn is_leaving(&self, vm: &VmId) -> bool {
+        let tables = &self.context.tables;
+        if *vm == self.context.settings.vm {
+            return tables.state() == VmState::Leaving;
+        }
+        let daemons = tables.daemons.lock();
+        daemons.known.get(vm).is_some_and(|known| known.record.state == VmState::Leaving)
+    }
+
     pub(super) fn change_members(&mut self) -> Result<()> {
         if !self.node.replica().is_leader() {
             self.joining.clear();
@@ -26,9 +42,15 @@
         let now = self.context.clock.now();
         let size = GroupSize::for_lost_disks(self.context.settings.lost_disks_max as usize);
         let replica = self.node.replica();
-        let next = size.next_change(replica.members(), replica.next_membership_change(now), |vm| {
-            replica.time_since_reply(vm, now)
-        });
+        if !replica.can_change_members() {
+            return Ok(());
+        }
+        let next = size.next_change(
+            replica.members(),
+            replica.next_membership_change(now),
+            |vm| replica.time_since_reply(vm, now),
+            |vm| self.is_leaving(vm),
+        );
         let change = match (next, self.joining.pop_first()) {
             (Some(change), _) => change,
             (None, Some((_, member))) => MembershipChange::AddLearner(member),
--- a/crates/fleet/src/group_tests.rs
+++ b/crates/fleet/src/group_tests.rs
@@ -3,7 +3,7 @@
 
 use celerygate_steering::routing::RoutingTable;
 use celerygate_types::ManualClock;
-use celerygate_types::wire::{DocumentCommand, FleetBounds, FleetListeners};
+use celerygate_types::wire::{DaemonRole, DocumentCommand, FleetBounds, FleetListeners, VmState};
 
 use super::*;
 
@@ -143,3 +143,38 @@
     driver.reply_to_reads();
     assert!(outcome.try_recv().is_err(), "nothing was confirmed since the read");
 }
+
+/// Guards against a VM that has left and stays a voter until it is silent for 2.5 s, and against one
+/// that joins again while its process still runs.
+#[test]
+fn is_leaving_own_and_other() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let clock = ManualClock::new();
+    let callbacks = callbacks();
+    let bootstrap_context = context(settings(&["10.0.0.1"], true), &clock);
+    let tables = &bootstrap_context.tables;
+    let mut driver = ReplicaDriver::open(&bootstrap_context, &callbacks, folder.path())
+        .expect("an empty folder");
+    elect(&mut driver, &clock);
+    let other = |state| DaemonRecord {
+        vm: "10.0.0.2".parse().expect("valid id"),
+        incarnation: Incarnation(1),
+        role: DaemonRole::Control,
+        region: "east".parse().expect("valid id"),
+        data_centre: "east-1".parse().expect("valid id"),
+        callers_address: None,
+        state,
+    };
+    let is_leaving =
+        |driver: &ReplicaDriver<'_>, vm: &str| driver.is_leaving(&vm.parse().expect("valid id"));
+    for state in [VmState::Serving, VmState::Leaving] {
+        tables.daemons.lock().update(other(state), Some(clock.clock().now()));
+        assert_eq!(is_leaving(&driver, "10.0.0.2"), state == VmState::Leaving);
+        driver.joining.clear();
+        driver.join(other(state), 7);
+        assert_eq!(driver.joining.is_empty(), state == VmState::Leaving);
+    }
+    assert!(!is_leaving(&driver, "10.0.0.1"));
+    tables.set_state(VmState::Leaving);
+    assert!(is_leaving(&driver, "10.0.0.1"));
+}
