Commit a repeated change again before it is acknowledged

A change that an operator sent again was acknowledged from the confirmed state alone. New changes are refused while the group has too few voters (after two disks were lost, three voters and a quorum of two); the repeated one skipped this check, so two further lost disks could undo what was acknowledged.

The repeated change is now proposed. Applying it changes nothing and returns the accepted version; its commit shows that a large enough group holds all entries before it. Evacuations have always been proposed again. The checks before a proposal are a function of their own that returns the next step.

Test: check_change_accepted_before failed before the fix with "left: Answer(Accepted) right: Propose".

--- a/crates/fleet/src/commands.rs
+++ b/crates/fleet/src/commands.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use celerygate_control::state::{ApplyOutcome, accepted_version, items_after_change};
-use celerygate_types::wire::{Command, DocumentCommand, EvacuateCommand, FleetContent};
+use celerygate_types::wire::{
+    Command, Document, DocumentCommand, DocumentItem, EvacuateCommand, FleetContent,
+};
 use celerygate_types::{DataCentreId, ResultCode, VmId};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -32,6 +34,16 @@
     Unknown,
 }
 
+/// Next step for a change of the document.
+#[derive(Clone, Debug, PartialEq)]
+enum NextStep {
+    /// Propose the change. This includes a change that was accepted before: only a new entry shows
+    /// that a large enough group still holds it.
+    Propose,
+    /// Answer without a proposal.
+    Answer(CommandOutcome),
+}
+
 /// Proposes a change of the document, and returns the outcome once the change is committed, refused
 /// or timed out.
 pub async fn change_document(daemon: &Daemon, command: DocumentCommand) -> CommandOutcome {
@@ -42,30 +54,12 @@
         Ok(newest) => newest,
         Err(outcome) => return outcome,
     };
-    if let Some(content) = &newest {
-        let document = &content.document;
-        if accepted_version(document, &command.digest).is_some() {
-            return CommandOutcome::Accepted;
-        }
-        if command.based_on != document.version {
-            return CommandOutcome::Conflict;
-        }
-        if command.version <= document.version {
-            return CommandOutcome::Invalid(format!(
-                "version {} is not above the current version {}",
-                command.version, document.version
-            ));
-        }
-    } else if command.based_on != 0 {
-        return CommandOutcome::Conflict;
-    }
-    let before = newest.as_ref().map(|content| &content.document);
-    let items = match before {
-        Some(document) => items_after_change(document, &command),
-        None => command.upsert.clone(),
+    let document = newest.as_ref().map(|content| &content.document);
+    let read_document = |items: &[DocumentItem]| {
+        (daemon.adapter.read_document)(items).map(drop).map_err(|error| format!("{error:#}"))
     };
-    if let Err(error) = (daemon.adapter.read_document)(&items) {
-        return CommandOutcome::Invalid(format!("{error:#}"));
+    if let NextStep::Answer(outcome) = check_change(document, &command, read_document) {
+        return outcome;
     }
     let digest = command.digest.clone();
     let outcome = await_commit(group.propose(Command::Document(command))).await;
@@ -73,6 +67,35 @@
     outcome
 }
 
+/// Checks a change against the current document; `read_document` returns why items are invalid.
+fn check_change(
+    document: Option<&Document>,
+    command: &DocumentCommand,
+    read_document: impl Fn(&[DocumentItem]) -> Result<(), String>,
+) -> NextStep {
+    let version = document.map_or(0, |document| document.version);
+    if document.is_some_and(|known| accepted_version(known, &command.digest).is_some()) {
+        return NextStep::Propose;
+    }
+    if command.based_on != version {
+        return NextStep::Answer(CommandOutcome::Conflict);
+    }
+    if document.is_some() && command.version <= version {
+        return NextStep::Answer(CommandOutcome::Invalid(format!(
+            "version {} is not above the current version {version}",
+            command.version
+        )));
+    }
+    let items = match document {
+        Some(document) => items_after_change(document, command),
+        None => command.upsert.clone(),
+    };
+    match read_document(&items) {
+        Ok(()) => NextStep::Propose,
+        Err(reason) => NextStep::Answer(CommandOutcome::Invalid(reason)),
+    }
+}
+
 /// Starts (`active`) or ends the evacuation of a data centre, and returns the outcome like
 /// [`change_document`].
 pub async fn evacuate(daemon: &Daemon, data_centre: DataCentreId, active: bool) -> CommandOutcome {
@@ -117,3 +140,7 @@
         Ok(Ok(_) | Err(_)) | Err(_) => CommandOutcome::Unknown,
     }
 }
+
+#[cfg(test)]
+#[path = "commands_tests.rs"]
+mod tests;
