Demote a voter whose disk was lost before a waiting learner is promoted

While a learner waited for room in a full group (during a planned replacement, or after a voter returned that had been replaced), only its promotion was considered. A voter behind it in the list that came back with an empty disk was never demoted: it answered, so it did not count as lost, the group kept a voter without a disk, and the waiting learner was never promoted. Two more lost disks then leave two voters.

Now every member that replies from an unrecorded store is demoted first. The group has room then, and the waiting learner is promoted in the next step.

Test: next_change_replaced_disk_after_waiting_learner failed before the fix with "left: Some(Promote(VmId("vm-4")))".

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -159,24 +159,26 @@
 /// Returns the change that the leader should propose next, if any.
 ///
 /// A reachable member that replies from an unrecorded store becomes a learner with that store; a
-/// learner that has caught up becomes a voter.
+/// learner that has caught up becomes a voter. The first goes before the second: a promotion can
+/// wait for room in the group, and until then the lost store counts as a voter.
 pub fn next_change(
     members: &[Member],
     progress: impl Fn(&VmId) -> Option<MemberProgress>,
 ) -> Option<MembershipChange> {
-    let candidates = members.iter().filter(|member| is_in_group(member)).filter_map(|member| {
+    let in_group = || members.iter().filter(|member| is_in_group(member));
+    let replaced = in_group().filter_map(|member| {
         let status = progress(&member.vm)?;
-        if status.reachable
+        let is_replaced = status.reachable
             && status.reported_store_id.is_some()
-            && status.reported_store_id != member.store_id
-        {
-            let role = MemberRole::Learner;
-            let added = Member { store_id: status.reported_store_id, role, ..member.clone() };
-            return Some(MembershipChange::AddLearner(added));
-        }
-        (member.role == MemberRole::Learner).then(|| MembershipChange::Promote(member.vm.clone()))
+            && status.reported_store_id != member.store_id;
+        let role = MemberRole::Learner;
+        let added = Member { store_id: status.reported_store_id, role, ..member.clone() };
+        is_replaced.then_some(MembershipChange::AddLearner(added))
     });
-    candidates.into_iter().find(|change| check_change(members, change, &progress).is_ok())
+    let promoted = in_group()
+        .filter(|member| member.role == MemberRole::Learner)
+        .map(|member| MembershipChange::Promote(member.vm.clone()));
+    replaced.chain(promoted).find(|change| check_change(members, change, &progress).is_ok())
 }
 
 /// Time without a reply after which a learner that has caught up replaces a voter. Longer than an
--- a/crates/control/src/membership_tests.rs
+++ b/crates/control/src/membership_tests.rs
@@ -90,6 +90,21 @@
     assert_eq!(quorum(&members), 2);
 }
 
+/// Guards against a lost disk that goes unnoticed while a learner waits for room in the group: the
+/// group keeps a voter without a disk and never promotes the learner.
+#[test]
+fn next_change_replaced_disk_after_waiting_learner() {
+    let mut members = three_voters_and_learner();
+    members.rotate_right(1);
+    let replaced = progress_with(3, progress(33));
+    let learner = Member { store_id: Some(33), ..member(3, MemberRole::Learner) };
+    let change = next_change(&members, &replaced);
+    assert_eq!(change, Some(MembershipChange::AddLearner(learner)));
+    let size = GroupSize::for_lost_disks(1);
+    let next = size.next_change(&members, change.clone(), |_| Some(Duration::ZERO), |_| false);
+    assert_eq!(next, change);
+}
+
 /// Guards against a group that grows beyond its size, and against removing a voter that only
 /// restarts.
 #[test]
