--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -4,6 +4,7 @@
 //! store id is a new member with the same address: it becomes a learner, receives the log, and is
 //! promoted once it has stored everything that is committed.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use celerygate_types::VmId;
@@ -158,24 +159,26 @@
 /// Returns the change that the leader should propose next, if any.
 ///
 /// A reachable member that replies from an unrecorded store becomes a learner with that store; a
-/// learner that has caught up becomes a voter.
+/// learner that has caught up becomes a voter. The first goes before the second: a promotion can
+/// wait for room in the group, and until then the lost store counts as a voter.
 pub fn next_change(
     members: &[Member],
     progress: impl Fn(&VmId) -> Option<MemberProgress>,
 ) -> Option<MembershipChange> {
-    let candidates = members.iter().filter(|member| is_in_group(member)).filter_map(|member| {
+    let in_group = || members.iter().filter(|member| is_in_group(member));
+    let replaced = in_group().filter_map(|member| {
         let status = progress(&member.vm)?;
-        if status.reachable
+        let is_replaced = status.reachable
             && status.reported_store_id.is_some()
-            && status.reported_store_id != member.store_id
-        {
-            let role = MemberRole::Learner;
-            let added = Member { store_id: status.reported_store_id, role, ..member.clone() };
-            return Some(MembershipChange::AddLearner(added));
-        }
-        (member.role == MemberRole::Learner).then(|| MembershipChange::Promote(member.vm.clone()))
+            && status.reported_store_id != member.store_id;
+        let role = MemberRole::Learner;
+        let added = Member { store_id: status.reported_store_id, role, ..member.clone() };
+        is_replaced.then_some(MembershipChange::AddLearner(added))
     });
-    candidates.into_iter().find(|change| check_change(members, change, &progress).is_ok())
+    let promoted = in_group()
+        .filter(|member| member.role == MemberRole::Learner)
+        .map(|member| MembershipChange::Promote(member.vm.clone()));
+    replaced.chain(promoted).find(|change| check_change(members, change, &progress).is_ok())
 }
 
 /// Time without a reply after which a learner that has caught up replaces a voter. Longer than an
@@ -204,25 +207,31 @@
         quorum(members) > self.lost_disks_max
     }
 
-    /// Returns the next change, given the one that [`next_change`] proposes. While there are enough
-    /// voters, no learner is promoted; a voter that is lost is removed to make room for it.
+    /// Returns the next change, given the one that [`next_change`] proposes.
+    ///
+    /// While there are enough voters, no learner is promoted, except to replace a voter that is
+    /// lost or leaves. A lost voter is removed before the promotion. A leaving voter is removed
+    /// after it: it still answers, so that no moment has fewer voters than the group's size.
     pub fn next_change(
         self,
         members: &[Member],
         proposed: Option<MembershipChange>,
         time_since_reply: impl Fn(&VmId) -> Option<Duration>,
+        is_leaving: impl Fn(&VmId) -> bool,
     ) -> Option<MembershipChange> {
-        let is_full = voters(members).count() >= self.voters();
-        match proposed {
-            Some(MembershipChange::Promote(_)) if is_full => {
+        let leaving = voters(members).find(|voter| is_leaving(&voter.vm));
+        let remove = |voter: &Member| MembershipChange::Remove(voter.vm.clone());
+        match (proposed, voters(members).count().cmp(&self.voters())) {
+            (Some(MembershipChange::Promote(vm)), Ordering::Equal) => {
                 let is_lost = |voter: &&Member| {
                     time_since_reply(&voter.vm)
                         .is_some_and(|time| time >= VOTER_REPLACEMENT_TIMEOUT)
                 };
-                let lost = voters(members).find(is_lost)?;
-                Some(MembershipChange::Remove(lost.vm.clone()))
+                let lost = voters(members).find(is_lost).map(remove);
+                lost.or_else(|| leaving.map(|_| MembershipChange::Promote(vm)))
             }
-            other => other,
+            (Some(MembershipChange::Promote(_)) | None, Ordering::Greater) => leaving.map(remove),
+            (other, _) => other,
         }
     }
 }
