Install the daemon's signal handlers before its listeners open

Callers saw: a daemon that got SIGTERM during its start ended at once, with every connection that its listeners had already accepted; SIGHUP ended it at any time, with all requests in progress.

Cause: the handlers of SIGTERM and SIGINT were installed by `Shutdown::run`, after the listeners were open, the data folder was read and the tasks were started. SIGHUP had no handler, and its default action ends the process.

Fix: `Signals::install` runs before the first listener is opened, and signals that arrive before they are awaited are kept. SIGHUP is logged; the daemon reads its settings at the start only. In the closing phase further signals are logged and change nothing.

--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -22,7 +22,8 @@
 use crate::jobs::{self, Job, Tick};
 use crate::peers::{MessageHandler, Peers};
 use crate::settings::{self, LoadedSettings};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{self, Shutdown};
+use crate::signals::Signals;
 use crate::tables::Tables;
 use crate::telemetry::{self, Metrics};
 use crate::upstream::ConnectionPool;
@@ -62,6 +63,7 @@
 
 async fn run(loaded_settings: LoadedSettings) -> Result<()> {
     let settings = loaded_settings.settings.clone();
+    let mut signals = Signals::install()?;
     let tls = settings.tls.as_ref().map(callers::tls_acceptor).transpose()?;
     let listeners = Listeners {
         callers: listen(&settings.listeners.callers).await?,
@@ -90,7 +92,7 @@
         vm:% = daemon.own_vm, region:% = daemon.location.region, incarnation:% = daemon.incarnation,
         version = env!("CARGO_PKG_VERSION"); "daemon started"
     );
-    serve(&daemon, listeners, tls).await?;
+    serve(&daemon, listeners, tls, &mut signals).await?;
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     log::info!(vm:% = daemon.own_vm; "daemon stopped");
     Ok(())
@@ -101,6 +103,7 @@
     daemon: &Arc<Daemon>,
     listeners: Listeners,
     tls: Option<tokio_rustls::TlsAcceptor>,
+    signals: &mut Signals,
 ) -> Result<()> {
     let callers = tokio::spawn(callers::serve(listeners.callers, tls, Arc::clone(daemon)));
     let targets = announce::endpoints(Arc::clone(daemon));
@@ -115,11 +118,16 @@
         leaving_daemon.send_heartbeats();
         crate::lookup::rebuild(&leaving_daemon);
     };
-    let (stopped, ()) = tokio::join!(daemon.shutdown.run(), announce_leaving);
-    stopped?;
-    callers.await.context("the callers' listener failed")?;
-    targets.await.context("the targets' listener failed")?;
-    operators.await.context("the operators' listener failed")
+    tokio::join!(daemon.shutdown.run(signals), announce_leaving);
+    let finish = async {
+        callers.await.context("the callers' listener failed")?;
+        targets.await.context("the targets' listener failed")?;
+        operators.await.context("the operators' listener failed")
+    };
+    tokio::select! {
+        finished = finish => finished,
+        never = shutdown::ignore_signals(signals) => never,
+    }
 }
 
 async fn listen(address: &str) -> Result<TcpListener> {
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use anyhow::{Context, Result};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::signals::{Request, Signals};
+
 /// Time for which a daemon accepts requests after a stop was requested: callers cache lookup
 /// answers for 5 s, and 1 s covers the transmission of the last answer.
 pub const LEAVING_DURATION: Duration = Duration::from_secs(6);
@@ -55,21 +55,10 @@
         let _ = phase.wait_for(|&phase| phase >= minimum).await;
     }
 
-    /// Waits for SIGTERM or SIGINT, then goes through the phases. A second signal during the
+    /// Waits until a stop is requested, then goes through the phases. A second request during the
     /// leaving phase starts the closing phase at once.
-    ///
-    /// # Errors
-    ///
-    /// When the signal handlers cannot be installed.
-    pub async fn run(&self) -> Result<()> {
-        let mut terminate =
-            signal(SignalKind::terminate()).context("failed to install the SIGTERM handler")?;
-        let mut interrupt =
-            signal(SignalKind::interrupt()).context("failed to install the SIGINT handler")?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+    pub async fn run(&self, signals: &mut Signals) {
+        wait_for_stop(signals).await;
         log::info!(
             phase = "leaving", leave_ms = LEAVING_DURATION.as_millis() as u64;
             "stop requested"
@@ -77,11 +66,24 @@
         self.phase.send_replace(Phase::Leaving);
         tokio::select! {
             () = tokio::time::sleep(LEAVING_DURATION) => {}
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = wait_for_stop(signals) => {}
         }
         log::info!(phase = "closing"; "taking no more requests");
         self.phase.send_replace(Phase::Closing);
-        Ok(())
+    }
+}
+
+async fn wait_for_stop(signals: &mut Signals) {
+    while signals.next().await == Request::Reload {
+        log::warn!("reload requested, but settings are read at the start only");
+    }
+}
+
+/// Handles signals in the closing phase, which has no shorter form: requests in progress are always
+/// finished.
+pub async fn ignore_signals(signals: &mut Signals) -> ! {
+    loop {
+        wait_for_stop(signals).await;
+        log::info!(phase = "closing"; "stop requested again");
     }
 }
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use blake3::Hasher;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use rustix::process::Signal;
 use serde_json::Value;
 use support::caller::{Caller, get};
 use support::daemon::{ALPHA_KEY, Daemon};
@@ -28,18 +29,6 @@
     answer["entries"].as_array().expect("entries").iter().any(|entry| entry["vm"] == "vm-1")
 }
 
-async fn wait_for_exit(daemon: &mut Daemon) {
-    let end = Instant::now() + support::WAIT_TIMEOUT;
-    let status = loop {
-        if let Some(status) = daemon.exit_status() {
-            break status;
-        }
-        assert!(Instant::now() < end, "the daemon did not exit after SIGTERM");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    assert_eq!(status.code(), Some(0), "{status}");
-}
-
 /// Guards against a graceful shutdown that truncates a response in progress, that refuses callers
 /// whose lookup answer is still cached, or that never completes.
 #[tokio::test]
@@ -78,7 +67,7 @@
     }
     assert_eq!(len, DOWNLOAD_BYTES);
     assert_eq!(hasher.finalize(), blake3::hash(&random_bytes(&path, DOWNLOAD_BYTES)));
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
     assert!(daemon.log().contains("daemon stopped"));
 }
 
@@ -91,7 +80,7 @@
     assert_eq!(idle.send(get("/svc/echo/a", Some(ALPHA_KEY))).await.status, StatusCode::OK);
     let _unused = tokio::net::TcpStream::connect(daemon.callers).await.unwrap();
     daemon.terminate();
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
 }
 
 /// Guards against a daemon that, once its listener is closed, still accepts requests on idle
@@ -113,7 +102,7 @@
     let result = last.try_send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
     assert!(result.is_err(), "{result:?}");
     assert!(target.requests().is_empty());
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
 }
 
 /// Guards against a graceful shutdown that leaves data from which the daemon cannot restart.
@@ -122,7 +111,39 @@
     let mut daemon = Daemon::start().await;
     let before = daemon.status().await["revision"].as_u64();
     daemon.terminate();
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
     daemon.start_process().await;
     assert!(daemon.status().await["revision"].as_u64() >= before);
 }
+
+/// Guards against a signal that ends the process because it arrives before its handler is set.
+#[tokio::test]
+async fn terminate_during_start() {
+    let mut daemon = Daemon::start().await;
+    daemon.terminate();
+    daemon.wait_for_exit().await;
+    for _ in 0..5 {
+        daemon.spawn_process();
+        while std::net::TcpStream::connect(daemon.callers).is_err() {}
+        daemon.terminate();
+        daemon.wait_for_exit().await;
+    }
+}
+
+/// Guards against SIGHUP ending the process and its requests.
+#[tokio::test]
+async fn reload_signal_during_request() {
+    let (daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut caller = daemon.caller().await;
+    let held =
+        tokio::spawn(async move { caller.try_send(get("/svc/echo/hold", Some(ALPHA_KEY))).await });
+    eventually("the request runs", async || (!target.requests().is_empty()).then_some(())).await;
+    daemon.signal(Signal::HUP);
+    eventually("the signal is handled", async || {
+        daemon.log().contains("reload requested").then_some(())
+    })
+    .await;
+    target.release();
+    assert_eq!(held.await.unwrap().expect("the request is answered").status, StatusCode::OK);
+}
--- a/crates/daemon/tests/support/daemon.rs
+++ b/crates/daemon/tests/support/daemon.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::{Method, StatusCode};
 use rustix::process::{Pid, Signal, kill_process};
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 use super::caller::{Caller, Reply, request};
-use super::eventually;
+use super::{WAIT_TIMEOUT, eventually};
 
 /// Key of the organisation `alpha`, whose rate limit is far above what the tests send.
 pub const ALPHA_KEY: &str = "alpha-key-0123456789abcdef";
@@ -159,6 +159,18 @@
 
     /// Starts the process, or restarts it after it ended, and waits until it admits requests.
     pub async fn start_process(&mut self) {
+        self.spawn_process();
+        eventually("the daemon leads with a fresh configuration", async || {
+            let reply = self.try_send_to_operators(Method::GET, "/v1/status", None).await?;
+            let status = reply.json();
+            let ready = status["leader"] == "vm-1" && status["fresh"] == true;
+            (ready && !status["in_force_revision"].is_null()).then_some(())
+        })
+        .await;
+    }
+
+    /// Starts the process without waiting for it.
+    pub fn spawn_process(&mut self) {
         let log = fs::File::options()
             .create(true)
             .append(true)
@@ -173,13 +185,6 @@
             .spawn()
             .expect("start the daemon");
         self.child = Some(child);
-        eventually("the daemon leads with a fresh configuration", async || {
-            let reply = self.try_send_to_operators(Method::GET, "/v1/status", None).await?;
-            let status = reply.json();
-            let ready = status["leader"] == "vm-1" && status["fresh"] == true;
-            (ready && !status["in_force_revision"].is_null()).then_some(())
-        })
-        .await;
     }
 
     fn log_path(&self) -> PathBuf {
@@ -199,11 +204,41 @@
         }
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("the process was started");
+        kill_process(Pid::from_child(child), signal).expect("send the signal");
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let child = self.child.as_ref().expect("the process was started");
-        let pid = Pid::from_child(child);
-        kill_process(pid, Signal::TERM).expect("send SIGTERM");
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends SIGTERM twice, so that the daemon skips the leaving phase, and waits until its
+    /// listener for callers is closed.
+    pub async fn terminate_twice(&self) {
+        self.terminate();
+        eventually("the daemon is leaving", async || {
+            self.log().contains("stop requested").then_some(())
+        })
+        .await;
+        self.terminate();
+        eventually("the listener is closed", async || Caller::connect(self.callers).await.err())
+            .await;
+    }
+
+    /// Waits until the process has exited, and asserts that it reports success.
+    pub async fn wait_for_exit(&mut self) {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        let status = loop {
+            if let Some(status) = self.exit_status() {
+                break status;
+            }
+            assert!(Instant::now() < end, "the daemon did not exit after SIGTERM");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        };
+        assert_eq!(status.code(), Some(0), "{status}");
     }
 
     /// Returns the exit status, or `None` while the process is running.
