Close callers' connections without losing the last response

Callers saw: a connection reset instead of the end of a response, whenever bytes of the caller were unread when the daemon closed. This happened to refused uploads (a wrong key, before any byte of the body is read), to responses of a target that answers before it has read the request, to heads above the limit, and to requests pipelined behind a last response. The reset also discards what is still in the daemon's send queue, so that the end of a longer response was lost on any caller.

Cause: the HTTP library shuts the connection down and drops the socket as soon as the response is in the kernel. The kernel answers unread bytes of the peer with a reset. The end of the process did the same, because it waited for connections to be dropped and not for the peer.

Evidence: the five tests of `connections.rs` fail on, for example `close_pipelined_requests` with `the connection is not reset: Os { code: 104, kind: ConnectionReset }` and `close_refused_upload` with `the daemon receives the request: Os { code: 32, kind: BrokenPipe }`; `close_refused_upload_tls` is the same over TLS.

Fix: `http_connection` takes the stream back from the HTTP library and closes it with `close_gracefully`, plain or TLS, if bytes were written within the last 2 s. Otherwise no response can be on its way; then nothing is read, so that a request that crosses the close is visibly unread. A connection counts in `OpenConnections` until then, and the stop waits for that count instead of polling an `Arc`. A failed connection is logged as `connection failed` with its number of incomplete responses; `taking no more requests` has the number of open connections.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Implementation of the celerygate daemon; the binary `celerygated` only parses its command line.
 
+pub mod activity;
 pub mod announce;
 pub mod api;
 pub mod body;
@@ -9,6 +10,7 @@
 pub mod control;
 pub mod daemon;
 pub mod forward;
+pub mod http_connection;
 pub mod idempotency;
 pub mod jobs;
 pub mod links;
--- a/crates/daemon/src/parse_errors.rs
+++ b/crates/daemon/src/parse_errors.rs
@@ -29,8 +29,9 @@
         InFlightRequest(Arc::clone(&self.0))
     }
 
-    fn is_zero(&self) -> bool {
-        self.0.load(Ordering::Acquire) == 0
+    /// Returns the number of requests whose responses are incomplete.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
     }
 }
 
@@ -67,7 +68,7 @@
     }
 
     fn replacement_for(&self, bytes: &[u8]) -> Option<Replacement> {
-        let code = code_of_library_error(bytes).filter(|_| self.in_flight.is_zero())?;
+        let code = code_of_library_error(bytes).filter(|_| self.in_flight.count() == 0)?;
         log::info!(request:% = self.request, code = code.number(); "request head refused");
         Some(Replacement { bytes: error_response(code, &self.request), written_bytes: 0 })
     }
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -1,9 +1,11 @@
 //! Phases of a graceful shutdown.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
 
+use crate::connections::OpenConnections;
 use crate::signals::{Request, Signals};
 
 /// Time for which a daemon accepts requests after a stop was requested: callers cache lookup
@@ -25,11 +27,13 @@
 #[derive(Clone, Debug)]
 pub struct Shutdown {
     phase: watch::Sender<Phase>,
+    /// Connections that the daemon finishes before it exits.
+    pub connections: Arc<OpenConnections>,
 }
 
 impl Default for Shutdown {
     fn default() -> Self {
-        Self { phase: watch::Sender::new(Phase::Serving) }
+        Self { phase: watch::Sender::new(Phase::Serving), connections: Arc::default() }
     }
 }
 
@@ -68,7 +72,10 @@
             () = tokio::time::sleep(LEAVING_DURATION) => {}
             () = wait_for_stop(signals) => {}
         }
-        log::info!(phase = "closing"; "taking no more requests");
+        log::info!(
+            phase = "closing", open_connections = self.connections.count();
+            "taking no more requests"
+        );
         self.phase.send_replace(Phase::Closing);
     }
 }
--- a/crates/daemon/tests/support.rs
+++ b/crates/daemon/tests/support.rs
@@ -6,6 +6,7 @@
 pub mod daemon;
 pub mod raw_target;
 pub mod target;
+pub mod tls;
 
 use std::future::Future;
 use std::time::{Duration, Instant};
