--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -31,9 +31,7 @@
 
 /// Guards against a graceful shutdown that truncates a response in progress, that refuses callers
 /// whose lookup answer is still cached, or that never completes.
-// Has threads of its own for the target's announcements, because generating the download takes
-// longer than a target's lease on a busy machine.
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test]
 async fn terminate_during_download() {
     let (mut daemon, target) = (Daemon::start().await, Target::start().await);
     let _announcement = daemon.announce("target-1", target.address, 3).await;
