Serve every request of which a part was read when the daemon closes

Callers saw: a closed connection without an answer, when the daemon entered its closing phase while it had read (a) a part of a request on a connection that had been used before, or (b) a request pipelined behind a response that was being sent, whose head had not announced the close. A second signal made (a) likely, because the connections are in use then.

Cause: the closing phase asked the HTTP library to shut each connection down. The library considers a used connection idle although its read buffer has a part of a head, and it drops what it has read behind a running response.

Evidence, on: `terminate_partial_head` fails with `closed after ""`, and `terminate_request_behind_download` fails because the connection ends after the download.

Fix: in the closing phase a connection is closed only if no request is running, nothing waits to be written, what was read ends like a head, and nothing was written for 500 ms. Until then requests are served, with `connection: close`. A request behind a response with `connection: close` is not run, which the header tells its caller. After a request with a body, completeness is not known; then the 5 s timeout for a head ends the connection.

--- a/crates/daemon/src/http_connection.rs
+++ b/crates/daemon/src/http_connection.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use celerygate_types::RequestId;
@@ -13,9 +14,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, split};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::activity::{Activity, ActivityStream};
+use crate::activity::{Activity, ActivityStream, IdleState};
 use crate::body::{ResponseBody, TrackedBody};
 use crate::connections::close_gracefully;
 use crate::parse_errors::ErrorResponseRewriter;
@@ -34,6 +35,22 @@
 /// Timeout for writing the end of a TLS session.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without a read or write after which a connection without a running request is closed in the
+/// closing phase. Covers the way of a request that was sent before its sender could know of the
+/// close.
+const QUIET_DURATION: Duration = Duration::from_millis(500);
+
+/// How far a connection is from its close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseState {
+    /// Requests are served; a response may announce the close.
+    Serving,
+    /// Requests that were read are served; the connection is closed once it is idle.
+    WhenIdle,
+    /// The HTTP library was asked to close the connection.
+    Requested,
+}
+
 /// Identifies a connection in the log.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -44,6 +61,9 @@
 }
 
 /// Serves the requests of a connection and closes it.
+///
+/// In the closing phase, every request of which a part was read is still served, unless an earlier
+/// response has announced the close with `connection: close`.
 pub async fn serve<F>(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     peer: Peer,
@@ -73,13 +93,31 @@
         .serve_connection(TokioIo::new(stream), service);
     let served = {
         let mut closing = pin!(shutdown.wait_until_closing());
-        let mut is_closing = false;
+        let mut timer = pin!(sleep(Duration::ZERO));
+        let mut close_state = CloseState::Serving;
         poll_fn(|context| {
-            if !is_closing && closing.as_mut().poll(context).is_ready() {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
+            loop {
+                if let Poll::Ready(served) = connection.poll_without_shutdown(context) {
+                    return Poll::Ready(served);
+                }
+                if close_state == CloseState::Serving && closing.as_mut().poll(context).is_ready() {
+                    close_state = CloseState::WhenIdle;
+                }
+                if close_state != CloseState::WhenIdle || in_flight.count() > 0 {
+                    return Poll::Pending;
+                }
+                match activity.idle_state(QUIET_DURATION, Instant::now()) {
+                    IdleState::Busy => return Poll::Pending,
+                    IdleState::RecentlyUsed { idle_at } => {
+                        timer.as_mut().reset(idle_at);
+                        ready!(timer.as_mut().poll(context));
+                    }
+                    IdleState::Idle => {
+                        Pin::new(&mut connection).graceful_shutdown();
+                        close_state = CloseState::Requested;
+                    }
+                }
             }
-            connection.poll_without_shutdown(context)
         })
         .await
     };
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -13,6 +13,8 @@
 use support::daemon::{ALPHA_KEY, Daemon};
 use support::target::Target;
 use support::{eventually, random_bytes};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Size of the download. It exceeds the sum of all socket and proxy buffers, so that the download
 /// is still in progress when the daemon shuts down.
@@ -147,3 +149,66 @@
     target.release();
     assert_eq!(held.await.unwrap().expect("the request is answered").status, StatusCode::OK);
 }
+
+fn request_bytes(path: &str) -> Vec<u8> {
+    format!("GET /svc/echo{path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ALPHA_KEY}\r\n\r\n")
+        .into_bytes()
+}
+
+/// Reads until the received bytes end with `end`.
+async fn read_until(stream: &mut TcpStream, end: &[u8]) -> Vec<u8> {
+    let mut received = Vec::new();
+    while !received.ends_with(end) {
+        let count = stream.read_buf(&mut received).await.expect("the connection is not reset");
+        assert!(count > 0, "closed after {} bytes", received.len());
+    }
+    received
+}
+
+/// Time after which the daemon has surely read what a caller sent.
+const READ_DELAY: Duration = Duration::from_millis(200);
+
+/// Guards against a connection that is closed as idle although a part of the next request was
+/// read. Also guards against a second signal that cuts a request.
+#[tokio::test]
+async fn terminate_partial_head() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let (mut new, mut used) = (
+        TcpStream::connect(daemon.callers).await.unwrap(),
+        TcpStream::connect(daemon.callers).await.unwrap(),
+    );
+    used.write_all(&request_bytes("/first")).await.unwrap();
+    read_until(&mut used, b"\r\n\r\n/first").await;
+    let request = request_bytes("/second");
+    let (begin, end) = request.split_at(20);
+    for stream in [&mut new, &mut used] {
+        stream.write_all(begin).await.unwrap();
+    }
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for stream in [&mut new, &mut used] {
+        stream.write_all(end).await.unwrap();
+        let response = read_until(stream, b"\r\n\r\n/second").await;
+        assert!(String::from_utf8_lossy(&response).contains("connection: close"));
+    }
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against a request that is dropped because it was read while an earlier response, whose
+/// head did not announce the close, was being sent.
+#[tokio::test]
+async fn terminate_request_behind_download() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+    let path = format!("/bytes/{DOWNLOAD_BYTES}");
+    stream.write_all(&request_bytes(&path)).await.unwrap();
+    stream.read_exact(&mut [0; 1_024]).await.unwrap();
+    stream.write_all(&request_bytes("/behind")).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    read_until(&mut stream, b"\r\n\r\n/behind").await;
+    daemon.wait_for_exit().await;
+}
