Accept the queued connections before a listener is closed

Callers saw: a reset on connections that the kernel had accepted and the daemon had not, when it closed its listener. Their requests may have been sent in full.

Cause: the accept loop ended as soon as the closing phase began, and dropping a listener resets what is in its accept queue.

Evidence, on: `terminate_accept_queue`, which suspends the process while 30 callers connect and send, fails with `the connection is not reset: Os { code: 104, kind: ConnectionReset }`. It passes now: all 30 requests are answered.

Fix: `listener::serve` accepts what is in the queue, without waiting, and then closes the listener. What arrives between the last accept and the close is still reset, unread.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -3,13 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use anyhow::{Context, Result};
 use celerygate_types::wire::TlsSettings;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
@@ -19,12 +17,10 @@
 use crate::daemon::Daemon;
 use crate::forward;
 use crate::http_connection::{self, HEAD_TIMEOUT, Peer};
+use crate::listener;
 
 /// Maximum number of concurrent connections; each uses a read buffer of 32 KiB.
 const MAX_CONNECTIONS: usize = 8_192;
-/// Pause after a failure to accept a connection, for example for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// Loads the certificate and the private key for TLS.
 ///
 /// # Errors
@@ -47,42 +43,19 @@
 /// Serves callers until the daemon enters the closing phase, then finishes the requests in
 /// progress.
 pub async fn serve(listener: TcpListener, tls: Option<TlsAcceptor>, daemon: Arc<Daemon>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
-            () = daemon.shutdown.wait_until_closing() => break,
-        };
-        let Some((stream, address, permit)) = accepted else { continue };
+    let handle = |stream, address| {
         let (tls, daemon) = (tls.clone(), Arc::clone(&daemon));
-        let open = daemon.shutdown.connections.begin();
-        tokio::spawn(async move {
+        async move {
             if let Err(error) = handle_connection(stream, address, tls, daemon).await {
                 log::debug!(
                     caller:% = address, error:% = format!("{error:#}");
                     "connection from a caller failed"
                 );
             }
-            drop((permit, open));
-        });
-    }
-    drop(listener);
-    daemon.shutdown.connections.wait_until_closed().await;
-}
-
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Ok((stream, address)) => Some((stream, address, permit)),
-        Err(error) => {
-            log::warn!(error:% = error; "connection not accepted");
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            None
         }
-    }
+    };
+    listener::serve(listener, MAX_CONNECTIONS, &daemon.shutdown, handle).await;
+    daemon.shutdown.connections.wait_until_closed().await;
 }
 
 async fn handle_connection(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod idempotency;
 pub mod jobs;
 pub mod links;
+pub mod listener;
 pub mod locks;
 pub mod lookup;
 pub mod measure;
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -212,3 +212,32 @@
     read_until(&mut stream, b"\r\n\r\n/behind").await;
     daemon.wait_for_exit().await;
 }
+
+/// Guards against connections that are reset in the kernel's accept queue when the listener is
+/// closed.
+#[tokio::test]
+async fn terminate_accept_queue() {
+    const CONNECTIONS: usize = 30;
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    daemon.terminate();
+    eventually("the daemon is leaving", async || {
+        daemon.log().contains("stop requested").then_some(())
+    })
+    .await;
+    // While the process is suspended, the kernel accepts connections and keeps the signal.
+    daemon.signal(Signal::STOP);
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+        stream.write_all(&request_bytes("/queued")).await.unwrap();
+        streams.push(stream);
+    }
+    daemon.terminate();
+    daemon.signal(Signal::CONT);
+    for stream in &mut streams {
+        read_until(stream, b"\r\n\r\n/queued").await;
+    }
+    assert_eq!(target.requests().len(), CONNECTIONS);
+    daemon.wait_for_exit().await;
+}
