Serve the targets' and operators' APIs like the callers

Operators saw: a daemon that never exited after SIGTERM, when a client of the targets' or the operators' API had sent a part of a request and then nothing.

Cause: poem's server waits for its connections without a limit, and has no timeout for a head or a body.

Evidence, on: `terminate_stalled_api_request` fails with `the daemon did not exit after SIGTERM` after 60 s. `terminate_during_api_call`, an intent whose body arrives in the closing phase, passed before the change and passes after it.

Fix: poem keeps routing, and the connections are those of `listener` and `http_connection`: 5 s for a head, an idle connection closed after 5 s, 10 s for a body (refused with code 1000). An operator's call or an announcement of which a part was read is answered before the exit. A head that cannot be parsed gets the usual error body.

--- a/crates/daemon/src/api.rs
+++ b/crates/daemon/src/api.rs
@@ -1,19 +1,32 @@
 //! Shared code of the targets' and the operators' HTTP APIs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use celerygate_types::ResultCode;
+use http_body_util::BodyExt;
+use poem::http::uri::Scheme;
 use poem::http::{Method, StatusCode, header};
-use poem::listener::TcpAcceptor;
-use poem::{Endpoint, Request, Response, Server};
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Endpoint, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
+use crate::body::BodyError;
 use crate::daemon::Daemon;
 use crate::forward::REQUEST_ID_HEADER;
+use crate::http_connection::{self, Peer};
+use crate::listener;
 use crate::refusal::Refusal;
 
+/// Maximum number of concurrent connections of one API; more than the targets and operators of the
+/// largest deployment.
+const MAX_CONNECTIONS: usize = 8_192;
+/// Timeout for receiving a body of up to [`MAX_BODY_BYTES`].
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest body of a request to these APIs.
 const MAX_BODY_BYTES: usize = 64 * 1_024;
 
@@ -26,24 +39,40 @@
     Operators,
 }
 
-/// Serves an API until the daemon enters its closing phase.
+/// Serves an API until the daemon enters its closing phase, then finishes the requests in progress.
 pub async fn serve(
     listener: TcpListener,
     endpoints: impl Endpoint<Output = Response> + 'static,
     daemon: Arc<Daemon>,
 ) {
-    let acceptor = match TcpAcceptor::from_tokio(listener) {
-        Ok(acceptor) => acceptor,
+    let endpoints = Arc::new(endpoints);
+    let local_address = match listener.local_addr() {
+        Ok(address) => LocalAddr(address.into()),
         Err(error) => {
             log::error!(error:% = error; "failed to use the listener");
             return;
         }
     };
-    let server = Server::new_with_acceptor(acceptor);
-    let closing = { async move { daemon.shutdown.wait_until_closing().await } };
-    if let Err(error) = server.run_with_graceful_shutdown(endpoints, closing, None).await {
-        log::error!(error:% = error; "listener failed");
-    }
+    let handle = |stream: TcpStream, address: SocketAddr| {
+        let (daemon, endpoints) = (Arc::clone(&daemon), Arc::clone(&endpoints));
+        let local_address = local_address.clone();
+        async move {
+            let peer = Peer { id: daemon.next_request_id(), address };
+            let respond = move |request| {
+                let endpoints = Arc::clone(&endpoints);
+                let addresses = (local_address.clone(), RemoteAddr(address.into()));
+                async move {
+                    let request = (request, addresses.0, addresses.1, Scheme::HTTP).into();
+                    let response = endpoints.get_response(request).await;
+                    hyper::Response::from(response)
+                        .map(|body| body.map_err(BodyError::from).boxed_unsync())
+                }
+            };
+            http_connection::serve(stream, peer, &daemon.shutdown, respond).await;
+        }
+    };
+    listener::serve(listener, MAX_CONNECTIONS, &daemon.shutdown, handle).await;
+    daemon.shutdown.connections.wait_until_closed().await;
 }
 
 /// Checks credential and method, reads the body and passes it to the handler. Refusals become JSON
@@ -58,8 +87,8 @@
     let id = daemon.next_request_id();
     let result = match authorise(daemon, api, &method, &request) {
         Err(refusal) => Err(refusal),
-        Ok(()) => match request.take_body().into_bytes_limit(MAX_BODY_BYTES).await {
-            Err(_) => Err(ResultCode::BodyTooLarge.into()),
+        Ok(()) => match read_body(&mut request).await {
+            Err(refusal) => Err(refusal),
             Ok(body) => handler(daemon, &body).await,
         },
     };
@@ -78,6 +107,18 @@
     Ok(response)
 }
 
+async fn read_body(request: &mut Request) -> Result<Vec<u8>, Refusal> {
+    let body = request.take_body().into_bytes_limit(MAX_BODY_BYTES);
+    match timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.into()),
+        Ok(Err(_)) => Err(ResultCode::BodyTooLarge.into()),
+        Err(_) => {
+            let detail = format!("The body was incomplete after {} s.", BODY_TIMEOUT.as_secs());
+            Err(Refusal::with_detail(ResultCode::BadRequest, detail))
+        }
+    }
+}
+
 /// Refuses a request for an unknown path.
 pub async fn unknown_path(
     daemon: Arc<Daemon>,
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -8,9 +8,9 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::caller::{Caller, get};
-use support::daemon::{ALPHA_KEY, Daemon};
+use support::daemon::{ALPHA_KEY, Daemon, OPERATORS_TOKEN, TARGETS_TOKEN};
 use support::target::Target;
 use support::{eventually, random_bytes};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -241,3 +241,50 @@
     assert_eq!(target.requests().len(), CONNECTIONS);
     daemon.wait_for_exit().await;
 }
+
+/// Guards against a daemon that never exits because a client of its APIs sends a part of a request
+/// and then nothing.
+#[tokio::test]
+async fn terminate_stalled_api_request() {
+    let mut daemon = Daemon::start().await;
+    let mut head = TcpStream::connect(daemon.operators).await.unwrap();
+    head.write_all(b"GET /v1/status HTTP/1.1\r\nhost: a\r\n").await.unwrap();
+    let mut body = TcpStream::connect(daemon.targets).await.unwrap();
+    let request = format!(
+        "POST /v1/announce HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TARGETS_TOKEN}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    body.write_all(request.as_bytes()).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate();
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against an operator's call that is not answered because the daemon stops while the call
+/// is being received.
+#[tokio::test]
+async fn terminate_during_api_call() {
+    let mut daemon = Daemon::start().await;
+    let mut stream = TcpStream::connect(daemon.operators).await.unwrap();
+    let body = json!({
+        "intent": "stop-1", "based_on": null,
+        "kind": {"key_withdraw": {"organisation": "small", "key": "small-1"}},
+    })
+    .to_string();
+    let head = format!(
+        "POST /v1/intents HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {OPERATORS_TOKEN}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let (begin, end) = body.split_at(10);
+    stream.write_all((head + begin).as_bytes()).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    stream.write_all(end.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.expect("the connection is not reset");
+    let response = String::from_utf8_lossy(&response);
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(response.contains("stop-1"), "{response}");
+    daemon.wait_for_exit().await;
+}
