--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -2,16 +2,19 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use blake3::Hasher;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use serde_json::Value;
+use rustix::process::Signal;
+use serde_json::{Value, json};
 use support::caller::{Caller, get};
-use support::daemon::{ALPHA_KEY, Daemon};
+use support::daemon::{ALPHA_KEY, Daemon, OPERATORS_TOKEN, TARGETS_TOKEN};
 use support::target::Target;
 use support::{eventually, random_bytes};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Size of the download. It exceeds the sum of all socket and proxy buffers, so that the download
 /// is still in progress when the daemon shuts down.
@@ -28,18 +31,6 @@
     answer["entries"].as_array().expect("entries").iter().any(|entry| entry["vm"] == "vm-1")
 }
 
-async fn wait_for_exit(daemon: &mut Daemon) {
-    let end = Instant::now() + support::WAIT_TIMEOUT;
-    let status = loop {
-        if let Some(status) = daemon.exit_status() {
-            break status;
-        }
-        assert!(Instant::now() < end, "the daemon did not exit after SIGTERM");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    assert_eq!(status.code(), Some(0), "{status}");
-}
-
 /// Guards against a graceful shutdown that truncates a response in progress, that refuses callers
 /// whose lookup answer is still cached, or that never completes.
 #[tokio::test]
@@ -78,7 +69,7 @@
     }
     assert_eq!(len, DOWNLOAD_BYTES);
     assert_eq!(hasher.finalize(), blake3::hash(&random_bytes(&path, DOWNLOAD_BYTES)));
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
     assert!(daemon.log().contains("daemon stopped"));
 }
 
@@ -91,7 +82,7 @@
     assert_eq!(idle.send(get("/svc/echo/a", Some(ALPHA_KEY))).await.status, StatusCode::OK);
     let _unused = tokio::net::TcpStream::connect(daemon.callers).await.unwrap();
     daemon.terminate();
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
 }
 
 /// Guards against a daemon that, once its listener is closed, still accepts requests on idle
@@ -113,7 +104,7 @@
     let result = last.try_send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
     assert!(result.is_err(), "{result:?}");
     assert!(target.requests().is_empty());
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
 }
 
 /// Guards against a graceful shutdown that leaves data from which the daemon cannot restart.
@@ -122,7 +113,178 @@
     let mut daemon = Daemon::start().await;
     let before = daemon.status().await["revision"].as_u64();
     daemon.terminate();
-    wait_for_exit(&mut daemon).await;
+    daemon.wait_for_exit().await;
     daemon.start_process().await;
     assert!(daemon.status().await["revision"].as_u64() >= before);
 }
+
+/// Guards against a signal that ends the process because it arrives before its handler is set.
+#[tokio::test]
+async fn terminate_during_start() {
+    let mut daemon = Daemon::start().await;
+    daemon.terminate();
+    daemon.wait_for_exit().await;
+    for _ in 0..5 {
+        daemon.spawn_process();
+        while std::net::TcpStream::connect(daemon.callers).is_err() {}
+        daemon.terminate();
+        daemon.wait_for_exit().await;
+    }
+}
+
+/// Guards against SIGHUP ending the process and its requests.
+#[tokio::test]
+async fn reload_signal_during_request() {
+    let (daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut caller = daemon.caller().await;
+    let held =
+        tokio::spawn(async move { caller.try_send(get("/svc/echo/hold", Some(ALPHA_KEY))).await });
+    eventually("the request runs", async || (!target.requests().is_empty()).then_some(())).await;
+    daemon.signal(Signal::HUP);
+    eventually("the signal is handled", async || {
+        daemon.log().contains("reload requested").then_some(())
+    })
+    .await;
+    target.release();
+    assert_eq!(held.await.unwrap().expect("the request is answered").status, StatusCode::OK);
+}
+
+fn request_bytes(path: &str) -> Vec<u8> {
+    format!("GET /svc/echo{path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ALPHA_KEY}\r\n\r\n")
+        .into_bytes()
+}
+
+/// Reads until the received bytes end with `end`.
+async fn read_until(stream: &mut TcpStream, end: &[u8]) -> Vec<u8> {
+    let mut received = Vec::new();
+    while !received.ends_with(end) {
+        let count = stream.read_buf(&mut received).await.expect("the connection is not reset");
+        assert!(count > 0, "closed after {} bytes", received.len());
+    }
+    received
+}
+
+/// Time after which the daemon has surely read what a caller sent.
+const READ_DELAY: Duration = Duration::from_millis(200);
+
+/// Guards against a connection that is closed as idle although a part of the next request was
+/// read. Also guards against a second signal that cuts a request.
+#[tokio::test]
+async fn terminate_partial_head() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let (mut new, mut used) = (
+        TcpStream::connect(daemon.callers).await.unwrap(),
+        TcpStream::connect(daemon.callers).await.unwrap(),
+    );
+    used.write_all(&request_bytes("/first")).await.unwrap();
+    read_until(&mut used, b"\r\n\r\n/first").await;
+    let request = request_bytes("/second");
+    let (begin, end) = request.split_at(20);
+    for stream in [&mut new, &mut used] {
+        stream.write_all(begin).await.unwrap();
+    }
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for stream in [&mut new, &mut used] {
+        stream.write_all(end).await.unwrap();
+        let response = read_until(stream, b"\r\n\r\n/second").await;
+        assert!(String::from_utf8_lossy(&response).contains("connection: close"));
+    }
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against a request that is dropped because it was read while an earlier response, whose
+/// head did not announce the close, was being sent.
+#[tokio::test]
+async fn terminate_request_behind_download() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+    let path = format!("/bytes/{DOWNLOAD_BYTES}");
+    stream.write_all(&request_bytes(&path)).await.unwrap();
+    stream.read_exact(&mut [0; 1_024]).await.unwrap();
+    stream.write_all(&request_bytes("/behind")).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    read_until(&mut stream, b"\r\n\r\n/behind").await;
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against connections that are reset in the kernel's accept queue when the listener is
+/// closed.
+#[tokio::test]
+async fn terminate_accept_queue() {
+    const CONNECTIONS: usize = 30;
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    daemon.terminate();
+    eventually("the daemon is leaving", async || {
+        daemon.log().contains("stop requested").then_some(())
+    })
+    .await;
+    // While the process is suspended, the kernel accepts connections and keeps the signal.
+    daemon.signal(Signal::STOP);
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+        stream.write_all(&request_bytes("/queued")).await.unwrap();
+        streams.push(stream);
+    }
+    daemon.terminate();
+    daemon.signal(Signal::CONT);
+    for stream in &mut streams {
+        read_until(stream, b"\r\n\r\n/queued").await;
+    }
+    assert_eq!(target.requests().len(), CONNECTIONS);
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against a daemon that never exits because a client of its APIs sends a part of a request
+/// and then nothing.
+#[tokio::test]
+async fn terminate_stalled_api_request() {
+    let mut daemon = Daemon::start().await;
+    let mut head = TcpStream::connect(daemon.operators).await.unwrap();
+    head.write_all(b"GET /v1/status HTTP/1.1\r\nhost: a\r\n").await.unwrap();
+    let mut body = TcpStream::connect(daemon.targets).await.unwrap();
+    let request = format!(
+        "POST /v1/announce HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TARGETS_TOKEN}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    body.write_all(request.as_bytes()).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate();
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against an operator's call that is not answered because the daemon stops while the call
+/// is being received.
+#[tokio::test]
+async fn terminate_during_api_call() {
+    let mut daemon = Daemon::start().await;
+    let mut stream = TcpStream::connect(daemon.operators).await.unwrap();
+    let body = json!({
+        "intent": "stop-1", "based_on": null,
+        "kind": {"key_withdraw": {"organisation": "small", "key": "small-1"}},
+    })
+    .to_string();
+    let head = format!(
+        "POST /v1/intents HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {OPERATORS_TOKEN}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let (begin, end) = body.split_at(10);
+    stream.write_all((head + begin).as_bytes()).await.unwrap();
+    tokio::time::sleep(READ_DELAY).await;
+    daemon.terminate_twice().await;
+    stream.write_all(end.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.expect("the connection is not reset");
+    let response = String::from_utf8_lossy(&response);
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(response.contains("stop-1"), "{response}");
+    daemon.wait_for_exit().await;
+}
