Believe only responses that are proven to be about the request

Callers could be told "not run, try again" for a request that a target was running: a head that a faulty target cut, with a complete refusal behind it, parses as one head with the status 200, the id of the request and the statement that it has not run. Only the first id of a head was compared, the status was not looked at, and the empty id of a request without one matched an empty id in a response.

The decision is now one function without network, `response_kind`, with an enum result: a response must name exactly the id that was sent, once; a statement that the request has not run needs the status of a failure; a switch of protocols and a transfer coding that is not decoded are rejected. A rejected response counts as possibly run, never as not run, and its connection is closed: the response may still follow, but is not waited for. Each rejection is a log line with request, target, status, ids and reason.

The fleet's path had no tests with a target. `crates/fleet/tests` now has a daemon with stand-in targets.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -221,6 +222,13 @@
     Ok(sender)
 }
 
+/// Returns whether a response has a transfer coding other than `chunked`. Only `chunked` is decoded,
+/// and the header that names the coding is not forwarded.
+pub fn has_other_coding(headers: &HeaderMap) -> bool {
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    headers.get_all(TRANSFER_ENCODING).iter().any(|value| !is_chunked(value))
+}
+
 /// Body of a target's response. Dropping it before its end closes the connection, which cancels the
 /// request at the target.
 pub struct TargetBody {
--- a/crates/daemon/tests/support/raw_target.rs
+++ b/crates/daemon/tests/support/raw_target.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use super::position;
 
@@ -16,6 +18,12 @@
 /// Delay between a response and the unsolicited bytes after it.
 pub const LATE_BYTES_DELAY: Duration = Duration::from_millis(200);
 
+/// Interval between the repeated bytes of an endless response.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Delay between the end of the listener and that of the connection.
+const STOP_DELAY: Duration = Duration::from_millis(10);
+
 /// How a `RawTarget` responds to a request.
 #[derive(Clone, Debug)]
 pub enum ScriptedResponse {
@@ -27,6 +35,13 @@
     LateBytes(Vec<u8>, Vec<u8>),
     /// Sends the bytes and then nothing until the daemon closes the connection.
     Stall(Vec<u8>),
+    /// Sends the bytes and resets the connection.
+    Reset(Vec<u8>),
+    /// Stops accepting connections and closes this one.
+    StopTarget,
+    /// Sends the first bytes and then the second ones, every millisecond, until the daemon closes
+    /// the connection.
+    Endless(Vec<u8>, Vec<u8>),
 }
 
 /// A received request.
@@ -41,7 +56,15 @@
 /// A stand-in target that answers each request with a `ScriptedResponse`.
 pub struct RawTarget {
     pub address: SocketAddr,
-    requests: Arc<Mutex<Vec<RawRequest>>>,
+    state: Arc<TargetState>,
+}
+
+#[derive(Default)]
+struct TargetState {
+    requests: Mutex<Vec<RawRequest>>,
+    endless_bytes: AtomicUsize,
+    endless_closed: AtomicUsize,
+    stopped: Notify,
 }
 
 impl RawTarget {
@@ -51,22 +74,36 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
         let address = listener.local_addr().expect("local address of the listener");
-        let requests = Arc::<Mutex<Vec<RawRequest>>>::default();
-        let (answer, accept_requests) = (Arc::new(answer), Arc::clone(&requests));
+        let state = Arc::<TargetState>::default();
+        let (answer, accept_state) = (Arc::new(answer), Arc::clone(&state));
         tokio::spawn(async move {
             let mut connection = 0;
-            while let Ok((stream, _)) = listener.accept().await {
-                let (answer, requests) = (Arc::clone(&answer), Arc::clone(&accept_requests));
-                tokio::spawn(async move { serve(stream, connection, &*answer, &requests).await });
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.expect("a connection").0,
+                    () = accept_state.stopped.notified() => return,
+                };
+                let (answer, state) = (Arc::clone(&answer), Arc::clone(&accept_state));
+                tokio::spawn(async move { serve(stream, connection, &*answer, &state).await });
                 connection += 1;
             }
         });
-        Self { address, requests }
+        Self { address, state }
     }
 
     /// Returns all requests received so far.
     pub fn requests(&self) -> Vec<RawRequest> {
-        self.requests.lock().clone()
+        self.state.requests.lock().clone()
+    }
+
+    /// Returns the number of bytes that were sent repeatedly in endless responses.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.endless_bytes.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of endless responses that ended because the daemon closed the connection.
+    pub fn endless_closed(&self) -> usize {
+        self.state.endless_closed.load(Ordering::SeqCst)
     }
 }
 
@@ -74,11 +111,11 @@
     mut stream: TcpStream,
     connection: usize,
     answer: &(impl Fn(usize, &str) -> ScriptedResponse + Sync),
-    requests: &Mutex<Vec<RawRequest>>,
+    state: &TargetState,
 ) {
     while let Some(text) = read_request(&mut stream).await {
         let number = {
-            let mut requests = requests.lock();
+            let mut requests = state.requests.lock();
             requests.push(RawRequest { connection, text: text.clone() });
             requests.len() - 1
         };
@@ -105,8 +142,43 @@
                 let _ = stream.read(&mut [0; 64]).await;
                 return;
             }
+            ScriptedResponse::Reset(bytes) => {
+                let _ = stream.write_all(&bytes).await;
+                // The reset must not overtake the bytes, which the kernel would then discard.
+                tokio::time::sleep(LATE_BYTES_DELAY).await;
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            ScriptedResponse::StopTarget => {
+                state.stopped.notify_one();
+                // The listener is closed before the daemon notices the end of the connection.
+                tokio::time::sleep(STOP_DELAY).await;
+                return;
+            }
+            ScriptedResponse::Endless(first, repeated) => {
+                let _ = stream.write_all(&first).await;
+                send_endless(&mut stream, &repeated, state).await;
+                return;
+            }
+        }
+    }
+}
+
+async fn send_endless(stream: &mut TcpStream, repeated: &[u8], state: &TargetState) {
+    let (mut reader, mut writer) = stream.split();
+    let write = async {
+        while writer.write_all(repeated).await.is_ok() {
+            state.endless_bytes.fetch_add(repeated.len(), Ordering::SeqCst);
+            tokio::time::sleep(ENDLESS_INTERVAL).await;
         }
+    };
+    let mut buffer = [0; 64];
+    // The read ends when the daemon closes the connection, also while a write waits.
+    tokio::select! {
+        () = write => {}
+        _ = reader.read(&mut buffer) => {}
     }
+    state.endless_closed.fetch_add(1, Ordering::SeqCst);
 }
 
 /// Reads one request. Returns `None` at the end of the connection.
--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -13,6 +13,7 @@
 use celerygate_types::{OrganisationId, ResultCode, TargetId};
 use hyper::HeaderMap;
 use hyper::http::{request, response};
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 /// Metadata of a caller's request.
@@ -44,8 +45,8 @@
 /// Metadata of a target's response.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMetadata {
-    /// Id of the attempt that the response belongs to.
-    pub request: Option<SmolStr>,
+    /// Ids of the attempts that the response names: one, unless the response is malformed.
+    pub requests: SmallVec<[SmolStr; 1]>,
     /// Whether the target states that it has not run the request.
     pub is_not_run: bool,
     /// Whether the response carries a target's signature; without it, an intermediary may have
--- /dev/null
+++ b/crates/fleet/src/forward/attempt.rs
@@ -0,0 +1,168 @@
+//! One attempt at a target: the forwarded request and the result of sending it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use celerygate_daemon::upstream::{ConnectionReuse, RequestBody, SendError};
+use celerygate_steering::headers::HeaderFilter;
+use celerygate_steering::placement::AttemptEnd;
+use celerygate_steering::routing::Repeatable;
+use celerygate_types::{ResultCode, TargetId};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::header::HeaderMap;
+use hyper::http::request;
+use hyper::{Request, Response};
+use tokio::time::{Instant as TokioInstant, timeout_at};
+
+use super::response::{ResponseResult, read_response};
+use super::{AdmittedRequest, ResponseBody, organisation_text};
+use crate::adapter::ForwardMetadata;
+use crate::daemon::Daemon;
+use crate::targets::{AttemptGuard, ChosenTarget, CompletedAttempt};
+
+/// Result of one attempt at a target.
+pub(super) enum AttemptResult {
+    /// Response for the caller.
+    Response(Response<ResponseBody>),
+    /// The request did not reach the target and has not run.
+    NotRun(ResultCode),
+    /// The target rejected the request without running it.
+    Rejected {
+        /// Whether the target reported a free slot.
+        had_free_slot: bool,
+    },
+    /// The target may have run the request.
+    Failed(ResultCode),
+}
+
+/// Sends a request to a target and reads the response.
+pub(super) async fn attempt(
+    daemon: &Arc<Daemon>,
+    parts: &request::Parts,
+    body: &Bytes,
+    admitted: &AdmittedRequest<'_>,
+    chosen: &ChosenTarget,
+    arrived_at: Instant,
+) -> AttemptResult {
+    let attempt_guard = AttemptGuard::new(daemon, chosen);
+    let started = daemon.now();
+    let Ok(address) = chosen.address.parse::<SocketAddr>() else {
+        log::error!(target_id = chosen.instance.as_str(), address = chosen.address.as_str();
+            "invalid target address");
+        attempt_guard.end_unreachable();
+        return AttemptResult::NotRun(ResultCode::TargetUnreachable);
+    };
+    let send = |connection| {
+        let instance = &chosen.instance;
+        let request = forwarded_request(daemon, parts, body, admitted, instance, daemon.now());
+        daemon.pool.send(address, chosen.network_path, connection, request)
+    };
+    let deadline = TokioInstant::now() + admitted.deadline.saturating_duration_since(started);
+    let is_repeatable = admitted.route.repeatable == Repeatable::Always;
+    let connection = if is_repeatable { ConnectionReuse::Any } else { ConnectionReuse::Recent };
+    let mut outcome = timeout_at(deadline, send(connection)).await;
+    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error })) = &outcome
+        && is_repeatable
+    {
+        log::info!(request = admitted.metadata.request.as_str(), error:% = error,
+            target_id = chosen.instance.as_str();
+            "idle connection lost, resent request on a new one");
+        outcome = timeout_at(deadline, send(ConnectionReuse::New)).await;
+    }
+    let (attempt, end) = match outcome {
+        Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
+        Ok(Err(SendError::NotConnected { reason, .. } | SendError::NotSent { reason, .. })) => {
+            log::info!(request = admitted.metadata.request.as_str(), reason = reason.as_str(),
+                target_id = chosen.instance.as_str(); "failed to reach target");
+            attempt_guard.end_unreachable();
+            log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
+            return AttemptResult::NotRun(ResultCode::TargetUnreachable);
+        }
+        Ok(Err(SendError::NoResponse { error, .. })) => {
+            log::info!(request = admitted.metadata.request.as_str(), error:% = error,
+                target_id = chosen.instance.as_str(); "no response from the target");
+            attempt_guard.end(AttemptEnd::Failed, None);
+            log_attempt(daemon, admitted, chosen, arrived_at, "no-response");
+            return AttemptResult::Failed(ResultCode::TargetFailed);
+        }
+        Ok(Ok(response)) => {
+            let read =
+                timeout_at(deadline, read_response(daemon, admitted, chosen, response)).await;
+            match read {
+                Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
+                Ok(ResponseResult { attempt, end, load, outcome }) => {
+                    if end == AttemptEnd::Answered {
+                        attempt_guard.record_time(
+                            chosen,
+                            &CompletedAttempt {
+                                service: admitted.service,
+                                object: admitted.object,
+                                target_latency: admitted.route.target_latency,
+                                time: daemon.now().saturating_duration_since(started),
+                            },
+                        );
+                    }
+                    attempt_guard.end(end, load);
+                    log_attempt(daemon, admitted, chosen, arrived_at, outcome);
+                    return attempt;
+                }
+            }
+        }
+    };
+    attempt_guard.end(AttemptEnd::Abandoned, None);
+    log_attempt(daemon, admitted, chosen, arrived_at, end);
+    attempt
+}
+
+fn log_attempt(
+    daemon: &Daemon,
+    admitted: &AdmittedRequest<'_>,
+    chosen: &ChosenTarget,
+    arrived_at: Instant,
+    outcome: &'static str,
+) {
+    let elapsed = daemon.now().saturating_duration_since(arrived_at);
+    log::info!(request = admitted.metadata.request.as_str(), route = admitted.route.name.as_str(),
+        organisation = organisation_text(admitted.organisation), object = admitted.object,
+        token = admitted.token.map(|token| token.to_string()),
+        sent_ms = chosen.chosen_at.saturating_duration_since(arrived_at).as_millis() as u64,
+        target_id = chosen.instance.as_str(), reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
+        considered = chosen.target_count, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
+        "attempt ended");
+    let code = if outcome == "answered" { 0 } else { ResultCode::TargetFailed.number() };
+    daemon.metrics.count_request(admitted.service.as_str(), code, elapsed.as_secs_f64());
+}
+
+fn forwarded_request(
+    daemon: &Daemon,
+    parts: &request::Parts,
+    body: &Bytes,
+    admitted: &AdmittedRequest<'_>,
+    instance: &TargetId,
+    now: Instant,
+) -> Request<RequestBody> {
+    let all = || parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let filter = HeaderFilter::for_request(all());
+    let mut headers = HeaderMap::with_capacity(parts.headers.len() + 3);
+    for (name, value) in &parts.headers {
+        if filter.should_forward(name.as_str(), value.as_bytes())
+            && !(daemon.adapter.is_own_header)(name.as_str())
+        {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let forward = ForwardMetadata {
+        remaining: admitted.deadline.saturating_duration_since(now),
+        instance,
+        organisation: admitted.organisation,
+    };
+    (daemon.adapter.write_request)(admitted.metadata, &forward, &mut headers);
+    let body = Full::new(body.clone()).map_err(|never| match never {}).boxed_unsync();
+    let mut request = Request::new(body);
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = parts.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -1,8 +1,9 @@
 //! Reads a target's response and decides whether the attempt succeeded.
 
-use celerygate_daemon::upstream::TargetBody;
+use celerygate_daemon::upstream::{TargetBody, has_other_coding};
 use celerygate_steering::headers::HeaderFilter;
 use celerygate_steering::placement::{AttemptEnd, ReportedLoad};
+use celerygate_steering::responses::{EchoRule, ResponseHead, ResponseKind, response_kind};
 use celerygate_steering::routing::Repeatable;
 use celerygate_types::ResultCode;
 use http_body_util::BodyExt;
@@ -11,7 +12,9 @@
 use hyper::header::HeaderMap;
 use hyper::http::response;
 
-use super::{AdmittedRequest, AttemptResult, ResponseBody, full_body};
+use super::attempt::AttemptResult;
+use super::{AdmittedRequest, ResponseBody, full_body};
+use crate::adapter::ResponseMetadata;
 use crate::daemon::Daemon;
 use crate::targets::ChosenTarget;
 
@@ -35,21 +38,21 @@
 ) -> ResponseResult {
     let (parts, body) = response.into_parts();
     let metadata = (daemon.adapter.read_response)(&parts);
-    if metadata.request.as_ref() != Some(&admitted.metadata.request) {
-        // A surplus response to an earlier request; the response to this request may still follow
-        // on the connection.
+    let kind = kind_of(admitted, &parts, &metadata);
+    if let ResponseKind::Rejected(reason) = kind {
+        log::warn!(request = admitted.metadata.request.as_str(), reason:% = reason,
+            target_id = chosen.instance.as_str(), status = parts.status.as_u16(),
+            named:? = metadata.requests;
+            "rejected a response that is not proven to be about the request");
+        // The response to this request may still follow on the connection. It is not waited for:
+        // the bytes of a target that has sent wrong ones are not trusted.
         body.discard();
-        let load = None;
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
-        return ResponseResult {
-            attempt,
-            end: AttemptEnd::Failed,
-            load,
-            outcome: "foreign-response",
-        };
+        let outcome = "foreign-response";
+        return ResponseResult { attempt, end: AttemptEnd::Failed, load: None, outcome };
     }
     let load = metadata.load;
-    if metadata.is_not_run {
+    if kind == ResponseKind::NotRun {
         if body.collect().await.is_err() {
             log::debug!(request = admitted.metadata.request.as_str();
                 "target's rejection truncated");
@@ -87,6 +90,20 @@
     }
 }
 
+fn kind_of(
+    admitted: &AdmittedRequest<'_>,
+    parts: &response::Parts,
+    metadata: &ResponseMetadata,
+) -> ResponseKind {
+    let head = ResponseHead {
+        status: parts.status.as_u16(),
+        request_ids: &metadata.requests,
+        is_not_run: metadata.is_not_run,
+        has_other_coding: has_other_coding(&parts.headers),
+    };
+    response_kind(&admitted.metadata.request, EchoRule::Required, &head)
+}
+
 fn response_headers(parts: &response::Parts) -> HeaderMap {
     let all = || parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
     let filter = HeaderFilter::for_response(all());
--- /dev/null
+++ b/crates/fleet/tests/support.rs
@@ -0,0 +1,261 @@
+//! Helpers shared by the integration tests: an entry VM's daemon that forwards requests to stand-in
+//! targets.
+
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+
+#[path = "../../daemon/tests/support/raw_target.rs"]
+pub mod raw_target;
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celerygate_daemon::telemetry::Metrics;
+use celerygate_daemon::upstream::ConnectionPool;
+use celerygate_fleet::adapter::{ProtocolAdapter, RequestMetadata, ResponseMetadata};
+use celerygate_fleet::daemon::Daemon;
+use celerygate_fleet::forward::{self, ResponseBody};
+use celerygate_fleet::mesh::Mesh;
+use celerygate_fleet::tables::{Content, Tables};
+use celerygate_steering::routing::{
+    Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
+};
+use celerygate_types::wire::{
+    DataCentrePlace, Document, FleetBounds, FleetContent, FleetListeners, FleetSettings,
+    InstanceRecord, InstanceState,
+};
+use celerygate_types::{Clock, Incarnation, Outcome, Revision, SlotCount};
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response};
+
+use self::raw_target::RawTarget;
+
+/// Upper bound of every wait. Only failing tests wait this long.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Timeout of the route.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+
+const HOST: &str = "service.example";
+const SERVICE: &str = "service";
+/// Request and response header with the id of an attempt.
+const ID: &str = "attempt";
+/// Header of a target's own responses.
+const SIGNED: &str = "signed";
+/// Header of a target's refusals.
+const NOT_RUN: &str = "not-run";
+
+/// Returns the offset of the first occurrence of `part` in `bytes`.
+pub fn position(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
+
+/// Polls `check` every 10 ms until it returns true, and panics after `WAIT_TIMEOUT`.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut check: impl FnMut() -> F) {
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while !check().await {
+        assert!(Instant::now() < end, "timed out waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A daemon with one public route.
+pub struct Fleet {
+    pub daemon: Arc<Daemon>,
+}
+
+impl Fleet {
+    /// Starts a daemon whose route sends requests to these targets.
+    pub fn start(targets: &[&RawTarget], repeatable: Repeatable) -> Self {
+        let tables = Arc::new(Tables::new());
+        assert!(tables.activate(content(repeatable)));
+        let settings = settings();
+        let vm = settings.vm.clone();
+        let daemon = Daemon {
+            settings,
+            clock: Clock::system(),
+            incarnation: Incarnation(1),
+            tables,
+            mesh: Mesh::new(vm, Incarnation(1), 1),
+            group: None,
+            adapter: adapter(),
+            pool: Arc::new(ConnectionPool::default()),
+            metrics: Metrics::new().expect("metrics"),
+        };
+        let fleet = Self { daemon: Arc::new(daemon) };
+        for (number, target) in targets.iter().enumerate() {
+            fleet.report(&format!("target-{number}"), target.address);
+        }
+        fleet
+    }
+
+    /// Reports a target as ready.
+    pub fn report(&self, instance: &str, address: SocketAddr) {
+        let record = InstanceRecord {
+            address: address.to_string().into(),
+            born_unix_ms: 1,
+            cold_ms: 0,
+            data_centre: id("east-1"),
+            instance: id(instance),
+            sequence: 1,
+            service: id(SERVICE),
+            slots: SlotCount(4),
+            state: InstanceState::Ready,
+        };
+        self.daemon.tables.instances.write().report(record, self.daemon.now());
+    }
+
+    /// Sends a request and returns the head of the response, with its unread body.
+    pub async fn send(&self, method: Method, attempt: &str) -> Response<ResponseBody> {
+        let request = Request::builder()
+            .method(method.clone())
+            .uri("/a/b")
+            .header("host", HOST)
+            .header(ID, attempt)
+            .body(())
+            .expect("a request");
+        let body = match method {
+            Method::POST => Bytes::from_static(raw_target::BODY_END.as_bytes()),
+            _ => Bytes::new(),
+        };
+        let served = forward::serve(Arc::clone(&self.daemon), request.into_parts().0, body);
+        tokio::time::timeout(WAIT_TIMEOUT, served).await.expect("no response")
+    }
+
+    /// Sends a request and returns status and body. The body is none if it ended with an error.
+    pub async fn status_and_body(&self, method: Method, attempt: &str) -> (u16, Option<Bytes>) {
+        let response = self.send(method, attempt).await;
+        let status = response.status().as_u16();
+        let collected = tokio::time::timeout(WAIT_TIMEOUT, response.into_body().collect()).await;
+        let collected = collected.expect("no end of the body");
+        (status, collected.ok().map(|body| body.to_bytes()))
+    }
+
+    /// Sends a request and returns the status.
+    pub async fn status(&self, method: Method, attempt: &str) -> u16 {
+        self.status_and_body(method, attempt).await.0
+    }
+}
+
+/// Returns a complete signed response to an attempt.
+pub fn answer(attempt: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\n{ID}: {attempt}\r\n{SIGNED}: 1\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns the head of a signed response up to the headers that frame its body.
+pub fn head(attempt: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{ID}: {attempt}\r\n{SIGNED}: 1\r\n")
+}
+
+/// Returns a complete refusal of an attempt that states that it has not run.
+pub fn refusal(attempt: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{ID}: {attempt}\r\n{NOT_RUN}: 1\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid id")
+}
+
+fn adapter() -> ProtocolAdapter {
+    ProtocolAdapter {
+        read_request: |parts| {
+            let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+            Ok(RequestMetadata {
+                request: text(ID).unwrap_or_default().into(),
+                host: text("host").unwrap_or_default().into(),
+                deadline: None,
+                object: None,
+                key: None,
+            })
+        },
+        write_request: |_, _, _| {},
+        is_own_header: |_| false,
+        read_response: |parts| ResponseMetadata {
+            requests: parts.headers.get_all(ID).iter().map(header_text).collect(),
+            is_not_run: parts.headers.contains_key(NOT_RUN),
+            is_signed: parts.headers.contains_key(SIGNED),
+            load: None,
+        },
+        write_refusal: |refusal, _| match refusal.code.outcome() {
+            Outcome::NotRun => 503,
+            _ => 502,
+        },
+        read_document: |_| Ok(RoutingTable::default()),
+    }
+}
+
+fn header_text(value: &HeaderValue) -> smol_str::SmolStr {
+    value.to_str().unwrap_or_default().into()
+}
+
+fn content(repeatable: Repeatable) -> Content {
+    let route = Route {
+        name: "route".into(),
+        host: HOST.into(),
+        path_prefix: "/a/".into(),
+        repeatable,
+        timeout: ROUTE_TIMEOUT,
+        target_latency: Duration::from_millis(500),
+        priority: 0,
+        weighted_services: [WeightedService { service: id(SERVICE), weight: 1.0 }]
+            .into_iter()
+            .collect(),
+        attempts_max: 2,
+        is_public: true,
+        has_affinity: false,
+        has_large_responses: false,
+        home_regions: Default::default(),
+    };
+    let policy = ServicePolicy { connections: 100, cold_requests_per_s: 100.0 };
+    let services = HashMap::from([(id(SERVICE), policy)]);
+    let routing = RoutingTable::build(vec![route], services, Vec::new()).expect("valid routes");
+    let document = Document { accepted: Vec::new(), items: Vec::new(), version: 1 };
+    let replicated = FleetContent { document, evacuated: Vec::new(), revision: Revision(1) };
+    Content { replicated, routing }
+}
+
+fn settings() -> FleetSettings {
+    FleetSettings {
+        vm: id("127.0.0.1"),
+        region: id("east"),
+        data_centre: id("east-1"),
+        data_centres: vec![DataCentrePlace { data_centre: id("east-1"), region: id("east") }],
+        listeners: FleetListeners {
+            callers: None,
+            readiness: None,
+            operators: None,
+            lookups: None,
+            metrics: None,
+        },
+        peer_port: 1,
+        operators_port: 2,
+        seeds: Vec::new(),
+        found_group: false,
+        data_folder: None,
+        lost_disks_max: 0,
+        descriptors_max: 100,
+        heartbeat_ms: 1_000,
+        bounds: FleetBounds {
+            drain_ms: 2_000,
+            grace_ms: 6_000,
+            propagation_ms: 2_000,
+            lookup_ttl_max_ms: 5_000,
+            retry_window_ms: 10_000,
+            retry_share: 1.0,
+            retry_slack_requests: 500,
+            quota_window_ms: 5_000,
+            quota_overage: 0.1,
+            quota_slack_requests: 20,
+            cold_slack_requests: 5,
+        },
+    }
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod queue;
+pub mod responses;
 pub mod routing;
 pub mod shares;
 pub mod slots;
