Never report a request as not run after it was sent twice

A repeatable request whose reused connection closed within 80 ms is sent to the same target again on a new connection. If the target then refused the second copy, or could no longer be reached, callers got a 503, which states that the request has not run; the first copy may have run. Cause: the result of the second send alone decided. It proves nothing about the first, so a refusal or a failed connection after a resend now counts as possibly run; the request is still retried at another target, as before.

Before the fix: refusal_after_lost_connection, left: 503, right: 502; unreachable_after_lost_connection, left: 503, right: 502. After: both pass.

--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -37,6 +37,17 @@
     Failed(ResultCode),
 }
 
+impl AttemptResult {
+    /// Returns the result of an attempt that sent the request twice, where the first copy may have
+    /// run: no refusal of the second copy proves anything about the first.
+    fn after_resend(self) -> Self {
+        match self {
+            Self::NotRun(_) | Self::Rejected { .. } => Self::Failed(ResultCode::TargetFailed),
+            other => other,
+        }
+    }
+}
+
 /// Sends a request to a target and reads the response.
 pub(super) async fn attempt(
     daemon: &Arc<Daemon>,
@@ -63,6 +74,7 @@
     let is_repeatable = admitted.route.repeatable == Repeatable::Always;
     let connection = if is_repeatable { ConnectionReuse::Any } else { ConnectionReuse::Recent };
     let mut outcome = timeout_at(deadline, send(connection)).await;
+    let mut is_resent = false;
     if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error })) = &outcome
         && is_repeatable
     {
@@ -70,7 +82,9 @@
             target_id = chosen.instance.as_str();
             "idle connection lost, resent request on a new one");
         outcome = timeout_at(deadline, send(ConnectionReuse::New)).await;
+        is_resent = true;
     }
+    let result_of = |result: AttemptResult| if is_resent { result.after_resend() } else { result };
     let (attempt, end) = match outcome {
         Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
         Ok(Err(SendError::NotConnected { reason, .. } | SendError::NotSent { reason, .. })) => {
@@ -78,7 +92,7 @@
                 target_id = chosen.instance.as_str(); "failed to reach target");
             attempt_guard.end_unreachable();
             log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
-            return AttemptResult::NotRun(ResultCode::TargetUnreachable);
+            return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
         Ok(Err(SendError::NoResponse { error, .. })) => {
             log::info!(request = admitted.metadata.request.as_str(), error:% = error,
@@ -106,7 +120,7 @@
                     }
                     attempt_guard.end(end, load);
                     log_attempt(daemon, admitted, chosen, arrived_at, outcome);
-                    return attempt;
+                    return result_of(attempt);
                 }
             }
         }
--- a/crates/fleet/tests/responses.rs
+++ b/crates/fleet/tests/responses.rs
@@ -212,3 +212,34 @@
     assert!(started.elapsed() < ROUTE_TIMEOUT + Duration::from_secs(2));
     eventually("the connection is closed", async || target.endless_closed() == 1).await;
 }
+
+/// Guards against a request that is reported as not run because the target refused it when it was
+/// sent again, while the first copy may have run: its connection closed after it was sent.
+#[tokio::test]
+async fn refusal_after_lost_connection() {
+    let target = RawTarget::start(|number, _| match number {
+        0 => keep_alive(answer("a", "ok")),
+        1 => ScriptedResponse::Close(Vec::new()),
+        _ => keep_alive(refusal("b")),
+    })
+    .await;
+    let fleet = Fleet::start(&[&target], Repeatable::Always);
+    assert_eq!(fleet.status(Method::GET, "a").await, 200);
+    assert_eq!(fleet.status(Method::GET, "b").await, 502);
+    assert_eq!(target.requests().len(), 3);
+}
+
+/// Guards against a request that is reported as not run because the target could not be reached
+/// when it was sent again, while the first copy may have run.
+#[tokio::test]
+async fn unreachable_after_lost_connection() {
+    let target = RawTarget::start(|number, _| match number {
+        0 => keep_alive(answer("a", "ok")),
+        _ => ScriptedResponse::StopTarget,
+    })
+    .await;
+    let fleet = Fleet::start(&[&target], Repeatable::Always);
+    assert_eq!(fleet.status(Method::GET, "a").await, 200);
+    assert_eq!(fleet.status(Method::GET, "b").await, 502);
+    assert_eq!(target.requests().len(), 2);
+}
