Check a pooled connection for unread bytes before it is reused

Surplus bytes of a target on an idle connection were returned to a caller as the response to the next request: `is_ready()` tells what the HTTP library has read, and the runtime learns of new bytes only between tasks, so bytes in the kernel were parsed as the response to the request that was sent after them. In `celerygated`, where targets return no id, such a response was passed on. In the same way a request was sent on a connection that its target had closed: it ended without a response and might have run.

The pool now peeks at the socket before it reuses a connection, without waiting: unread bytes or the end of the stream close it, and the next idle or a new connection is used. The socket is read with `try_read`, which asks the kernel, so that surplus bytes right behind a response are found when the response ends. What remains: bytes that arrive between the check and the request cannot be told from its response without an id that the target returns.

`upstream.rs` is split into the pool, a connection, its socket and the response body. Errors of connections that concern no request are logged at level info.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,45 +1,28 @@
 //! Pool of connections to targets.
 
+mod body;
+mod connection;
+mod socket;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use celerygate_steering::idle::IdleLimit;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::body::Bytes;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
-use tokio::net::TcpSocket;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+
+pub use self::body::{TargetBody, has_other_coding};
+use self::connection::Connection;
+use self::socket::IdleState;
 
-/// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
-/// allows for saturated links, on which packets are queued for more than half a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time without an acknowledgement of sent data after which a connection is closed. The kernel of
-/// the target's machine acknowledges data however slow the target is, so the machine must be down.
-/// Well above the half second for which packets are queued at a saturated link.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Interval of TCP keep-alive probes, which detect a failed machine while its target processes a
-/// request. 1 s is the shortest interval that the kernel supports.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
-/// Receive buffer of a connection to another region. A target can send up to this number of bytes
-/// over the link beyond the budget, so the buffer bounds the excess. 256 KiB allow 12 MB/s at a
-/// round trip of 20 ms.
-const CROSS_REGION_RECEIVE_BUFFER_BYTES: u32 = 256 * 1_024;
-/// Read buffer of a connection to another region, bounded for the same reason.
-const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
-
 /// Whether a connection crosses a link between regions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NetworkPath {
@@ -51,7 +34,6 @@
 
 /// Body of a request to a target.
 pub type RequestBody = UnsyncBoxBody<Bytes, hyper::Error>;
-type Sender = SendRequest<RequestBody>;
 
 /// Error of a request that received no response head.
 #[derive(Debug, Error)]
@@ -96,7 +78,7 @@
 
 /// An idle connection.
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     idle_since: Instant,
 }
 
@@ -111,6 +93,9 @@
     /// Sends a request and returns the response head. The connection returns to the pool only after
     /// the response has been read to its end.
     ///
+    /// The pool cannot tell whether bytes that arrive after the
+    /// request was sent are the response to it: this takes an id that the target returns.
+    ///
     /// # Errors
     ///
     /// When no response head is received. The variant states whether the target may have
@@ -128,13 +113,14 @@
         while reuse != ConnectionReuse::New
             && let Some(idle) = self.take(address, reuse)
         {
-            match self.send_on(address, idle.sender, Some(idle.idle_since), request).await {
+            let IdleConnection { connection, idle_since } = idle;
+            match self.send_on(address, connection, Some(idle_since), request).await {
                 Err(SendError::NotSent { request: unsent, .. }) => request = *unsent,
                 other => return other,
             }
         }
-        match connect(address, path).await {
-            Ok(sender) => self.send_on(address, sender, None, request).await,
+        match Connection::open(address, path).await {
+            Ok(connection) => self.send_on(address, connection, None, request).await,
             Err(reason) => Err(SendError::NotConnected {
                 request: Box::new(request),
                 reason: reason.to_string(),
@@ -145,33 +131,38 @@
     async fn send_on(
         self: &Arc<Self>,
         address: SocketAddr,
-        mut sender: Sender,
+        mut connection: Connection,
         idle_since: Option<Instant>,
         request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|body| TargetBody {
-                body,
-                reusable: Some((Arc::clone(self), address, sender)),
-            })),
+        match connection.sender().try_send_request(request).await {
+            Ok(response) => {
+                Ok(response
+                    .map(|body| TargetBody::new(body, Arc::clone(self), address, connection)))
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotSent {
                     request: Box::new(request),
                     reason: error.error().to_string(),
                 }),
                 None => {
-                    let now = Instant::now();
-                    let lost_while_idle = idle_since.is_some_and(|since| {
-                        let (idle, after) = (sent_at - since, now - sent_at);
-                        self.idle_limit.lock().record_close(idle, after, now.into_std())
-                    });
-                    Err(SendError::NoResponse { error: error.into_error(), lost_while_idle })
+                    let error = error.into_error();
+                    let lost_while_idle =
+                        idle_since.is_some_and(|since| self.record_close(since, sent_at));
+                    Err(SendError::NoResponse { error, lost_while_idle })
                 }
             },
         }
     }
 
+    fn record_close(&self, idle_since: Instant, sent_at: Instant) -> bool {
+        let now = Instant::now();
+        let (idle, after) = (sent_at - idle_since, now - sent_at);
+        self.idle_limit.lock().record_close(idle, after, now.into_std())
+    }
+
+    /// Takes the latest usable idle connection of a target.
     fn take(&self, address: SocketAddr, reuse: ConnectionReuse) -> Option<IdleConnection> {
         let now = Instant::now();
         let limit = match reuse {
@@ -180,108 +171,28 @@
         };
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
-        // A connection with surplus bytes or an unfinished response is not ready and is dropped.
-        while let Some(idle) = connections.pop() {
-            if idle.sender.is_ready() && limit.allows(now - idle.idle_since, now.into_std()) {
-                return Some(idle);
+        while let Some(candidate) = connections.pop() {
+            match candidate.connection.idle_state() {
+                IdleState::Empty if limit.allows(now - candidate.idle_since, now.into_std()) => {
+                    return Some(candidate);
+                }
+                IdleState::Empty | IdleState::Closed => {}
+                IdleState::SurplusBytes => {
+                    log::warn!(target_address:% = address;
+                        "target sent bytes without a request, closing the connection");
+                }
             }
         }
         idle.remove(&address);
         None
     }
 
-    fn put(&self, address: SocketAddr, sender: Sender) {
+    fn put(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(address).or_default();
-        connections.retain(|idle| !idle.sender.is_closed());
-        if connections.len() < MAX_IDLE_PER_TARGET && !sender.is_closed() {
-            connections.push(IdleConnection { sender, idle_since: Instant::now() });
-        }
-    }
-}
-
-async fn connect(address: SocketAddr, path: NetworkPath) -> anyhow::Result<Sender> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    let mut http = http1::Builder::new();
-    if path == NetworkPath::CrossRegion {
-        socket.set_recv_buffer_size(CROSS_REGION_RECEIVE_BUFFER_BYTES)?;
-        http.max_buf_size(CROSS_REGION_READ_BUFFER_BYTES);
-    }
-    let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
-    let (sender, connection) = http.handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(target_address:% = address, error:% = error; "connection to target failed");
-        }
-    });
-    Ok(sender)
-}
-
-/// Returns whether a response has a transfer coding other than `chunked`. Only `chunked` is decoded,
-/// and the header that names the coding is not forwarded.
-pub fn has_other_coding(headers: &HeaderMap) -> bool {
-    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
-    headers.get_all(TRANSFER_ENCODING).iter().any(|value| !is_chunked(value))
-}
-
-/// Body of a target's response. Dropping it before its end closes the connection, which cancels the
-/// request at the target.
-pub struct TargetBody {
-    body: Incoming,
-    reusable: Option<(Arc<ConnectionPool>, SocketAddr, Sender)>,
-}
-
-impl TargetBody {
-    /// Closes the connection instead of reusing it, because its next bytes may belong to another
-    /// response.
-    pub fn discard(mut self) {
-        self.reusable = None;
-    }
-
-    fn return_to_pool(&mut self) {
-        if let Some((pool, address, sender)) = self.reusable.take() {
-            pool.put(address, sender);
-        }
-    }
-}
-
-impl Body for TargetBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        match &frame {
-            None => self.return_to_pool(),
-            Some(Err(_)) => self.reusable = None,
-            Some(Ok(_)) if self.body.is_end_stream() => self.return_to_pool(),
-            Some(Ok(_)) => {}
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for TargetBody {
-    fn drop(&mut self) {
-        // An empty body is never polled, so `poll_frame` has not returned the connection.
-        if self.body.is_end_stream() {
-            self.return_to_pool();
+        connections.retain(|idle| !idle.connection.is_closed());
+        if connections.len() < MAX_IDLE_PER_TARGET && !connection.is_closed() {
+            connections.push(IdleConnection { connection, idle_since: Instant::now() });
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/upstream/body.rs
@@ -0,0 +1,90 @@
+//! Body of a target's response.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+
+use super::ConnectionPool;
+use super::connection::Connection;
+
+/// Returns whether a response has a transfer coding other than `chunked`. Only `chunked` is decoded,
+/// and the header that names the coding is not forwarded.
+pub fn has_other_coding(headers: &HeaderMap) -> bool {
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    headers.get_all(TRANSFER_ENCODING).iter().any(|value| !is_chunked(value))
+}
+
+/// Body of a target's response. Dropping it before its end closes the connection, which cancels the
+/// request at the target.
+///
+/// A body without a length that is not chunked ends with its connection: it is complete if the
+/// target closed the connection in order, also if it is empty, and fails if the connection was
+/// reset.
+pub struct TargetBody {
+    body: Incoming,
+    reusable: Option<(Arc<ConnectionPool>, SocketAddr, Connection)>,
+}
+
+impl TargetBody {
+    /// Wraps the body of a response on a connection, which returns to the pool after its end.
+    pub(super) fn new(
+        body: Incoming,
+        pool: Arc<ConnectionPool>,
+        address: SocketAddr,
+        connection: Connection,
+    ) -> Self {
+        Self { body, reusable: Some((pool, address, connection)) }
+    }
+
+    /// Closes the connection instead of reusing it, because its next bytes may belong to another
+    /// response.
+    pub fn discard(mut self) {
+        self.reusable = None;
+    }
+
+    fn return_to_pool(&mut self) {
+        if let Some((pool, address, connection)) = self.reusable.take() {
+            pool.put(address, connection);
+        }
+    }
+}
+
+impl Body for TargetBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        match &frame {
+            None => self.return_to_pool(),
+            Some(Err(_)) => self.reusable = None,
+            Some(Ok(_)) if self.body.is_end_stream() => self.return_to_pool(),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TargetBody {
+    fn drop(&mut self) {
+        // An empty body is never polled, so `poll_frame` has not returned the connection.
+        if self.body.is_end_stream() {
+            self.return_to_pool();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/connection.rs
@@ -0,0 +1,84 @@
+//! One connection to a target.
+
+use std::net::SocketAddr;
+use std::sync::Weak;
+use std::time::Duration;
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+use super::socket::{self, IdleState, TargetSocket};
+use super::{NetworkPath, RequestBody};
+
+/// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
+/// allows for saturated links, on which packets are queued for more than half a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without an acknowledgement of sent data after which a connection is closed. The kernel of
+/// the target's machine acknowledges data however slow the target is, so the machine must be down.
+/// Well above the half second for which packets are queued at a saturated link.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Interval of TCP keep-alive probes, which detect a failed machine while its target processes a
+/// request. 1 s is the shortest interval that the kernel supports.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Receive buffer of a connection to another region. A target can send up to this number of bytes
+/// over the link beyond the budget, so the buffer bounds the excess. 256 KiB allow 12 MB/s at a
+/// round trip of 20 ms.
+const CROSS_REGION_RECEIVE_BUFFER_BYTES: u32 = 256 * 1_024;
+/// Read buffer of a connection to another region, bounded for the same reason.
+const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
+/// A connection to a target.
+pub struct Connection {
+    sender: SendRequest<RequestBody>,
+    stream: Weak<TcpStream>,
+}
+
+impl Connection {
+    /// Connects to a target.
+    ///
+    /// # Errors
+    ///
+    /// When the target does not accept the connection within [`CONNECT_TIMEOUT`].
+    pub async fn open(address: SocketAddr, path: NetworkPath) -> anyhow::Result<Self> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        let mut http = http1::Builder::new();
+        if path == NetworkPath::CrossRegion {
+            socket.set_recv_buffer_size(CROSS_REGION_RECEIVE_BUFFER_BYTES)?;
+            http.max_buf_size(CROSS_REGION_READ_BUFFER_BYTES);
+        }
+        let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
+        socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
+        let socket = TargetSocket::new(stream);
+        let stream = socket.downgrade();
+        let (sender, connection) = http.handshake(TokioIo::new(socket)).await?;
+        tokio::spawn(async move {
+            // A failed request receives the error itself; this one concerns no request.
+            if let Err(error) = connection.await {
+                log::info!(target_address:% = address, error:% = error;
+                    "connection to target failed");
+            }
+        });
+        Ok(Self { sender, stream })
+    }
+
+    /// Returns the sender of requests.
+    pub fn sender(&mut self) -> &mut SendRequest<RequestBody> {
+        &mut self.sender
+    }
+
+    /// Returns whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Returns the state of an idle connection. One with an unfinished response counts as closed.
+    pub fn idle_state(&self) -> IdleState {
+        if self.sender.is_ready() { socket::idle_state(&self.stream) } else { IdleState::Closed }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/socket.rs
@@ -0,0 +1,107 @@
+//! The socket of a connection to a target. Lets the pool see unread bytes before it reuses the
+//! connection.
+
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// State of the socket of an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum IdleState {
+    /// No byte is unread.
+    Empty,
+    /// The target sent bytes that belong to no request.
+    SurplusBytes,
+    /// The target closed or reset the connection.
+    Closed,
+}
+
+/// Returns what the kernel has received on an idle connection. The runtime may not know of it yet,
+/// because it learns of new bytes only between tasks.
+pub fn idle_state(stream: &Weak<TcpStream>) -> IdleState {
+    let Some(stream) = stream.upgrade() else { return IdleState::Closed };
+    match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(0) => IdleState::Closed,
+        Ok(_) => IdleState::SurplusBytes,
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Empty,
+        Err(_) => IdleState::Closed,
+    }
+}
+
+/// The socket as the HTTP library uses it. Dropping it closes the connection.
+pub struct TargetSocket {
+    stream: Arc<TcpStream>,
+}
+
+impl TargetSocket {
+    /// Wraps a connected socket.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream: Arc::new(stream) }
+    }
+
+    /// Returns a reference to the socket that does not keep it open.
+    pub fn downgrade(&self) -> Weak<TcpStream> {
+        Arc::downgrade(&self.stream)
+    }
+}
+
+impl AsyncRead for TargetSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
+                Ok(_) => return Poll::Ready(Ok(())),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for TargetSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(buffers) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/connections.rs
@@ -0,0 +1,124 @@
+//! Pooled connections to targets: bytes that have reached the kernel but not the daemon, and
+//! connections that were closed while they were idle.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+use celerygate_daemon::upstream::{ConnectionPool, ConnectionReuse, NetworkPath};
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+
+const FIRST: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+const SECOND: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
+
+/// What a target does with its first connection between two requests.
+#[derive(Clone, Copy)]
+enum WhileIdle {
+    SendSurplus,
+    Close,
+}
+
+/// A target on a thread of its own. It responds to the first request of its first connection, and
+/// on a signal sends surplus bytes or closes.
+struct ThreadTarget {
+    address: SocketAddr,
+    signal: Sender<()>,
+    done: Receiver<()>,
+    /// Receives the connection of each request.
+    requests: Receiver<usize>,
+}
+
+fn start_target(while_idle: WhileIdle) -> ThreadTarget {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("local address of the listener");
+    let (signal, signalled) = channel();
+    let (finish, done) = channel();
+    let (record, requests) = channel();
+    std::thread::spawn(move || {
+        let mut first = listener.accept().expect("a connection").0;
+        read_request(&mut first);
+        record.send(0).expect("the test is running");
+        first.write_all(FIRST).expect("the response is sent");
+        signalled.recv().expect("the test is running");
+        let first = match while_idle {
+            WhileIdle::SendSurplus => {
+                first.write_all(FIRST).expect("the surplus bytes are sent");
+                Some(first)
+            }
+            WhileIdle::Close => {
+                drop(first);
+                None
+            }
+        };
+        finish.send(()).expect("the test is running");
+        if let Some(mut first) = first {
+            let record = record.clone();
+            std::thread::spawn(move || {
+                if read_request(&mut first) {
+                    let _ = record.send(0);
+                }
+            });
+        }
+        let mut second = listener.accept().expect("a connection").0;
+        read_request(&mut second);
+        record.send(1).expect("the test is running");
+        second.write_all(SECOND).expect("the response is sent");
+    });
+    ThreadTarget { address, signal, done, requests }
+}
+
+/// Reads a request and returns whether there was one.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 1_024];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+async fn send(pool: &Arc<ConnectionPool>, address: SocketAddr, id: &str) -> Vec<u8> {
+    let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
+    let request = Request::builder().uri("/").header("host", "a").body(body).expect("a request");
+    let reuse = ConnectionReuse::Recent;
+    let sent = pool.send(address, NetworkPath::WithinRegion, reuse, request);
+    let response = sent.await.unwrap_or_else(|error| panic!("{id}: {error}"));
+    response.into_body().collect().await.expect("a complete body").to_bytes().to_vec()
+}
+
+/// Sends two requests. Between them, the target acts and the runtime does not run, so that the
+/// effect has reached the kernel and not the daemon.
+async fn second_response(while_idle: WhileIdle) -> (Vec<u8>, Vec<usize>) {
+    let target = start_target(while_idle);
+    let pool = Arc::<ConnectionPool>::default();
+    assert_eq!(send(&pool, target.address, "a").await, b"first");
+    // Lets the connection become idle.
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    target.signal.send(()).expect("the target is running");
+    target.done.recv().expect("the target is running");
+    let second = send(&pool, target.address, "b").await;
+    (second, target.requests.try_iter().collect())
+}
+
+/// Guards against surplus bytes in the kernel that are returned as the response to the next
+/// request, because the daemon has not read them when it sends the request.
+#[tokio::test]
+async fn send_surplus_bytes_unread() {
+    let (response, connections) = second_response(WhileIdle::SendSurplus).await;
+    assert_eq!(response, b"second");
+    assert_eq!(connections, [0, 1]);
+}
+
+/// Guards against a request that is sent on a connection that the target has closed: it would end
+/// without a response, and it could not be repeated if it may have run.
+#[tokio::test]
+async fn send_close_unread() {
+    let (response, connections) = second_response(WhileIdle::Close).await;
+    assert_eq!(response, b"second");
+    assert_eq!(connections, [0, 1]);
+}
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -75,7 +75,7 @@
     let connection = if is_repeatable { ConnectionReuse::Any } else { ConnectionReuse::Recent };
     let mut outcome = timeout_at(deadline, send(connection)).await;
     let mut is_resent = false;
-    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error })) = &outcome
+    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error, .. })) = &outcome
         && is_repeatable
     {
         log::info!(request = admitted.metadata.request.as_str(), error:% = error,
