Remove a lost voter of a group that is one too large

A leaving voter is removed after its successor is promoted, so the group has six voters of five for a moment. If the leader is lost in between and the leaving VM stays (a restart), the six remain. From then on no lost voter was replaced: the removal and the promotion of a learner required exactly five voters. With one of six voters gone for good, two lost disks leave three, and the quorum is four: no leader is elected again, and what was acknowledged is out of reach.

Any voter that has not replied for 2.5 s is now removed while there are too many, whoever is proposed next. A group of six without a lost voter needs no change: two lost disks leave its quorum.

Test: group_size_lost_voter_above_size failed before the fix with "left: None right: Some(Remove(VmId("vm-2")))".

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -212,6 +212,9 @@
     /// While there are enough voters, no learner is promoted, except to replace a voter that is
     /// lost or leaves. A lost voter is removed before the promotion. A leaving voter is removed
     /// after it: it still answers, so that no moment has fewer voters than the group's size.
+    ///
+    /// A leader can be lost between that promotion and that removal. The next leader may not know
+    /// which voter was leaving, so any lost voter is removed while there are too many.
     pub fn next_change(
         self,
         members: &[Member],
@@ -219,18 +222,19 @@
         time_since_reply: impl Fn(&VmId) -> Option<Duration>,
         is_leaving: impl Fn(&VmId) -> bool,
     ) -> Option<MembershipChange> {
-        let leaving = voters(members).find(|voter| is_leaving(&voter.vm));
+        let is_lost = |voter: &&Member| {
+            time_since_reply(&voter.vm).is_some_and(|time| time >= VOTER_REPLACEMENT_TIMEOUT)
+        };
         let remove = |voter: &Member| MembershipChange::Remove(voter.vm.clone());
+        let leaving = voters(members).find(|voter| is_leaving(&voter.vm));
+        let lost = voters(members).find(is_lost);
         match (proposed, voters(members).count().cmp(&self.voters())) {
             (Some(MembershipChange::Promote(vm)), Ordering::Equal) => {
-                let is_lost = |voter: &&Member| {
-                    time_since_reply(&voter.vm)
-                        .is_some_and(|time| time >= VOTER_REPLACEMENT_TIMEOUT)
-                };
-                let lost = voters(members).find(is_lost).map(remove);
-                lost.or_else(|| leaving.map(|_| MembershipChange::Promote(vm)))
+                lost.map(remove).or_else(|| leaving.map(|_| MembershipChange::Promote(vm)))
+            }
+            (Some(MembershipChange::Promote(_)) | None, Ordering::Greater) => {
+                leaving.or(lost).map(remove)
             }
-            (Some(MembershipChange::Promote(_)) | None, Ordering::Greater) => leaving.map(remove),
             (other, _) => other,
         }
     }
--- a/crates/control/src/membership_tests.rs
+++ b/crates/control/src/membership_tests.rs
@@ -149,6 +149,22 @@
     assert_eq!(next(&members, None, 9), None, "a voter that stays was removed");
 }
 
+/// Guards against a group that stays one voter too large because the leader was lost between a
+/// promotion and the removal of the voter that left: lost voters are no longer replaced then.
+#[test]
+fn group_size_lost_voter_above_size() {
+    let size = GroupSize::for_lost_disks(1);
+    let mut members = three_voters_and_learner();
+    members[3].role = MemberRole::Voter;
+    members.push(member(5, MemberRole::Learner));
+    let silent = |id: &VmId| (*id == vm(2)).then_some(VOTER_REPLACEMENT_TIMEOUT);
+    let promote = Some(MembershipChange::Promote(vm(5)));
+    for proposed in [None, promote] {
+        let next = size.next_change(&members, proposed, silent, |_| false);
+        assert_eq!(next, Some(MembershipChange::Remove(vm(2))));
+    }
+}
+
 /// Guards against accepting a change while the loss of as many disks as tolerated could undo it.
 #[test]
 fn group_size_commits_survive_disk_loss() {
