Count a listener as open until its queued connections are served

Callers could see: a connection that was accepted as the last one ends without a response, because the process exits.

Cause: the stop waits until the count of connections is zero. A connection of a caller was counted in its own task, which may start later, and nothing was counted between the stop's signal and the accept of the queued connections. A stop that looked in between saw zero.

Fix: `OpenConnections` also counts listeners, from the call of `serve` until the queued connections are counted, and each connection is counted before its task is spawned. The number in the log lines is that of the connections alone.

Tests: stop_connection_in_accept_queue, for callers and for calls.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -13,37 +13,52 @@
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1_024;
 
-/// Number of open connections. A daemon that stops waits until it is zero: a connection is open
-/// until the peer's kernel has its last response, while a count of running requests would end when
-/// the response is ready.
+/// Number of open connections and of listeners that may still accept some. A daemon that stops
+/// waits until both are zero: a connection is open until the peer's kernel has its last response,
+/// while a count of running requests would end when the response is ready.
 #[derive(Debug)]
 pub struct OpenConnections {
-    count: watch::Sender<usize>,
+    counts: watch::Sender<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    connections: usize,
+    listeners: usize,
 }
 
 impl Default for OpenConnections {
     fn default() -> Self {
-        Self { count: watch::Sender::new(0) }
+        Self { counts: watch::Sender::new(Counts::default()) }
     }
 }
 
 impl OpenConnections {
     /// Counts a connection until the returned guard is dropped.
     pub fn begin(self: &Arc<Self>) -> OpenConnection {
-        self.count.send_modify(|count| *count += 1);
+        self.counts.send_modify(|counts| counts.connections += 1);
         OpenConnection(Arc::clone(self))
     }
 
+    /// Counts a listener until the returned guard is dropped, once the connections that it has
+    /// accepted are counted. Between the accept and the first count, the number of connections
+    /// alone would be zero.
+    pub fn begin_listening(self: &Arc<Self>) -> OpenListener {
+        self.counts.send_modify(|counts| counts.listeners += 1);
+        OpenListener(Arc::clone(self))
+    }
+
     /// Returns the number of open connections.
     pub fn count(&self) -> usize {
-        *self.count.borrow()
+        self.counts.borrow().connections
     }
 
-    /// Waits until no connection is open.
+    /// Waits until no listener and no connection is open.
     pub async fn wait_until_closed(&self) {
-        let mut count = self.count.subscribe();
+        let mut counts = self.counts.subscribe();
+        let is_closed = |counts: &Counts| counts.connections == 0 && counts.listeners == 0;
         // The wait fails only if the sender is dropped, and `self` owns the sender.
-        let _ = count.wait_for(|count| *count == 0).await;
+        let _ = counts.wait_for(is_closed).await;
     }
 }
 
@@ -53,7 +68,17 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.count.send_modify(|count| *count -= 1);
+        self.0.counts.send_modify(|counts| counts.connections -= 1);
+    }
+}
+
+/// Guard that counts a listener as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenListener(Arc<OpenConnections>);
+
+impl Drop for OpenListener {
+    fn drop(&mut self) {
+        self.0.counts.send_modify(|counts| counts.listeners -= 1);
     }
 }
 
--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -106,24 +106,36 @@
 }
 
 /// Accepts connections until `shutdown` becomes true, and then those that the kernel has queued.
-/// After that, idle connections are closed, and busy ones after their last response.
-pub async fn serve<F, R>(
+/// After that, idle connections are closed, and busy ones after their last response. The listener
+/// counts as open from the call of this function.
+pub fn serve<F, R>(
     listener: TcpListener,
     shutdown: watch::Receiver<bool>,
     service: Service<F>,
-) where
+) -> impl Future<Output = ()>
+where
     F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    let open_listener = service.connections.open.begin_listening();
     let service = Arc::new(service);
     let mut accept_shutdown = shutdown.clone();
-    let spawn = |stream| tokio::spawn(connection(stream, shutdown.clone(), Arc::clone(&service)));
-    while let Some(stream) = listen::accept(&listener, &mut accept_shutdown).await {
-        spawn(stream);
+    async move {
+        let spawn = |stream| {
+            // Counted before the spawn: the task may start after the listener's guard is dropped.
+            let open = service.connections.open.begin();
+            let connection = connection(stream, shutdown.clone(), Arc::clone(&service));
+            tokio::spawn(async move {
+                connection.await;
+                drop(open);
+            });
+        };
+        while let Some(stream) = listen::accept(&listener, &mut accept_shutdown).await {
+            spawn(stream);
+        }
+        listen::accept_queued(listener).into_iter().for_each(spawn);
+        drop(open_listener);
     }
-    listen::accept_queued(listener).into_iter().for_each(|stream| {
-        spawn(stream);
-    });
 }
 
 /// A request whose response is not written yet; dropping it cancels the request.
@@ -226,7 +238,6 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "failed to set TCP_NODELAY");
     }
-    let _open = service.connections.open.begin();
     let (reader, mut writer) = stream.into_split();
     let mut input = RequestReader { reader, buffer: Vec::new(), is_closed: false };
     match serve_requests(&mut input, &mut writer, shutdown, &service).await {
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -17,7 +17,12 @@
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
 /// Serves each request with [`RESPONSE_BYTES`]; `close` asks the caller to close the connection.
-fn start(listener: TcpListener, shutdown: watch::Receiver<bool>, close: bool) -> JoinHandle<()> {
+/// Returns the open connections.
+fn start(
+    listener: TcpListener,
+    shutdown: watch::Receiver<bool>,
+    close: bool,
+) -> Arc<OpenConnections> {
     let handle = move |_, _| async move {
         let body = Full::new(Bytes::from(vec![b'x'; RESPONSE_BYTES]));
         let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
@@ -26,12 +31,11 @@
         }
         response
     };
-    let service = Service {
-        connections: Arc::new(ConnectionCounter::new(1_000)),
-        idle_timeout: Box::new(|| None),
-        handle,
-    };
-    tokio::spawn(serve(listener, shutdown, service))
+    let connections = Arc::new(ConnectionCounter::new(1_000));
+    let open = Arc::clone(connections.open());
+    let service = Service { connections, idle_timeout: Box::new(|| None), handle };
+    tokio::spawn(serve(listener, shutdown, service));
+    open
 }
 
 async fn listen_on_loopback() -> TcpListener {
@@ -116,6 +120,26 @@
     }
 }
 
+/// Guards against a stop that sees no open connection between the accept of a queued connection and
+/// the start of its task, and ends the process.
+#[tokio::test]
+async fn stop_connection_in_accept_queue() {
+    let listener = listen_on_loopback().await;
+    // No other task runs until the stop has begun, so the connection is in the accept queue.
+    let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    std::io::Write::write_all(&mut caller, REQUEST).unwrap();
+    caller.set_nonblocking(true).unwrap();
+    let mut caller = TcpStream::from_std(caller).unwrap();
+    let (close, shutdown) = watch::channel(false);
+    let open = start(listener, shutdown, false);
+    close.send(true).unwrap();
+    let served = tokio::spawn(async move { read_all(&mut caller).await });
+    open.wait_until_closed().await;
+    // The last count ends after the caller has closed its side.
+    assert!(served.is_finished(), "the stop ends before the queued connection is served");
+    assert!(served.await.unwrap().expect("the connection is not reset") > RESPONSE_BYTES);
+}
+
 /// Guards against a time-out that cuts off a response although the caller keeps reading it.
 #[tokio::test(start_paused = true)]
 async fn write_slow_reader() {
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -41,33 +41,40 @@
 }
 
 /// Serves connections until `shutdown` becomes true, then closes idle connections and, after their
-/// response, busy ones. `connections` counts the open ones.
-pub async fn serve<F, R, B>(
+/// response, busy ones. `connections` counts the open ones, and the listener from the call of this
+/// function.
+pub fn serve<F, R, B>(
     listener: TcpListener,
     shutdown: watch::Receiver<bool>,
     connections: Arc<OpenConnections>,
     handle: F,
-) where
+) -> impl Future<Output = ()>
+where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let open_listener = connections.begin_listening();
     let handle = Arc::new(handle);
     let mut accept_shutdown = shutdown.clone();
-    let spawn = |stream| {
-        let open = connections.begin();
-        let connection = connection(stream, shutdown.clone(), Arc::clone(&handle));
-        tokio::spawn(async move {
-            connection.await;
-            drop(open);
-        });
-    };
-    while let Some(stream) = accept(&listener, &mut accept_shutdown).await {
-        spawn(stream);
+    async move {
+        let spawn = |stream| {
+            // Counted before the spawn: the task may start after the listener's guard is dropped.
+            let open = connections.begin();
+            let connection = connection(stream, shutdown.clone(), Arc::clone(&handle));
+            tokio::spawn(async move {
+                connection.await;
+                drop(open);
+            });
+        };
+        while let Some(stream) = accept(&listener, &mut accept_shutdown).await {
+            spawn(stream);
+        }
+        accept_queued(listener).into_iter().for_each(spawn);
+        drop(open_listener);
     }
-    accept_queued(listener).into_iter().for_each(spawn);
 }
 
 /// Accepts the next connection; returns `None` on shutdown.
@@ -147,3 +154,7 @@
         Err(error) => log::debug!(error:% = error; "caller's connection failed"),
     }
 }
+
+#[cfg(test)]
+#[path = "listen_tests.rs"]
+mod tests;
