Serve the calls that the kernel has received when a daemon stops

Operators, targets and lookups saw: a call on a new or a kept connection that was sent just before or while the daemon stops ends with its connection, without a response.

Cause: the HTTP library was asked to close each connection at once. It takes a connection for idle whose next request it has not read; what the kernel holds then is dropped. `select!` also chose at random between the connection and the stop, and the runtime learns of new bytes only between tasks.

Fix: a connection is polled once more after the stop began, before the library is asked to close it, and its socket then asks the kernel for bytes that the runtime does not know of. A connection on which nothing was received waits for its first bytes, at most FIRST_READ_TIMEOUT (200 ms), because its request may be on its way.

Open: the first part of a head on a kept connection, whose rest comes after the stop, is still dropped.

--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -3,7 +3,9 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -17,6 +19,10 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use self::stream::Stream;
+
+mod stream;
+
 /// Length of the accept queue. When all callers reconnect at once, a full queue would drop SYN
 /// packets, which callers repeat only after seconds.
 const BACKLOG: u32 = 1_024;
@@ -25,6 +31,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which a stopping daemon waits for the first bytes of a connection. A connection from
+/// the accept queue may have sent its request, or its request may be on its way.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Opens a listening socket.
 ///
@@ -121,6 +130,21 @@
     let _ = shutdown.wait_for(|shutdown| *shutdown).await;
 }
 
+/// Waits for the first bytes of a connection and returns whether there are any. Once the daemon is
+/// stopping, waits for at most [`FIRST_READ_TIMEOUT`].
+async fn wait_for_first_bytes(stream: &TcpStream, shutdown: &mut watch::Receiver<bool>) -> bool {
+    let stopped = async {
+        wait_for_shutdown(shutdown).await;
+        sleep(FIRST_READ_TIMEOUT).await;
+    };
+    tokio::select! {
+        biased;
+        readable = stream.readable() => readable.is_ok(),
+        () = stopped => false,
+        () = sleep(IDLE_TIMEOUT) => false,
+    }
+}
+
 async fn connection<F, R, B>(stream: TcpStream, mut shutdown: watch::Receiver<bool>, handle: Arc<F>)
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
@@ -132,23 +156,44 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "failed to set TCP_NODELAY");
     }
+    if !wait_for_first_bytes(&stream, &mut shutdown).await {
+        return;
+    }
     let service = service_fn(move |request| {
         let response = handle(request);
         Box::pin(async move { Ok::<_, Infallible>(response.await) })
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-    let mut connection = http.serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
-        () = wait_for_shutdown(&mut shutdown) => {
-            Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+    let io = TokioIo::new(Stream::new(stream, shutdown.clone()));
+    let mut connection = http.serve_connection(io, service);
+    // The shutdown may begin after the connection was polled, so it is polled once more before the
+    // library is asked to close it: a request that the kernel has received is read then.
+    let mut is_stopping = false;
+    let mut is_closing = false;
+    let mut stopped = pin!(wait_for_shutdown(&mut shutdown));
+    let ended = poll_fn(|context| {
+        loop {
+            if let Poll::Ready(ended) = connection.poll_without_shutdown(context) {
+                return Poll::Ready(ended);
+            }
+            if is_closing {
+                return Poll::Pending;
+            }
+            if is_stopping {
+                Pin::new(&mut connection).graceful_shutdown();
+                is_closing = true;
+            } else {
+                ready!(stopped.as_mut().poll(context));
+                is_stopping = true;
+            }
         }
-    };
+    })
+    .await;
     match ended {
         Ok(()) => {
-            let (reader, writer) = connection.into_parts().io.into_inner().into_split();
+            let stream = connection.into_parts().io.into_inner().into_socket();
+            let (reader, writer) = stream.into_split();
             close_gracefully(reader, writer).await;
         }
         Err(error) => log::debug!(error:% = error; "caller's connection failed"),
--- /dev/null
+++ b/crates/fleet/src/listen/stream.rs
@@ -0,0 +1,93 @@
+//! The socket of a connection, which shows a stopping daemon what the kernel has received.
+
+use std::io::{self, IoSlice, Read};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Size of the buffer for bytes that the runtime does not know of yet.
+const DIRECT_READ_BYTES: usize = 4 * 1_024;
+
+/// A socket that asks the kernel for received bytes while the daemon stops. The runtime learns of
+/// new bytes only between tasks, and the HTTP library closes a connection as idle if it has not
+/// read the next request.
+pub struct Stream {
+    socket: TcpStream,
+    shutdown: watch::Receiver<bool>,
+}
+
+impl Stream {
+    /// Wraps a connected socket.
+    pub fn new(socket: TcpStream, shutdown: watch::Receiver<bool>) -> Self {
+        Self { socket, shutdown }
+    }
+
+    /// Returns the socket.
+    pub fn into_socket(self) -> TcpStream {
+        self.socket
+    }
+
+    /// Reads from the kernel without waiting. The runtime wakes the task when more arrives, because
+    /// its own read is pending.
+    fn read_directly(&self, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; DIRECT_READ_BYTES];
+        let len = bytes.len().min(buffer.remaining());
+        match (&*SockRef::from(&self.socket)).read(&mut bytes[..len]) {
+            Ok(received) => {
+                buffer.put_slice(&bytes[..received]);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        if polled.is_pending() && *self.shutdown.borrow() {
+            self.read_directly(buffer)
+        } else {
+            polled
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
