Close idle connections of calls without waiting for their peers

Operators saw: a control VM that has nothing left to do stays for 2 s after it stopped serving, because peers keep idle connections open (heartbeats, lookups).

Cause: every connection was closed with close_gracefully, which waits for the peer's end of the connection. It protects a response that is on its way; on an idle connection there is none.

Fix: the connection's socket notes whether something was written after the stop began. If not, the connection was idle and is dropped at once.

Test: stop_idle_kept_connections; with the mechanism off "the stop waits for 2 idle connections".

--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -190,13 +190,15 @@
         }
     })
     .await;
-    match ended {
-        Ok(()) => {
-            let stream = connection.into_parts().io.into_inner().into_socket();
-            let (reader, writer) = stream.into_split();
-            close_gracefully(reader, writer).await;
-        }
-        Err(error) => log::debug!(error:% = error; "caller's connection failed"),
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "caller's connection failed");
+        return;
+    }
+    let stream = connection.into_parts().io.into_inner();
+    // The peer of an idle connection may not notice the stop, and the process need not wait for it.
+    if !is_stopping || stream.has_written_while_stopping() {
+        let (reader, writer) = stream.into_socket().into_split();
+        close_gracefully(reader, writer).await;
     }
 }
 
--- a/crates/fleet/src/listen/stream.rs
+++ b/crates/fleet/src/listen/stream.rs
@@ -18,12 +18,13 @@
 pub struct Stream {
     socket: TcpStream,
     shutdown: watch::Receiver<bool>,
+    has_written_while_stopping: bool,
 }
 
 impl Stream {
     /// Wraps a connected socket.
     pub fn new(socket: TcpStream, shutdown: watch::Receiver<bool>) -> Self {
-        Self { socket, shutdown }
+        Self { socket, shutdown, has_written_while_stopping: false }
     }
 
     /// Returns the socket.
@@ -31,6 +32,11 @@
         self.socket
     }
 
+    /// Returns whether a response, or its end, was written after the stop began.
+    pub fn has_written_while_stopping(&self) -> bool {
+        self.has_written_while_stopping
+    }
+
     /// Reads from the kernel without waiting. The runtime wakes the task when more arrives, because
     /// its own read is pending.
     fn read_directly(&self, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
@@ -68,6 +74,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let is_stopping = *self.shutdown.borrow();
+        self.has_written_while_stopping |= is_stopping;
         Pin::new(&mut self.socket).poll_write(context, bytes)
     }
 
@@ -76,6 +84,8 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let is_stopping = *self.shutdown.borrow();
+        self.has_written_while_stopping |= is_stopping;
         Pin::new(&mut self.socket).poll_write_vectored(context, buffers)
     }
 
--- a/crates/fleet/src/listen_tests.rs
+++ b/crates/fleet/src/listen_tests.rs
@@ -5,6 +5,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
+use tokio::time::timeout;
 
 use super::*;
 
@@ -161,3 +162,20 @@
     assert!(received > RESPONSE_BYTES, "{received}");
     assert_eq!(read_all(&mut unused).await.unwrap(), 0);
 }
+
+/// Guards against a stop that waits for the peers of idle kept connections.
+#[tokio::test]
+async fn stop_idle_kept_connections() {
+    let server = Server::start(RESPONSE_BYTES, "keep-alive").await;
+    let mut peers = [server.connect().await, server.connect().await];
+    for peer in &mut peers {
+        send(peer);
+        read_response(peer).await;
+    }
+    server.close.send(true).unwrap();
+    let closed = timeout(Duration::from_secs(1), server.open.wait_until_closed()).await;
+    assert!(closed.is_ok(), "the stop waits for {} idle connections", server.open.count());
+    for peer in &mut peers {
+        assert_eq!(read_all(peer).await.expect("the connection is not reset"), 0);
+    }
+}
