--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use celerygate_steering::availability::Notice;
 use celerygate_steering::placement::ReportedLoad;
 use celerygate_steering::routing::RoutingTable;
 use celerygate_types::wire::DocumentItem;
@@ -54,6 +55,8 @@
     pub is_signed: bool,
     /// Load reported by the target.
     pub load: Option<ReportedLoad>,
+    /// Whether the target leaves or wants no requests for a time.
+    pub notice: Notice,
 }
 
 /// Refusal or failure that the daemon sends instead of a target's response.
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -19,6 +19,7 @@
 use celerygate_fleet::forward::{self, ResponseBody};
 use celerygate_fleet::mesh::Mesh;
 use celerygate_fleet::tables::{Content, Tables};
+use celerygate_steering::availability::Notice;
 use celerygate_steering::routing::{
     Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
 };
@@ -184,6 +185,7 @@
             is_not_run: parts.headers.contains_key(NOT_RUN),
             is_signed: parts.headers.contains_key(SIGNED),
             load: None,
+            notice: Notice::default(),
         },
         write_refusal: |refusal, _| match refusal.code.outcome() {
             Outcome::NotRun => 503,
