Tell a cut response head from a connection lost while idle

A target that stops within its response head and closes was taken for one that had dropped the idle connection before the request arrived, if the request was sent on a reused connection and the close came within 80 ms. Callers' repeatable requests were then sent again without the retry budget, to the target that had received them. From the third cut head on, connections of all targets that were idle for more than 50 ms were no longer used for requests that cannot be repeated.

The cause: the HTTP library reports both as an incomplete message. The socket now counts the received bytes, and a connection on which a part of a head has arrived was not lost while idle. `NoResponse` says what was received instead of a head (`no-bytes`, `head-cut`, `head-malformed`, `head-too-long`), and both paths write it into their line.

`head_cut_reused_connection` printed without the check: left: [0, 0, 1], right: [0, 0] (connections of the requests that the target received).

The other new tests cut a response after each of its bytes, with a length and chunked, in the fleet's path and in celerygated's, for requests that may be repeated and those that may not. With the buffering of the fleet's responses off, `response_cut_length` printed: GET cut after 62 bytes: (no response, instead of a 502). With the error of a relayed body taken for its end, celerygated's `response_cut_chunked` printed: GET cut after 47 bytes: HTTP/1.1 200 OK, with the last chunk.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -292,8 +292,9 @@
             upstream.restore(*request);
             AttemptEnd::failed(Stage::Connected, Failure::TargetFailed, reason)
         }
-        Ok(Err(SendError::NoResponse { error, .. })) => {
-            AttemptEnd::failed(Stage::BytesSent, Failure::TargetFailed, error)
+        Ok(Err(SendError::NoResponse { reason, error, .. })) => {
+            let detail = format!("{reason}: {error}");
+            AttemptEnd::failed(Stage::BytesSent, Failure::TargetFailed, detail)
         }
         // The stage is unknown here, so assume that bytes of the request were sent.
         Err(_) => AttemptEnd::failed(Stage::BytesSent, Failure::DeadlinePassed, "deadline passed"),
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -55,8 +55,10 @@
         reason: String,
     },
     /// The target may have received the request.
-    #[error("no response from the target: {error}")]
+    #[error("no response from the target: {reason}: {error}")]
     NoResponse {
+        /// What was received instead of a response head.
+        reason: NoResponseReason,
         /// Error that ended the connection.
         error: hyper::Error,
         /// Whether the connection was probably closed while it was idle.
@@ -64,6 +66,34 @@
     },
 }
 
+/// Why a sent request has no response head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NoResponseReason {
+    /// The connection was closed or reset before the first byte of a response.
+    NoBytes,
+    /// The connection was closed or reset within the head.
+    HeadCut,
+    /// The bytes are no HTTP response head.
+    HeadMalformed,
+    /// The head is longer than allowed.
+    HeadTooLong,
+}
+
+impl NoResponseReason {
+    fn of(error: &hyper::Error, received_bytes: u64) -> Self {
+        if error.is_parse_too_large() {
+            Self::HeadTooLong
+        } else if error.is_parse() {
+            Self::HeadMalformed
+        } else if received_bytes > 0 {
+            Self::HeadCut
+        } else {
+            Self::NoBytes
+        }
+    }
+}
+
 /// Which pooled connections a request may be sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionReuse {
@@ -136,6 +166,7 @@
         request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
+        let received_earlier = connection.received_bytes();
         match connection.sender().try_send_request(request).await {
             Ok(response) => {
                 Ok(response
@@ -148,9 +179,12 @@
                 }),
                 None => {
                     let error = error.into_error();
-                    let lost_while_idle =
-                        idle_since.is_some_and(|since| self.record_close(since, sent_at));
-                    Err(SendError::NoResponse { error, lost_while_idle })
+                    let received = connection.received_bytes() - received_earlier;
+                    let reason = NoResponseReason::of(&error, received);
+                    // A target that has sent a part of a head has received the request.
+                    let lost_while_idle = reason == NoResponseReason::NoBytes
+                        && idle_since.is_some_and(|since| self.record_close(since, sent_at));
+                    Err(SendError::NoResponse { reason, error, lost_while_idle })
                 }
             },
         }
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -1,7 +1,8 @@
 //! One connection to a target.
 
 use std::net::SocketAddr;
-use std::sync::Weak;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use hyper::client::conn::http1::{self, SendRequest};
@@ -29,10 +30,12 @@
 const CROSS_REGION_RECEIVE_BUFFER_BYTES: u32 = 256 * 1_024;
 /// Read buffer of a connection to another region, bounded for the same reason.
 const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
+
 /// A connection to a target.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     stream: Weak<TcpStream>,
+    received_bytes: Arc<AtomicU64>,
 }
 
 impl Connection {
@@ -55,7 +58,7 @@
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
         let socket = TargetSocket::new(stream);
-        let stream = socket.downgrade();
+        let (stream, received_bytes) = (socket.downgrade(), socket.received_bytes());
         let (sender, connection) = http.handshake(TokioIo::new(socket)).await?;
         tokio::spawn(async move {
             // A failed request receives the error itself; this one concerns no request.
@@ -64,7 +67,7 @@
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream })
+        Ok(Self { sender, stream, received_bytes })
     }
 
     /// Returns the sender of requests.
@@ -72,6 +75,11 @@
         &mut self.sender
     }
 
+    /// Returns the number of bytes received so far, also after the connection has ended.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -5,6 +5,7 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 
@@ -39,12 +40,18 @@
 /// The socket as the HTTP library uses it. Dropping it closes the connection.
 pub struct TargetSocket {
     stream: Arc<TcpStream>,
+    received_bytes: Arc<AtomicU64>,
 }
 
 impl TargetSocket {
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: Arc::new(stream) }
+        Self { stream: Arc::new(stream), received_bytes: Arc::default() }
+    }
+
+    /// Returns the counter of the bytes read from the socket.
+    pub fn received_bytes(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.received_bytes)
     }
 
     /// Returns a reference to the socket that does not keep it open.
@@ -62,7 +69,10 @@
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             match self.stream.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+                Ok(count) => {
+                    self.received_bytes.fetch_add(count as u64, Ordering::Relaxed);
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -94,8 +94,8 @@
             log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
             return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
-        Ok(Err(SendError::NoResponse { error, .. })) => {
-            log::info!(request = admitted.metadata.request.as_str(), error:% = error,
+        Ok(Err(SendError::NoResponse { reason, error, .. })) => {
+            log::info!(request = admitted.metadata.request.as_str(), reason:% = reason, error:% = error,
                 target_id = chosen.instance.as_str(); "no response from the target");
             attempt_guard.end(AttemptEnd::Failed, None);
             log_attempt(daemon, admitted, chosen, arrived_at, "no-response");
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -15,6 +15,7 @@
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
 use celerygate_fleet::adapter::{ProtocolAdapter, RequestMetadata, ResponseMetadata};
+use celerygate_fleet::callers::{self, ConnectionCounter};
 use celerygate_fleet::daemon::Daemon;
 use celerygate_fleet::forward::{self, ResponseBody};
 use celerygate_fleet::mesh::Mesh;
@@ -31,6 +32,9 @@
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use self::raw_target::RawTarget;
 
@@ -108,6 +112,23 @@
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
+    /// Serves callers on a free port and returns its address.
+    pub async fn listen(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
+        let address = listener.local_addr().expect("local address of the listener");
+        let daemon = Arc::clone(&self.daemon);
+        let service = callers::Service {
+            connections: Arc::new(ConnectionCounter::new(1_000)),
+            idle_timeout: Box::new(|| None),
+            handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
+        };
+        tokio::spawn(async move {
+            let (_shutdown, running) = watch::channel(false);
+            callers::serve(listener, running, service).await;
+        });
+        address
+    }
+
     /// Sends a request and returns the head of the response, with its unread body.
     pub async fn send(&self, method: Method, attempt: &str) -> Response<ResponseBody> {
         let request = Request::builder()
@@ -140,6 +161,23 @@
     }
 }
 
+/// Sends a request on a new connection and returns all bytes received until the daemon closes it.
+pub async fn send_raw(callers: SocketAddr, method: &Method, attempt: &str) -> Vec<u8> {
+    let body = if method == Method::POST { raw_target::BODY_END } else { "" };
+    let request = format!(
+        "{method} /a/b HTTP/1.1\r\nhost: {HOST}\r\n{ID}: {attempt}\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(callers).await.expect("connect");
+    stream.write_all(request.as_bytes()).await.expect("send");
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    // A reset counts as the end of the connection.
+    let _ = read.expect("connection still open after the time-out");
+    received
+}
+
 /// Returns a complete signed response to an attempt.
 pub fn answer(attempt: &str, body: &str) -> String {
     let length = body.len();
