State and test which responses without a length are believed

A response without a length that is not chunked ends with its connection. The users' platform asks for exactly this (a response may have no length and end with its connection; one that is reset on the way is not complete), and HTTP/1.1 allows it. What stays open is a target that closes in order within such a body: its response cannot be told from a complete one. Rejecting all of them was weighed and dropped: it would fail the responses of sound targets to exclude a fault that only a length can show.

--- a/crates/daemon/tests/cut_responses.rs
+++ b/crates/daemon/tests/cut_responses.rs
@@ -68,3 +68,27 @@
                     5\r\nhello\r\n6;a=b\r\n world\r\n0\r\nx-trailer: 1\r\n\r\n";
     assert_cuts_fail(response.into(), |body| body.ends_with(b"0\r\n\r\n")).await;
 }
+
+/// Guards against a response without a length that is not returned, or that looks complete although
+/// its connection was reset: it is complete only if the target closed the connection in order.
+#[tokio::test]
+async fn response_without_length() {
+    for body in ["", "0123456789"] {
+        let response = format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes();
+        for (end, is_complete) in [
+            (ScriptedResponse::Close(response.clone()), true),
+            (ScriptedResponse::Reset(response), false),
+        ] {
+            let target = RawTarget::start(move |_, _| end.clone()).await;
+            let daemon = Daemon::start().await;
+            let _announcement = daemon.announce("target-1", target.address, 3).await;
+            let request = format!(
+                "GET /svc/echo/a HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ALPHA_KEY}\r\nconnection: close\r\n\r\n"
+            );
+            let received = send_raw(daemon.callers, request.as_bytes()).await;
+            let text = String::from_utf8_lossy(&received);
+            assert!(is_complete == text.ends_with("0\r\n\r\n"), "{body:?}: {text}");
+            assert!(!is_complete || text.contains(body), "{text}");
+        }
+    }
+}
--- a/crates/fleet/tests/cut_responses.rs
+++ b/crates/fleet/tests/cut_responses.rs
@@ -98,3 +98,20 @@
         assert!(received.len() - head_end < STREAMED_BYTES, "cut after {cut} bytes");
     }
 }
+
+/// Guards against a response without a length that is rejected, or that is returned although its
+/// connection was reset: it is complete only if the target closed the connection in order.
+#[tokio::test]
+async fn response_without_length() {
+    for body in ["", "0123456789"] {
+        let response = format!("{}\r\n{body}", head("a")).into_bytes();
+        for (end, expected) in [
+            (ScriptedResponse::Close(response.clone()), (200, Some(body.into()))),
+            (ScriptedResponse::Reset(response), (502, Some("".into()))),
+        ] {
+            let target = RawTarget::start(move |_, _| end.clone()).await;
+            let fleet = Fleet::start(&[&target], Repeatable::OnlyIfNotRun);
+            assert_eq!(fleet.status_and_body(Method::GET, "a").await, expected, "{body:?}");
+        }
+    }
+}
