Test acknowledged commands after losses at drawn moments

Each seed draws commands, the planned or unplanned replacement of a voter or of the leader, processes that end in a write, failed syncs, a cut voter, a lost disk, and losses of all processes or of all power. At a drawn moment up to two disks are lost (no more than two at the same time, with the old VM's and an earlier one until 4 s after the successor's start or the return) and all others lose power, with torn or missing unsynced writes. After the power is back every acknowledged command has to be there once, on every VM. Changes and evacuations take turns.

The check of the final state now counts evacuations as well as holds; nothing was relaxed.

--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -8,6 +8,8 @@
 mod cluster;
 #[path = "agreement/disk_losses.rs"]
 mod disk_losses;
+#[path = "agreement/drawn_losses.rs"]
+mod drawn_losses;
 
 use celerygate_control::storage::memory::TornWrite;
 use cluster::Cluster;
--- a/crates/control/tests/agreement/disk_losses.rs
+++ b/crates/control/tests/agreement/disk_losses.rs
@@ -8,12 +8,12 @@
 
 use super::cluster::{self, Cluster};
 
-const VOTERS: usize = 5;
-const LOST_DISKS_MAX: usize = 2;
+pub const VOTERS: usize = 5;
+pub const LOST_DISKS_MAX: usize = 2;
 /// Time for which a VM that is back still counts as lost.
-const CATCH_UP_MS: u64 = 4_000;
+pub const CATCH_UP_MS: u64 = 4_000;
 /// Time between the stop signal and the end of a control VM's process.
-const SHUTDOWN_MS: u64 = 320;
+pub const SHUTDOWN_MS: u64 = 320;
 
 /// Moments of the loss: times after the proposal, or the acknowledgement.
 const MOMENTS_MS: [Option<u64>; 7] =
@@ -22,7 +22,7 @@
     [TornWrite::Discard, TornWrite::Keep, TornWrite::Prefix(0x2d), TornWrite::ZeroSector(0x53)];
 
 /// Returns a group of five voters, with a sixth VM that has not joined.
-fn group(seed: u64) -> Cluster {
+pub fn group(seed: u64) -> Cluster {
     let mut cluster = Cluster::new(VOTERS + 1, VOTERS, seed);
     cluster.group_size = Some(GroupSize::for_lost_disks(LOST_DISKS_MAX));
     cluster.run_until("the group is created", Cluster::has_expected_voters);
@@ -38,14 +38,14 @@
     std::iter::once(vec![]).chain(singles).chain(pairs.map(|(a, b)| vec![a, b])).collect()
 }
 
-fn propose(cluster: &mut Cluster) {
+pub fn propose(cluster: &mut Cluster) {
     if let Some(leader) = cluster.leader() {
         cluster.propose(leader);
     }
 }
 
 /// Proposes a command and runs until it is acknowledged.
-fn acknowledge(cluster: &mut Cluster) {
+pub fn acknowledge(cluster: &mut Cluster) {
     let before = cluster.accepted.len();
     for _ in 0..600 {
         propose(cluster);
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -9,7 +9,8 @@
 use celerygate_control::replica::Input;
 use celerygate_control::storage::memory::{MemoryDisk, TornWrite};
 use celerygate_types::wire::{
-    Command, Configuration, HoldCommand, LogEntry, Member, MemberRole, MembershipChange, Message,
+    Command, Configuration, EvacuateCommand, HoldCommand, LogEntry, Member, MemberRole,
+    MembershipChange, Message,
 };
 use celerygate_types::{ManualClock, VmId};
 
@@ -19,7 +20,7 @@
 mod state;
 
 pub use state::vm_id;
-use state::{apply, configuration, id, member};
+use state::{apply, command_name, configuration, count_applied, id, member};
 
 const TIME_STEP: Duration = Duration::from_millis(10);
 /// Number of applied entries after which a VM takes a snapshot.
@@ -121,7 +122,7 @@
         cluster
     }
 
-    fn random_below(&mut self, below: u64) -> u64 {
+    pub fn random_below(&mut self, below: u64) -> u64 {
         self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
         let mut mixed = self.random;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
@@ -169,7 +170,7 @@
         let vm = &mut self.vms[number];
         let Some(node) = &mut vm.node else { return };
         let command = match &input {
-            Input::Propose(Command::Hold(hold)) => Some(hold.intent.to_string()),
+            Input::Propose(command) => command_name(command),
             _ => None,
         };
         let outputs = match node.handle(input, now) {
@@ -301,8 +302,13 @@
             return;
         }
         self.next_command += 1;
-        let intent = id(&format!("c-{}", self.next_command));
-        let command = Command::Hold(HoldCommand { intent, reason: None });
+        let name = format!("c-{}", self.next_command);
+        // Changes and evacuations take turns.
+        let command = if self.next_command.is_multiple_of(2) {
+            Command::Evacuate(EvacuateCommand { data_centre: id(&name), active: true })
+        } else {
+            Command::Hold(HoldCommand { intent: id(&name), reason: None })
+        };
         self.handle(number, Input::Propose(command));
     }
 
@@ -442,7 +448,7 @@
         let mut expected = configuration(vec![]);
         self.applied_entries.iter().for_each(|entry| apply(&mut expected, entry));
         for (name, position) in &self.accepted {
-            let found = expected.regions.iter().filter(|region| region.as_str() == name).count();
+            let found = count_applied(&expected, name);
             assert_eq!(found, 1, "accepted command {name} at {position}");
         }
         for vm in self.vms.iter().filter(|vm| !self.excluded_vms.contains(&vm.id)) {
--- a/crates/control/tests/support/losses.rs
+++ b/crates/control/tests/support/losses.rs
@@ -81,6 +81,14 @@
         true
     }
 
+    /// Returns whether a VM is a voter with its present disk.
+    pub fn is_voter(&self, number: usize) -> bool {
+        let vm = &self.vms[number];
+        self.committed_members().zip(vm.store_id).is_some_and(|(members, store_id)| {
+            membership::counts_as_voter(&members, &vm.id, store_id)
+        })
+    }
+
     fn has_recorded_store(&self, member: &Member) -> bool {
         let Some(vm) = self.vms.iter().find(|vm| vm.id == member.vm) else { return false };
         !self.excluded_vms.contains(&member.vm) && vm.store_id == member.store_id
--- a/crates/control/tests/support/state.rs
+++ b/crates/control/tests/support/state.rs
@@ -46,6 +46,21 @@
     }
 }
 
+/// Returns the name of an operator's command in the tests.
+pub fn command_name(command: &Command) -> Option<String> {
+    match command {
+        Command::Hold(hold) => Some(hold.intent.to_string()),
+        Command::Evacuate(evacuate) => Some(evacuate.data_centre.to_string()),
+        _ => None,
+    }
+}
+
+/// Returns how often a command with this name is in the state.
+pub fn count_applied(state: &Configuration, name: &str) -> usize {
+    let held = state.regions.iter().filter(|region| region.as_str() == name).count();
+    held + state.evacuated.iter().filter(|evacuated| evacuated.as_str() == name).count()
+}
+
 /// Applies an entry to a state machine that appends the name of each command to a list.
 pub fn apply(state: &mut Configuration, entry: &LogEntry) {
     if let Command::Bootstrap(first) = &entry.command {
@@ -56,4 +71,7 @@
         state.regions.push(id(hold.intent.as_str()));
         state.revision = state.revision.saturating_add(Revision(1));
     }
+    if let Command::Evacuate(evacuate) = &entry.command {
+        state.evacuated.push(evacuate.data_centre.clone());
+    }
 }
