Promote a successor before the lost voter is removed

A voter that had not replied for 2.5 s was removed before the waiting learner was promoted, so the group had four voters in between. The voter may be only cut off, with its disk intact. If two other disks were lost at that moment and all others lost power, two voters of four remained: no leader was elected again, and everything acknowledged was out of reach. Only the disks of two VMs were lost, which the deployment allows.

The learner is now promoted first, and the lost voter is removed from the larger group next, as for a voter that leaves. With six voters the quorum is four: four remain after two lost disks. A voter that is gone for good counts as a loss of its own until its successor has caught up, and four of six remain with one more lost disk. The promotion is possible whenever a leader has a quorum of the five, since the learner answers too.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -210,8 +210,9 @@
     /// Returns the next change, given the one that [`next_change`] proposes.
     ///
     /// While there are enough voters, no learner is promoted, except to replace a voter that is
-    /// lost or leaves. A lost voter is removed before the promotion. A leaving voter is removed
-    /// after it: it still answers, so that no moment has fewer voters than the group's size.
+    /// lost or leaves. That voter is removed after the promotion, so that no moment has fewer
+    /// voters than the group's size: a voter that is only cut off still has its disk, and two
+    /// other disks can be lost at any moment.
     ///
     /// A leader can be lost between that promotion and that removal. The next leader may not know
     /// which voter was leaving, so any lost voter is removed while there are too many.
@@ -225,15 +226,14 @@
         let is_lost = |voter: &&Member| {
             time_since_reply(&voter.vm).is_some_and(|time| time >= VOTER_REPLACEMENT_TIMEOUT)
         };
-        let remove = |voter: &Member| MembershipChange::Remove(voter.vm.clone());
         let leaving = voters(members).find(|voter| is_leaving(&voter.vm));
-        let lost = voters(members).find(is_lost);
+        let replaced = leaving.or_else(|| voters(members).find(is_lost));
         match (proposed, voters(members).count().cmp(&self.voters())) {
             (Some(MembershipChange::Promote(vm)), Ordering::Equal) => {
-                lost.map(remove).or_else(|| leaving.map(|_| MembershipChange::Promote(vm)))
+                replaced.map(|_| MembershipChange::Promote(vm))
             }
             (Some(MembershipChange::Promote(_)) | None, Ordering::Greater) => {
-                leaving.or(lost).map(remove)
+                replaced.map(|voter| MembershipChange::Remove(voter.vm.clone()))
             }
             (other, _) => other,
         }
--- a/crates/control/tests/agreement/drawn_losses.rs
+++ b/crates/control/tests/agreement/drawn_losses.rs
@@ -388,3 +388,28 @@
     let failed: Vec<u64> = seeds().filter(fails).collect();
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
+
+/// Guards against a group that is one voter short while a voter that is only cut off is replaced:
+/// two disks that are lost at this moment leave two voters of four.
+#[test]
+fn lose_power_while_cut_voter_is_replaced() {
+    for cut_ms in (2_300..3_000).step_by(20) {
+        let mut cluster = group(cut_ms);
+        acknowledge(&mut cluster);
+        cluster.join(VOTERS);
+        cluster.run(1_000);
+        let leader = cluster.leader().expect("a leader");
+        let mut others: Vec<usize> = (0..VOTERS).filter(|vm| *vm != leader).collect();
+        let cut = others.remove(0);
+        let links = (0..=VOTERS).flat_map(|other| [(cut, other), (other, cut)]);
+        cluster.cut_links.extend(links);
+        cluster.run(cut_ms);
+        cluster.lose_power(&others[..LOST_DISKS_MAX], TornWrite::Discard);
+        cluster.cut_links.clear();
+        cluster.run_until("a leader is elected", |cluster| cluster.leader().is_some());
+        cluster.run(RECOVERY_MS);
+        let voter = (0..VOTERS).find(|vm| cluster.is_voter(*vm)).expect("a voter");
+        cluster.leave(voter);
+        cluster.heal_and_check();
+    }
+}
