Count the silence before an election for the earlier leader

A voter is replaced once it has not replied for 2.5 s. For a leader that was lost, this time began at the next election, one to two seconds after the loss, so that it was replaced up to 4.7 s after it was gone. A successor that starts within half a second has caught up by then, the lost VM no longer counts, and two more disks may be lost: two voters of five remained, no leader was elected again, and everything acknowledged was out of reach.

The leader that is elected now knows when it last heard the earlier one. Up to 1.5 s of that silence counts, so that an earlier leader that still runs has a second after the election for its first reply.

Evidence: lose_power_after_lost_leader (successor 0, 0.2 or 0.5 s after the loss, two disks and all power lost 4 s later) failed before the fix with "not reached in 60 s: all voters are back".

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -163,7 +163,8 @@
     writes: VecDeque<PendingWrite>,
     next_write_number: WriteNumber,
     started_at: Instant,
-    leader_contact_at: Option<Instant>,
+    /// Leader that was last heard, and the time.
+    leader_contact: Option<(VmId, Instant)>,
     timer_started_at: Instant,
     election_timeout: Duration,
     /// When to start another election after one that elected no leader.
@@ -215,6 +216,8 @@
     /// Send time of the last round that a quorum acknowledged.
     lease_start: Option<Instant>,
     elected_at: Instant,
+    /// The earlier leader, and when it was last heard.
+    earlier_leader: Option<(VmId, Instant)>,
     peers: BTreeMap<VmId, Progress>,
 }
 
@@ -253,7 +256,7 @@
             writes: VecDeque::new(),
             next_write_number: 1,
             started_at: now,
-            leader_contact_at: None,
+            leader_contact: None,
             timer_started_at: now,
             election_timeout: election::random_timeout(
                 initial.random,
@@ -335,12 +338,20 @@
     }
 
     /// Returns the time since the last reply of another member to this leader; `None` for the
-    /// leader itself and on VMs that do not lead.
+    /// leader itself and on VMs that do not lead. Without a reply, it counts from the election, and
+    /// for the earlier leader up to [`SILENCE_BEFORE_ELECTION_MAX`] longer.
     pub fn time_since_reply(&self, vm: &VmId, now: Instant) -> Option<Duration> {
         let Role::Leader(leadership) = &self.role else { return None };
         let progress = leadership.peers.get(vm)?;
-        let since = progress.last_reply_at.unwrap_or(leadership.elected_at);
-        Some(now.saturating_duration_since(since))
+        let Some(replied_at) = progress.last_reply_at else {
+            let contact = leadership.earlier_leader.as_ref().filter(|(earlier, _)| earlier == vm);
+            let silence = contact.map_or(Duration::ZERO, |(_, heard_at)| {
+                leadership.elected_at.saturating_duration_since(*heard_at)
+            });
+            let since_election = now.saturating_duration_since(leadership.elected_at);
+            return Some(since_election + silence.min(SILENCE_BEFORE_ELECTION_MAX));
+        };
+        Some(now.saturating_duration_since(replied_at))
     }
 
     /// Discards entries that a snapshot covers, except for the last [`RETAINED_ENTRIES`].
--- a/crates/control/src/replica/election.rs
+++ b/crates/control/src/replica/election.rs
@@ -55,7 +55,7 @@
     };
     has_recent_quorum
         || recently(replica.started_at)
-        || replica.leader_contact_at.is_some_and(recently)
+        || replica.leader_contact.as_ref().is_some_and(|(_, heard_at)| recently(*heard_at))
 }
 
 pub(super) fn vote_request(
--- a/crates/control/src/replica/follower.rs
+++ b/crates/control/src/replica/follower.rs
@@ -63,7 +63,7 @@
         return false;
     }
     replica.become_follower(term, Some(from.clone()), now, actions);
-    replica.leader_contact_at = Some(now);
+    replica.leader_contact = Some((from.clone(), now));
     replica.timer_started_at = now;
     replica.retry_at = None;
     true
--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -24,6 +24,7 @@
         sent: VecDeque::new(),
         lease_start: None,
         elected_at: now,
+        earlier_leader: replica.leader_contact.clone(),
         peers: BTreeMap::new(),
     });
     replica.leader = Some(replica.vm.clone());
--- a/crates/control/src/replica/limits.rs
+++ b/crates/control/src/replica/limits.rs
@@ -24,6 +24,9 @@
 pub const QUORUM_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time after which an unacknowledged snapshot is sent again.
 pub const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Longest part of the silence before an election that counts as silence of the earlier leader. The
+/// second that is left of the time after which a voter is replaced is enough for a first reply.
+pub const SILENCE_BEFORE_ELECTION_MAX: Duration = Duration::from_millis(1_500);
 /// Time after its last reply during which a member counts as reachable.
 pub const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Rejections by one member in a round that the leader answers with an immediate append request.
--- a/crates/control/tests/agreement/disk_losses.rs
+++ b/crates/control/tests/agreement/disk_losses.rs
@@ -182,3 +182,23 @@
         cluster.heal_and_check();
     }
 }
+
+/// Guards against a leader that is lost for good and still counts for the quorum once its successor
+/// has had the time to catch up, because the time for the election comes on top.
+#[test]
+fn lose_power_after_lost_leader() {
+    for seed in 0..48 {
+        let mut cluster = group(seed);
+        acknowledge(&mut cluster);
+        cluster.run(1_000);
+        let old = cluster.leader().expect("a leader");
+        let others: Vec<usize> = (0..=VOTERS).filter(|vm| *vm != old).collect();
+        cluster.leave(old);
+        cluster.run([0, 200, 500][seed as usize % 3]);
+        cluster.join(VOTERS);
+        cluster.run(CATCH_UP_MS);
+        let wiped = [others[seed as usize % VOTERS], others[(seed as usize + 2) % VOTERS]];
+        cluster.lose_power(&wiped, TornWrite::Discard);
+        cluster.heal_and_check();
+    }
+}
