Place no requests on targets that leave or are paused

Callers' requests went on to a server that had stated in its answers that it leaves, until its deregistration came through a control VM, and to one that had asked for a pause. The forwarding path read neither.

The head of a response is now recorded as soon as it is whole, before it is decided whether the response is believed and whatever becomes of its body. The choice of a target leaves out targets that leave, are paused, or have as many requests as they may have after a pause; this needs no control VM. Requests that wait for a target are woken and choose again. A request that was lost on an idle connection is not sent to such a target once more. If all targets that could serve a request are paused, it is refused at once, and the caller is told the earliest end of a pause plus up to half of the target latency, so that not all callers return in one moment. If the only targets left resume after a pause, requests wait for them as long as they may wait for an object's target. A rejection or failure that asks for a pause counts neither as a failure of the target nor into its failure share.

The line `no target can accept the request` counts leaving, paused and resuming targets; one line each tells the begin and the end of both states.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -43,6 +43,9 @@
 /// The same range after a rejection by targets that have free slots: the retry is likely to reach
 /// another target.
 const RETRY_AFTER_RANGE_REJECTED: std::ops::Range<f64> = 0.02..0.1;
+/// The same range, added to the earliest end of a pause when all targets of the service are paused.
+/// They resume one request at a time, so the first callers must not all return at once.
+const RETRY_AFTER_RANGE_PAUSED: std::ops::Range<f64> = 0.0..0.5;
 /// Interval at which a request that waits for a target repeats the choice.
 const WAIT_RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of entry VMs, in addition to the known ones, by which the retry budget is divided, since
@@ -286,15 +289,7 @@
         {
             break;
         }
-        let query = Query {
-            request: &admitted.metadata.request,
-            service: admitted.service,
-            route,
-            organisation_homes: admitted.organisation_homes,
-            object: admitted.object,
-            remaining: admitted.deadline.saturating_duration_since(now),
-            tried: &tried,
-        };
+        let query = query_of(admitted, &tried, now);
         let attempt_ended = daemon.tables.attempt_ended.notified();
         let chosen = match targets::choose(daemon, content, &query, now) {
             Choice::Use(chosen) => chosen,
@@ -327,13 +322,32 @@
         let unknown = last_code.outcome() == Outcome::Unknown;
         return refusal(if unknown { last_code } else { ResultCode::TargetFailed });
     }
-    let range =
-        if rejected_with_free_slot { RETRY_AFTER_RANGE_REJECTED } else { RETRY_AFTER_RANGE };
+    let now = daemon.now();
+    let pause_end =
+        targets::earliest_resume(daemon, content, &query_of(admitted, &tried, now), now);
+    let range = match pause_end {
+        Some(_) => RETRY_AFTER_RANGE_PAUSED,
+        None if rejected_with_free_slot => RETRY_AFTER_RANGE_REJECTED,
+        None => RETRY_AFTER_RANGE,
+    };
+    let pause = pause_end.map_or(Duration::ZERO, |end| end.saturating_duration_since(now));
     let share = rand::random_range(range);
-    let retry_after = Some(route.target_latency.mul_f64(share));
+    let retry_after = Some(pause + route.target_latency.mul_f64(share));
     RequestOutcome::Refused(Refusal { code: ResultCode::NoCapacity, retry_after })
 }
 
+fn query_of<'a>(admitted: &AdmittedRequest<'a>, tried: &'a [TargetId], now: Instant) -> Query<'a> {
+    Query {
+        request: &admitted.metadata.request,
+        service: admitted.service,
+        route: admitted.route,
+        organisation_homes: admitted.organisation_homes,
+        object: admitted.object,
+        remaining: admitted.deadline.saturating_duration_since(now),
+        tried,
+    }
+}
+
 fn count_request(daemon: &Daemon, service: &ServiceId) {
     let now = daemon.now();
     let limits = retry_limits(daemon);
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -20,7 +20,7 @@
 use super::{AdmittedRequest, ResponseBody, organisation_text};
 use crate::adapter::ForwardMetadata;
 use crate::daemon::Daemon;
-use crate::targets::{AttemptGuard, ChosenTarget, CompletedAttempt};
+use crate::targets::{AttemptGuard, ChosenTarget, CompletedAttempt, may_resend};
 
 /// Result of one attempt at a target.
 pub(super) enum AttemptResult {
@@ -77,6 +77,7 @@
     let mut is_resent = false;
     if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error, .. })) = &outcome
         && is_repeatable
+        && may_resend(daemon, chosen)
     {
         log::info!(request = admitted.metadata.request.as_str(), error:% = error,
             target_id = chosen.instance.as_str();
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -16,7 +16,7 @@
 use super::{AdmittedRequest, ResponseBody, full_body};
 use crate::adapter::ResponseMetadata;
 use crate::daemon::Daemon;
-use crate::targets::ChosenTarget;
+use crate::targets::{ChosenTarget, record_notice};
 
 /// Responses up to this size are buffered completely before the first byte is sent to the caller,
 /// so that a truncated response can be replaced by another target's.
@@ -38,6 +38,9 @@
 ) -> ResponseResult {
     let (parts, body) = response.into_parts();
     let metadata = (daemon.adapter.read_response)(&parts);
+    // A whole head proves what its target states, whatever becomes of the body.
+    record_notice(daemon, &admitted.metadata.request, chosen, metadata.notice);
+    let is_paused = metadata.notice.asks_for_pause();
     let kind = kind_of(admitted, &parts, &metadata);
     if let ResponseKind::Rejected(reason) = kind {
         log::warn!(request = admitted.metadata.request.as_str(), reason:% = reason,
@@ -58,14 +61,17 @@
                 "target's rejection truncated");
         }
         let has_free_slot = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
-        let attempt = AttemptResult::Rejected { had_free_slot: load.is_some_and(has_free_slot) };
-        return ResponseResult { attempt, end: AttemptEnd::Rejected, load, outcome: "rejected" };
+        let had_free_slot = !is_paused && load.is_some_and(has_free_slot);
+        let attempt = AttemptResult::Rejected { had_free_slot };
+        let end = if is_paused { AttemptEnd::Paused } else { AttemptEnd::Rejected };
+        return ResponseResult { attempt, end, load, outcome: "rejected" };
     }
     let is_failure = !metadata.is_signed || parts.status.is_server_error();
+    let failure_end = if is_paused { AttemptEnd::Paused } else { AttemptEnd::Failed };
     if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
         drop(body);
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
-        return ResponseResult { attempt, end: AttemptEnd::Failed, load, outcome: "target-error" };
+        return ResponseResult { attempt, end: failure_end, load, outcome: "target-error" };
     }
     let headers = response_headers(&parts);
     match read_body(body).await {
@@ -73,7 +79,7 @@
             let mut response = Response::new(body);
             *response.status_mut() = parts.status;
             *response.headers_mut() = headers;
-            let end = if is_failure { AttemptEnd::Failed } else { AttemptEnd::Answered };
+            let end = if is_failure { failure_end } else { AttemptEnd::Answered };
             ResponseResult {
                 attempt: AttemptResult::Response(response),
                 end,
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -172,6 +172,7 @@
     } else {
         tokio::spawn(quota::poll(Arc::clone(daemon)));
         tokio::spawn(clean_up_tables(Arc::clone(daemon)));
+        tokio::spawn(targets::watch_availability(Arc::clone(daemon)));
     }
 }
 
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use celerygate_steering::availability::AvailabilityTable;
 use celerygate_steering::grants::{GrantHolder, OwnerStatus};
 use celerygate_steering::instances::InstanceTable;
 use celerygate_steering::outcome::RetryBudget;
@@ -165,6 +166,8 @@
 pub struct LocalTargetStates {
     /// Statistics of this VM's own requests.
     pub stats: HashMap<TargetId, TargetStats>,
+    /// Targets that leave or are paused according to their own responses.
+    pub availability: AvailabilityTable,
     /// Targets that each control VM reports as silent (missing heartbeats), with the time of its
     /// reply.
     pub silent_lists: HashMap<VmId, (HashSet<TargetId>, Instant)>,
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -7,33 +7,39 @@
 use celerygate_daemon::upstream::NetworkPath;
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::placement::{
-    AttemptEnd, Candidate, Locality, ObjectShares, Placement, PlacementReason, PlacementRequest,
-    ProcessingTimes, ReportedLoad, TargetStats, place,
+    Candidate, Locality, ObjectShares, Placement, PlacementReason, PlacementRequest,
+    ProcessingTimes, TargetStats, place,
 };
 use celerygate_steering::routing::{Route, allows_region};
 use celerygate_steering::targets::Distance;
 use celerygate_types::wire::InstanceState;
-use celerygate_types::{DataCentreId, RegionId, Revision, ServiceId, SlotCount, TargetId};
+use celerygate_types::{
+    DataCentreId, Incarnation, RegionId, Revision, ServiceId, SlotCount, TargetId,
+};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+pub use self::attempts::{AttemptGuard, CompletedAttempt, TargetWaitGuard};
+use self::availability::{IneligibleCounts, is_eligible, resuming_target};
+pub use self::availability::{earliest_resume, may_resend, record_notice, watch_availability};
 use self::cold::{may_be_cold, sendable_cold_targets};
 use crate::daemon::Daemon;
 use crate::tables::{Content, LocalTargetStates};
 
+mod attempts;
+mod availability;
 mod cold;
 
 /// Maximum age of a control VM's list of silent targets.
 const SILENT_LIST_AGE_MAX: Duration = Duration::from_secs(2);
-/// Added to two heartbeat intervals: a target that was unreachable and has not reported a restart
-/// by then counts as warm. Covers the delay of a heartbeat's delivery.
-const RESTART_REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// The target chosen for a request.
 #[derive(Clone, Debug)]
 pub struct ChosenTarget {
     /// Id of the target.
     pub instance: TargetId,
+    /// Incarnation of its process.
+    pub incarnation: Incarnation,
     /// Socket address.
     pub address: SmolStr,
     /// Network path to it: within the region or across regions.
@@ -94,6 +100,7 @@
 #[derive(Clone, Debug)]
 struct IndexedTarget {
     instance: TargetId,
+    incarnation: Incarnation,
     address: SmolStr,
     hash: u64,
     distance: Distance,
@@ -133,6 +140,7 @@
         };
         by_service.entry(record.service.clone()).or_default().push(IndexedTarget {
             instance: record.instance.clone(),
+            incarnation: Incarnation(record.born_unix_ms),
             address: record.address.clone(),
             hash: rendezvous::id_hash(record.instance.as_str()),
             distance: distance(daemon, region, &record.data_centre),
@@ -155,26 +163,21 @@
     let none = Vec::new();
     let service_targets = index.by_service.get(query.service).unwrap_or(&none);
     let mut local = daemon.tables.targets.lock();
-    let is_allowed = |target: &&IndexedTarget| {
+    let is_allowed = |local: &LocalTargetStates, target: &IndexedTarget| {
         !query.tried.contains(&target.instance)
-            && allows_region(&query.route.home_regions, query.organisation_homes, &target.region)
+            && is_in_allowed_region(query, target)
+            && is_eligible(local, target, now)
     };
     let is_cold = |local: &LocalTargetStates, target: &IndexedTarget| {
         target.warm_at > now || may_be_cold(local, &target.instance, &target.data_centre, now)
     };
     let shares = current_shares(daemon, &mut local, service_targets, query, now);
     let locality = locality(query);
+    let allowed = service_targets.iter().filter(|target| is_allowed(&local, target));
+    let warm = allowed.filter(|target| !is_cold(&local, target));
     let ranked = match query.object {
-        Some(object) => rank_targets(
-            object,
-            locality,
-            service_targets.iter().filter(is_allowed).filter(|target| !is_cold(&local, target)),
-        ),
-        None => service_targets
-            .iter()
-            .filter(is_allowed)
-            .filter(|target| !is_cold(&local, target))
-            .collect(),
+        Some(object) => rank_targets(object, locality, warm),
+        None => warm.collect(),
     };
     let warm: Vec<Candidate> =
         ranked.iter().map(|target| candidate(&local, target, query, now)).collect();
@@ -188,8 +191,7 @@
     if matches!(placement, Placement::Full | Placement::NoTarget) {
         let cold: Vec<&IndexedTarget> = service_targets
             .iter()
-            .filter(is_allowed)
-            .filter(|target| is_cold(&local, target))
+            .filter(|target| is_allowed(&local, target) && is_cold(&local, target))
             .collect();
         let cold = sendable_cold_targets(daemon, content, &mut local, query.service, cold, now);
         let candidates: Vec<Candidate> = cold
@@ -212,14 +214,12 @@
         Placement::Send { index, reason } => (index, reason),
         Placement::Wait { index } => return Choice::Wait(candidates[index].instance.clone()),
         Placement::Full | Placement::NoTarget => {
-            log_unplaced(
-                query,
-                &placement_request,
-                &candidates,
-                service_targets.len(),
-                &times,
-                &shares,
-            );
+            let resuming = resuming_target(&local, service_targets, query, &times, now);
+            if let Some(instance) = resuming.filter(|_| placement == Placement::NoTarget) {
+                return Choice::Wait(instance);
+            }
+            let ineligible = IneligibleCounts::of(&local, service_targets, now);
+            log_unplaced(query, &placement_request, &candidates, &ineligible, &times, &shares);
             return if service_targets.is_empty() { Choice::NoTarget } else { Choice::Full };
         }
     };
@@ -233,6 +233,7 @@
     };
     Choice::Use(ChosenTarget {
         instance: target.instance.clone(),
+        incarnation: target.incarnation,
         address: target.address.clone(),
         network_path,
         distance: target.distance,
@@ -247,6 +248,10 @@
     })
 }
 
+fn is_in_allowed_region(query: &Query<'_>, target: &IndexedTarget) -> bool {
+    allows_region(&query.route.home_regions, query.organisation_homes, &target.region)
+}
+
 /// Returns the targets with the highest rendezvous scores for an object, nearest distance first.
 fn rank_targets<'a>(
     object: u64,
@@ -290,7 +295,8 @@
         slots: target.slots,
         load: stats.map_or(0.0, |stats| stats.load(now)),
         is_avoided: stats.is_some_and(|stats| stats.is_avoided(now))
-            || is_silent(local, &target.instance, now),
+            || is_silent(local, &target.instance, now)
+            || !is_eligible(local, target, now),
         knows_object: object_stats.is_some_and(|(object, stats)| stats.knows(object)),
         failure_share: stats.map_or(0.0, TargetStats::failure_share),
         waiting: stats.map_or(0, |stats| stats.waiting),
@@ -332,7 +338,7 @@
     query: &Query<'_>,
     placement_request: &PlacementRequest,
     candidates: &[Candidate],
-    targets_total: usize,
+    ineligible: &IneligibleCounts,
     times: &ProcessingTimes,
     shares: &ObjectShares,
 ) {
@@ -342,7 +348,8 @@
     log::info!(request = query.request, service = query.service.as_str(),
         object = placement_request.object,
         remaining_ms = placement_request.remaining.as_millis() as u64,
-        targets = targets_total, considered = candidates.len(),
+        targets = ineligible.targets, considered = candidates.len(),
+        leaving = ineligible.leaving, paused = ineligible.paused, resuming = ineligible.resuming,
         avoided = candidates.len() - usable.count(),
         load = load, slots = slots, known_ms = times.expected(true).as_millis() as u64,
         unknown_ms = times.expected(false).as_millis() as u64, shares:% = shares;
@@ -367,119 +374,6 @@
     lists.peek().is_some() && lists.all(|(silent, _)| silent.contains(instance))
 }
 
-/// Counts a request as waiting for a target until it is dropped.
-pub struct TargetWaitGuard<'a> {
-    daemon: &'a Daemon,
-    instance: TargetId,
-}
-
-impl<'a> TargetWaitGuard<'a> {
-    /// Counts a request as waiting for a target.
-    pub fn begin(daemon: &'a Daemon, instance: TargetId) -> Self {
-        let mut local = daemon.tables.targets.lock();
-        local.stats.entry(instance.clone()).or_default().waiting += 1;
-        drop(local);
-        Self { daemon, instance }
-    }
-}
-
-impl Drop for TargetWaitGuard<'_> {
-    fn drop(&mut self) {
-        let mut local = self.daemon.tables.targets.lock();
-        if let Some(stats) = local.stats.get_mut(&self.instance) {
-            stats.waiting = stats.waiting.saturating_sub(1);
-        }
-    }
-}
-
-/// A completed attempt, from which the average processing times are updated.
-pub struct CompletedAttempt<'a> {
-    /// Service of the request.
-    pub service: &'a ServiceId,
-    /// Hash of the object.
-    pub object: Option<u64>,
-    /// Target latency of the route.
-    pub target_latency: Duration,
-    /// Time from sending the request until the response was read or its streaming started.
-    pub time: Duration,
-}
-
-/// An attempt at a target; dropping it counts the attempt as abandoned.
-pub struct AttemptGuard<'a> {
-    daemon: &'a Daemon,
-    instance: TargetId,
-    new_object: Option<u64>,
-    completed: bool,
-}
-
-impl<'a> AttemptGuard<'a> {
-    /// Creates the guard for a request that [`choose`] has counted.
-    pub fn new(daemon: &'a Daemon, chosen: &ChosenTarget) -> Self {
-        let ChosenTarget { instance, new_object, .. } = chosen;
-        Self { daemon, instance: instance.clone(), new_object: *new_object, completed: false }
-    }
-
-    /// Records the end of the attempt and the load that the target reported.
-    pub fn end(mut self, end: AttemptEnd, load: Option<ReportedLoad>) {
-        self.completed = true;
-        self.record(end, load);
-    }
-
-    /// Records the processing time of a completed request.
-    pub fn record_time(&self, chosen: &ChosenTarget, completed: &CompletedAttempt<'_>) {
-        let mut local = self.daemon.tables.targets.lock();
-        if let Some(object) = completed.object {
-            local.stats.entry(self.instance.clone()).or_default().record_object(object);
-        }
-        if !chosen.had_free_slot {
-            return;
-        }
-        if !local.processing_times.contains_key(completed.service) {
-            local.processing_times.insert(
-                completed.service.clone(),
-                ProcessingTimes::initial_estimate(completed.target_latency),
-            );
-        }
-        if let Some(times) = local.processing_times.get_mut(completed.service) {
-            times.observe(completed.time, chosen.knows_object);
-        }
-    }
-
-    /// Records a failed connection. The target may be restarting and is then cold, so it is treated
-    /// as cold until its report would have arrived.
-    pub fn end_unreachable(mut self) {
-        self.completed = true;
-        self.record(AttemptEnd::Failed, None);
-        let now = self.daemon.now();
-        let until = now + self.daemon.heartbeat() * 2 + RESTART_REPORT_DELAY;
-        let mut local = self.daemon.tables.targets.lock();
-        local.suspected_cold_until.insert(self.instance.clone(), until);
-    }
-
-    fn record(&self, end: AttemptEnd, load: Option<ReportedLoad>) {
-        let now = self.daemon.now();
-        let mut local = self.daemon.tables.targets.lock();
-        let stats: &mut TargetStats = local.stats.entry(self.instance.clone()).or_default();
-        stats.record_attempt_end(end, now);
-        if let Some(object) = self.new_object {
-            stats.end_first_request(object);
-        }
-        if let Some(load) = load {
-            stats.report(load, now);
-        }
-        drop(local);
-        self.daemon.tables.attempt_ended.notify_waiters();
-    }
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        if !self.completed {
-            self.record(AttemptEnd::Abandoned, None);
-        }
-    }
-}
-
 /// Removes the state of targets that are no longer known, and expired entries.
 pub fn remove_unknown(daemon: &Daemon, now: Instant) {
     let instances = daemon.tables.instances.read();
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -31,7 +31,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response};
 
 use self::raw_target::RawTarget;
 
@@ -48,6 +48,12 @@
 const SIGNED: &str = "signed";
 /// Header of a target's refusals.
 const NOT_RUN: &str = "not-run";
+/// Header of all responses of a target that leaves.
+const LEAVING: &str = "leaving";
+/// Milliseconds for which a target wants no requests.
+const PAUSE: &str = "pause-ms";
+/// Milliseconds after which a refused caller should retry.
+pub const RETRY_AFTER: &str = "retry-after-ms";
 
 /// Returns the offset of the first occurrence of `part` in `bytes`.
 pub fn position(bytes: &[u8], part: &[u8]) -> Option<usize> {
@@ -71,13 +77,18 @@
 impl Fleet {
     /// Starts a daemon whose route sends requests to these targets.
     pub fn start(targets: &[&RawTarget], repeatable: Repeatable) -> Self {
+        Self::start_with_clock(targets, repeatable, Clock::system())
+    }
+
+    /// Starts a daemon with the given clock.
+    pub fn start_with_clock(targets: &[&RawTarget], repeatable: Repeatable, clock: Clock) -> Self {
         let tables = Arc::new(Tables::new());
         assert!(tables.activate(content(repeatable)));
         let settings = settings();
         let vm = settings.vm.clone();
         let daemon = Daemon {
             settings,
-            clock: Clock::system(),
+            clock,
             incarnation: Incarnation(1),
             tables,
             mesh: Mesh::new(vm, Incarnation(1), 1),
@@ -95,9 +106,14 @@
 
     /// Reports a target as ready.
     pub fn report(&self, instance: &str, address: SocketAddr) {
+        self.report_life(instance, address, 1);
+    }
+
+    /// Reports a target as ready whose process started at a time.
+    pub fn report_life(&self, instance: &str, address: SocketAddr, born_unix_ms: u64) {
         let record = InstanceRecord {
             address: address.to_string().into(),
-            born_unix_ms: 1,
+            born_unix_ms,
             cold_ms: 0,
             data_centre: id("east-1"),
             instance: id(instance),
@@ -185,16 +201,26 @@
             is_not_run: parts.headers.contains_key(NOT_RUN),
             is_signed: parts.headers.contains_key(SIGNED),
             load: None,
-            notice: Notice::default(),
+            notice: Notice {
+                is_leaving: parts.headers.contains_key(LEAVING),
+                pause: header_ms(&parts.headers, PAUSE),
+            },
         },
-        write_refusal: |refusal, _| match refusal.code.outcome() {
-            Outcome::NotRun => 503,
-            _ => 502,
+        write_refusal: |refusal, headers| {
+            if let Some(time) = refusal.retry_after {
+                headers.insert(RETRY_AFTER, HeaderValue::from(time.as_millis() as u64));
+            }
+            if refusal.code.outcome() == Outcome::NotRun { 503 } else { 502 }
         },
         read_document: |_| Ok(RoutingTable::default()),
     }
 }
 
+fn header_ms(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let ms = headers.get(name)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 fn header_text(value: &HeaderValue) -> smol_str::SmolStr {
     value.to_str().unwrap_or_default().into()
 }
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -3,9 +3,8 @@
 //!
 //! A target that leaves gets no new request for the rest of its life, that is, one incarnation of its
 //! process. A target that asked for a pause gets none until the end of the pause. It may have too
-//! little capacity for all of its callers, so its requests resume one at a time: each response that
-//! asks for no pause raises the limit of requests in flight by one, until it reaches the target's
-//! slots.
+//! little capacity for all of its callers, so its requests resume one at a time: each usable response
+//! raises the limit of requests in flight by one, until it reaches the target's slots.
 //!
 //! Every VM decides by the responses that it has received itself. A restarted VM learns again.
 
@@ -122,8 +121,7 @@
         changes
     }
 
-    /// Records the end of a request whose response asked for no pause, which raises the limit of a
-    /// target that resumes.
+    /// Records a usable response, which raises the limit of a target that resumes.
     pub fn record_response(
         &mut self,
         slots: SlotCount,
@@ -258,7 +256,7 @@
         changes
     }
 
-    /// Records the end of a request whose response asked for no pause.
+    /// Records a usable response, which raises the limit of a target that resumes.
     pub fn record_response(
         &mut self,
         life: &TargetLife,
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -251,11 +251,9 @@
                     best = Some((cost, index, reason));
                 }
             } else if is_primary {
-                let ahead = f64::from(candidate.waiting + 1) / candidate.slots();
-                let wait = times.mean().mul_f64(ahead);
-                if wait <= request.remaining.mul_f64(MAX_WAIT_FRACTION) {
-                    primary_wait = Some((time + wait, index));
-                }
+                let slots = candidate.slots();
+                let wait = acceptable_wait(candidate.waiting, slots, times, request.remaining);
+                primary_wait = wait.map(|wait| (time + wait, index)).or(primary_wait);
             }
         }
     }
@@ -269,6 +267,18 @@
     }
 }
 
+/// Returns the expected wait of a request behind those that wait for a target, unless it is too long
+/// for the time that remains.
+pub fn acceptable_wait(
+    waiting: u32,
+    slots: f64,
+    times: &ProcessingTimes,
+    remaining: Duration,
+) -> Option<Duration> {
+    let wait = times.mean().mul_f64(f64::from(waiting + 1) / slots);
+    Some(wait).filter(|wait| *wait <= remaining.mul_f64(MAX_WAIT_FRACTION))
+}
+
 /// Returns whether a target accepts a request for an object now.
 fn accepts(candidate: &Candidate, is_primary: bool, may_spread: bool) -> bool {
     if candidate.knows_object {
--- a/crates/steering/src/placement/stats.rs
+++ b/crates/steering/src/placement/stats.rs
@@ -40,6 +40,9 @@
     Answered,
     /// The target rejected the request without running it.
     Rejected,
+    /// The target rejected the request or failed, and asked for a pause; not counted for or against
+    /// the target.
+    Paused,
     /// There was no usable response.
     Failed,
     /// The caller disconnected or the deadline passed; not counted for or against the target.
@@ -93,7 +96,7 @@
     pub fn record_attempt_end(&mut self, end: AttemptEnd, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let failed = match end {
-            AttemptEnd::Abandoned => return,
+            AttemptEnd::Abandoned | AttemptEnd::Paused => return,
             AttemptEnd::Answered => false,
             AttemptEnd::Rejected | AttemptEnd::Failed => true,
         };
