Heed the notices of targets in celerygated as well

`celerygated` sent requests on to a target that states in its responses that it leaves, and to one that asks for a pause with `Retry-After` in a 503.

Each announced target keeps an `Availability` beside its health, per incarnation. The daemon reads `celerygate-leaving: 1` from every response and `Retry-After` (whole or fractional seconds) from a 503 as soon as the head is whole. Choices and requests for permits leave such targets out; a target that resumes gets one request at a time. If all targets of a service are paused, new requests and those that already wait are refused at once with the earliest end of a pause. A 503 that asks for a pause is neither success nor failure, so it takes no ejection budget. Capacities for lookups and moves do not change: a pause concerns this daemon only. `status` shows `leaving` and `paused`.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,6 +12,7 @@
     Clock, Incarnation, RegionId, RequestCount, RequestId, ServiceId, SlotCount, VmId,
 };
 
+use crate::notices;
 use crate::peers::Peers;
 use crate::settings::LoadedSettings;
 use crate::shutdown::{Phase, Shutdown};
@@ -137,14 +138,16 @@
             _ => self.region_loads(now),
         };
         let region_load = |region: &RegionId| loads.running(service, region);
-        let verdict = self.tables.targets.lock().observe(
-            service,
-            &selected.target,
-            selected.incarnation,
-            observation,
-            region_load,
-            now,
-        );
+        let (target, incarnation) = (&selected.target, selected.incarnation);
+        let mut targets = self.tables.targets.lock();
+        let verdict = targets.observe(service, target, incarnation, observation, region_load, now);
+        let pause_ended = (observation == Observation::Success)
+            .then(|| targets.record_response(service, target, incarnation, now))
+            .flatten();
+        drop(targets);
+        if pause_ended.is_some() {
+            notices::log_pause_end(service, target);
+        }
         match verdict {
             EjectionVerdict::Ejected { until } => log::warn!(
                 service:% = service, target:% = selected.target,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -22,6 +22,7 @@
 use super::{Exchange, REQUEST_ID_HEADER, copy_forwarded_headers, header_pairs, is_known_empty};
 use crate::daemon::Daemon;
 use crate::links::{self, PacedBody};
+use crate::notices::{read_notice, record_notice};
 use crate::permits::{self, AdmissionRequest};
 use crate::refusal::Refusal;
 use crate::tables::SlotGrant;
@@ -283,7 +284,12 @@
     };
     let sent = daemon.connection_pool.send(assigned.address, path, ConnectionReuse::Any, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
-        Ok(Ok(response)) => return AttemptEnd::Response(response),
+        Ok(Ok(response)) => {
+            let notice = read_notice(response.status(), response.headers());
+            let selected = &assigned.selected;
+            record_notice(daemon, &exchange.id, &exchange.service, selected, notice);
+            return AttemptEnd::Response(response);
+        }
         Ok(Err(SendError::NotConnected { request, reason })) => {
             upstream.restore(*request);
             AttemptEnd::failed(Stage::NotConnected, Failure::TargetFailed, reason)
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -16,6 +16,7 @@
 use crate::body::{BodyError, ResponseBody};
 use crate::daemon::Daemon;
 use crate::links::{self, PacedBody};
+use crate::notices::read_notice;
 use crate::upstream::TargetBody;
 
 /// How a relayed response ended.
@@ -38,9 +39,10 @@
     let (parts, body) = response.into_parts();
     let deadline = Box::pin(sleep_until(exchange.ends_at().into()));
     let is_error = parts.status.is_server_error();
+    let is_paused = read_notice(parts.status, &parts.headers).asks_for_pause();
     let body = PacedBody::new(body, links::inbound(daemon, &assigned.selected.region), daemon);
-    let completion =
-        Completion { daemon: Arc::clone(daemon), exchange, assigned, is_error, end: None };
+    let daemon = Arc::clone(daemon);
+    let completion = Completion { daemon, exchange, assigned, is_error, is_paused, end: None };
     let mut relayed = Response::new(RelayBody { body, deadline, completion }.boxed_unsync());
     *relayed.status_mut() = parts.status;
     let filter = HeaderFilter::for_response(header_pairs(&parts.headers));
@@ -105,6 +107,8 @@
     exchange: Arc<Exchange>,
     assigned: AssignedTarget,
     is_error: bool,
+    /// Whether the target asks for a pause, which is no failure.
+    is_paused: bool,
     end: Option<ResponseEnd>,
 }
 
@@ -124,6 +128,7 @@
         let observation = match end {
             ResponseEnd::Complete if !self.is_error => Some(Observation::Success),
             ResponseEnd::CallerGone => None,
+            ResponseEnd::Complete if self.is_paused => None,
             _ => Some(Observation::Failure),
         };
         if let Some(observation) = observation {
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -11,7 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::workers::{JobFuture, JobQueue, OfferOutcome};
-use crate::{control, idempotency, links, lookup, permits};
+use crate::{control, idempotency, links, lookup, notices, permits};
 
 /// A job for a worker.
 pub enum Job {
@@ -173,12 +173,16 @@
     let loads = daemon.region_loads(now);
     let mut targets = daemon.tables.targets.lock();
     let expired = targets.expire(now);
+    let pauses_ended = targets.end_pauses(now);
     let readmitted =
         targets.enforce_ejection_caps(|service, region| loads.running(service, region), now);
     drop(targets);
     for (service, target) in expired {
         log::info!(service:% = service, target:% = target; "announcement expired");
     }
+    for (service, target) in pauses_ended {
+        notices::log_pause_end(&service, &target);
+    }
     for (service, target) in readmitted {
         log::info!(service:% = service, target:% = target; "target readmitted");
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod locks;
 pub mod lookup;
 pub mod measure;
+pub mod notices;
 pub mod operators;
 pub mod parse_errors;
 pub mod peers;
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -2,6 +2,7 @@
 //! queue.
 
 mod owners;
+mod paused;
 mod retry;
 
 use std::collections::HashMap;
@@ -17,6 +18,8 @@
 use tokio::sync::oneshot;
 
 pub use owners::{handle_reply, handle_request, send_slot_requests, tick};
+use paused::no_target;
+pub use paused::refuse_waiting;
 pub use retry::acquire_for_retry;
 
 use crate::daemon::Daemon;
@@ -103,7 +106,9 @@
         match select_target(daemon, &view, &permits, request.service, service_targets, &[], now) {
             Choice::Use(selected) => Some(selected),
             Choice::Wait => None,
-            Choice::NoTarget => return Err(ResultCode::NoCapacity.into()),
+            Choice::NoTarget => {
+                return Err(no_target(daemon, &view, &targets, &permits, request.service, now));
+            }
         };
     let work = permits.expected_work(request.service);
     let arrival = Arrival {
@@ -203,7 +208,7 @@
     let mut usable: Vec<&Target> = targets
         .of_service(service)
         .iter()
-        .filter(|target| target.is_usable(now) && is_allowed(daemon, view, service, target))
+        .filter(|target| target.accepts_requests(now) && is_allowed(daemon, view, service, target))
         .collect();
     usable.sort_by_key(|target| (distance(&daemon.location, target), rand::random::<u32>()));
     usable.into_iter()
--- a/crates/daemon/src/permits/retry.rs
+++ b/crates/daemon/src/permits/retry.rs
@@ -8,7 +8,7 @@
 use celerygate_types::{RegionId, ResultCode, ServiceId, TargetId};
 use tokio::time::timeout_at;
 
-use super::{select_target, send_slot_requests, take_permit, usable_targets};
+use super::{no_target, select_target, send_slot_requests, take_permit, usable_targets};
 use crate::daemon::Daemon;
 use crate::refusal::Refusal;
 use crate::tables::SlotGrant;
@@ -88,10 +88,12 @@
             .take(MAX_RETRY_TARGETS)
             .map(|target| (target.region.clone(), (service.clone(), target.target.clone())))
             .collect();
+        let mut permits = daemon.tables.permits.lock();
         if demand.is_empty() {
-            return Err(ResultCode::NoCapacity.into());
+            return Err(no_target(daemon, &view, &targets, &permits, service, now));
         }
-        daemon.tables.permits.lock().add_retry_demand(&demand);
+        permits.add_retry_demand(&demand);
+        drop(permits);
         Ok(Self { daemon, demand })
     }
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use celerygate_steering::availability::Eligibility;
 use celerygate_types::VmId;
 use celerygate_types::wire::{
     Configuration, LinkUse, OrganisationStatus, RegionHeadroom, StatusAnswer, TargetStatus,
@@ -102,10 +103,13 @@
     let status = |(service, target): (&celerygate_types::ServiceId, &_)| {
         let target: &celerygate_steering::targets::Target = target;
         let drained = view.is_target_drained(service, &target.target);
+        let eligibility = target.availability.eligibility(0, now);
         let note = if drained {
             "drained"
-        } else if target.leaving {
+        } else if target.leaving || eligibility == Eligibility::Leaving {
             "leaving"
+        } else if matches!(eligibility, Eligibility::Paused { .. }) {
+            "paused"
         } else if target.health.is_ejected(now) {
             "ejected"
         } else if !target.is_live(now) {
--- a/crates/daemon/src/tables/permits.rs
+++ b/crates/daemon/src/tables/permits.rs
@@ -179,6 +179,12 @@
         self.waiters.remove(&ticket)
     }
 
+    /// Returns the tickets of the requests that wait for a service.
+    pub fn waiting_tickets(&self, service: &ServiceId) -> Vec<Ticket> {
+        let waiting = self.waiters.iter().filter(|(_, waiter)| waiter.service == *service);
+        waiting.map(|(ticket, _)| *ticket).collect()
+    }
+
     /// Removes a waiting request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
         self.queue.cancel(ticket);
--- a/crates/steering/src/headers.rs
+++ b/crates/steering/src/headers.rs
@@ -188,6 +188,17 @@
     Ok(Some(value))
 }
 
+/// Parses the time after which to retry, in whole or fractional seconds: digits with at most one
+/// decimal point. Signs, exponents, dates and other text give none. A time that a `Duration` cannot
+/// hold becomes the longest one.
+pub fn parse_retry_after(value: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_decimal = text.starts_with(|first: char| first.is_ascii_digit())
+        && text.chars().all(|character| character.is_ascii_digit() || character == '.');
+    let seconds: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Returns the value of a header, or an error if it has several different values.
 fn single_value<'a>(
     values: impl IntoIterator<Item = &'a [u8]>,
--- a/crates/steering/src/headers_tests.rs
+++ b/crates/steering/src/headers_tests.rs
@@ -24,6 +24,22 @@
     headers.iter().filter(should_forward).cloned().collect()
 }
 
+/// Guards against a faulty or hostile time that is read as another one.
+#[test]
+fn parse_retry_after_seconds() {
+    for (value, ms) in [("2", 2_000), ("0.25", 250), (" 1.5 ", 1_500), ("3.", 3_000), ("0", 0)] {
+        let expected = Some(Duration::from_millis(ms));
+        assert_eq!(parse_retry_after(value.as_bytes()), expected, "{value:?}");
+    }
+    for value in
+        ["", "-1", "+1", "NaN", "inf", "1e3", "1.2.3", ".5", "Wed, 21 Oct 2026 07:28:00 GMT"]
+    {
+        assert_eq!(parse_retry_after(value.as_bytes()), None, "{value:?}");
+    }
+    assert_eq!(parse_retry_after(b"\xff"), None);
+    assert_eq!(parse_retry_after("9".repeat(400).as_bytes()), Some(Duration::MAX));
+}
+
 fn escaped(text: &str) -> String {
     text.bytes().map(|byte| format!("%{byte:02X}")).collect()
 }
--- a/crates/steering/src/targets.rs
+++ b/crates/steering/src/targets.rs
@@ -14,10 +14,12 @@
 };
 use smol_str::SmolStr;
 
+use crate::availability::{Availability, Eligibility};
 use crate::lookup::rendezvous::id_hash;
 
 mod choice;
 mod health;
+mod notices;
 
 pub use choice::{
     Choice, Distance, Location, SelectedTarget, TargetUsage, choose, distance, weight,
@@ -64,17 +66,26 @@
     pub known_since: Instant,
     /// Health according to this daemon's observations.
     pub health: Health,
+    /// Whether it leaves or is paused according to its responses to this daemon.
+    pub availability: Availability,
     /// When the target last announced itself to this daemon.
     announced_at: Option<Instant>,
     pub(crate) hash: u64,
 }
 
 impl Target {
-    /// Returns whether the target may get new requests: it is live and not ejected.
+    /// Returns whether the target has capacity for requests: it is live and not ejected.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.is_live(now) && !self.health.is_ejected(now)
     }
 
+    /// Returns whether this daemon may send the target new requests: it is usable, and has not stated
+    /// that it leaves or wants none for a time.
+    pub fn accepts_requests(&self, now: Instant) -> bool {
+        let eligibility = self.availability.eligibility(0, now);
+        self.is_usable(now) && eligibility == Eligibility::Eligible
+    }
+
     /// Returns whether the target's announcement is valid and the target is not leaving.
     pub fn is_live(&self, now: Instant) -> bool {
         !self.leaving && now.saturating_duration_since(self.renewed_at) < LEASE
@@ -355,6 +366,7 @@
         renewed_at,
         known_since: now,
         health: Health::new(now),
+        availability: Availability::default(),
         announced_at: None,
         hash: id_hash(record.target.as_str()),
     }
--- a/crates/steering/src/targets/choice.rs
+++ b/crates/steering/src/targets/choice.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::Target;
+use crate::availability::Eligibility;
 use crate::lookup::rendezvous::mix;
 
 /// Time in which the weight of a cold target rises to 1.
@@ -41,7 +42,7 @@
     pub running: SlotCount,
     /// Free slots that this VM may use.
     pub free: SlotCount,
-    /// Connections in use.
+    /// Connections of this VM in use, one for each of its requests.
     pub connections: u32,
 }
 
@@ -104,10 +105,14 @@
 ) -> Choice {
     let mut best: Option<(Rank, &Target)> = None;
     let mut any_usable = false;
-    for target in targets.iter().filter(|target| target.is_usable(now)) {
+    for target in targets.iter().filter(|target| target.accepts_requests(now)) {
         let Some(current) = usage(target) else { continue };
         any_usable = true;
-        if current.free == SlotCount::ZERO || current.connections >= target.connections {
+        let eligibility = target.availability.eligibility(current.connections, now);
+        if current.free == SlotCount::ZERO
+            || current.connections >= target.connections
+            || eligibility != Eligibility::Eligible
+        {
             continue;
         }
         let hash = mix(random, target.hash);
