Close idle connections without losing the response before

What callers see: a response that the daemon has written does not arrive whole.

Cause: an idle connection was dropped. A request that is unread then, or arrives later, resets the connection, and the reset discards what is still in the daemon's own send queue.

Fix: `close_unread` ends the sending direction and waits for the peer's end, at most 1 s, without reading: the request stays visibly unread, and the reset comes after the response. The runtime's readiness is cleared after each event, so the wait does not spin. Idle connections of calls use it too; the stop does not wait for those.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -1,15 +1,22 @@
 //! Open connections of a listener, and how a connection is closed without losing its last response.
 
+use std::io;
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Maximum time for which bytes of the peer are discarded after the last response. Covers a round
 /// trip between regions and the queue of a saturated link.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time for which the peer's end of a connection is awaited without reading. A peer that
+/// reads its last response notices the end of the connection then.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1_024;
 
@@ -95,7 +102,7 @@
         writer.shutdown().await?;
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         while reader.read(&mut buffer).await? > 0 {}
-        Ok::<(), std::io::Error>(())
+        Ok::<(), io::Error>(())
     };
     match timeout(LINGER_TIMEOUT, discard).await {
         Ok(Ok(())) => {}
@@ -104,6 +111,31 @@
     }
 }
 
+/// Closes an idle connection without reading from it: ends the sending direction, then waits until
+/// the peer closes or resets the connection, at most [`UNREAD_TIMEOUT`].
+///
+/// A request that crosses the close stays unread and is answered with a reset after the wait, so
+/// that the peer knows that it was not processed. A reset without the wait would discard the part
+/// of an earlier response that is still in the sender's queue.
+pub async fn close_unread(stream: TcpStream) {
+    let wait = async {
+        SockRef::from(&stream).shutdown(Shutdown::Write)?;
+        while !stream.ready(Interest::READABLE).await?.is_read_closed() {
+            // The bytes stay unread. The runtime is told that the socket is not readable, so that
+            // it waits for the next event instead of reporting the same one again.
+            let _ = stream.try_io(Interest::READABLE, || {
+                Err::<(), _>(io::Error::from(io::ErrorKind::WouldBlock))
+            });
+        }
+        Ok::<(), io::Error>(())
+    };
+    match timeout(UNREAD_TIMEOUT, wait).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(error:% = error; "peer reset the connection"),
+        Err(_) => log::debug!("peer has not closed the idle connection"),
+    }
+}
+
 #[cfg(test)]
 #[path = "connections_tests.rs"]
 mod tests;
--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use celerygate_daemon::connections::{OpenConnections, close_gracefully};
+use celerygate_daemon::connections::{OpenConnections, close_gracefully, close_unread};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Bytes};
@@ -243,7 +243,11 @@
     match serve_requests(&mut input, &mut writer, shutdown, &service).await {
         ConnectionEnd::Responded => close_gracefully(input.reader, writer).await,
         // A request that the caller sends meanwhile stays unread, so that the caller repeats it.
-        ConnectionEnd::Idle | ConnectionEnd::Failed => {}
+        ConnectionEnd::Idle => match input.reader.reunite(writer) {
+            Ok(stream) => close_unread(stream).await,
+            Err(error) => log::error!(error:% = error; "halves of different connections"),
+        },
+        ConnectionEnd::Failed => {}
     }
 }
 
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -87,6 +87,24 @@
     assert!(received > 2 * RESPONSE_BYTES, "{received}");
 }
 
+/// Guards against a reset that discards the last response because a request crosses the close of a
+/// connection that was idle long enough to be closed by the stop.
+#[tokio::test]
+async fn serve_request_crosses_stop_late() {
+    let listener = listen_on_loopback().await;
+    let mut caller = connect(listener.local_addr().unwrap()).await;
+    let (close, shutdown) = watch::channel(false);
+    start(listener, shutdown, false);
+    caller.write_all(REQUEST).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    close.send(true).unwrap();
+    sleep(STOP_IDLE_TIME + SETTLE_TIME).await;
+    caller.write_all(REQUEST).await.unwrap();
+    sleep(SETTLE_TIME).await;
+    let received = read_all(&mut caller).await.expect("the connection is not reset");
+    assert!(received > RESPONSE_BYTES && received < 2 * RESPONSE_BYTES, "{received}");
+}
+
 /// Guards against a stop that keeps idle connections open.
 #[tokio::test]
 async fn serve_idle_connection_on_stop() {
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use celerygate_daemon::connections::{OpenConnections, close_gracefully};
+use celerygate_daemon::connections::{
+    OpenConnection, OpenConnections, close_gracefully, close_unread,
+};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -72,11 +74,7 @@
         let spawn = |stream| {
             // Counted before the spawn: the task may start after the listener's guard is dropped.
             let open = connections.begin();
-            let connection = connection(stream, shutdown.clone(), Arc::clone(&handle));
-            tokio::spawn(async move {
-                connection.await;
-                drop(open);
-            });
+            tokio::spawn(connection(stream, open, shutdown.clone(), Arc::clone(&handle)));
         };
         while let Some(stream) = accept(&listener, &mut accept_shutdown).await {
             spawn(stream);
@@ -145,8 +143,12 @@
     }
 }
 
-async fn connection<F, R, B>(stream: TcpStream, mut shutdown: watch::Receiver<bool>, handle: Arc<F>)
-where
+async fn connection<F, R, B>(
+    stream: TcpStream,
+    open: OpenConnection,
+    mut shutdown: watch::Receiver<bool>,
+    handle: Arc<F>,
+) where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
@@ -195,10 +197,14 @@
         return;
     }
     let stream = connection.into_parts().io.into_inner();
-    // The peer of an idle connection may not notice the stop, and the process need not wait for it.
     if !is_stopping || stream.has_written_while_stopping() {
         let (reader, writer) = stream.into_socket().into_split();
         close_gracefully(reader, writer).await;
+    } else {
+        // The peer of an idle connection may not notice the stop, and the exit of the process does
+        // not wait for it.
+        drop(open);
+        close_unread(stream.into_socket()).await;
     }
 }
 
