Log requests whose connection ends before their responses

What operators saw: a connection with pipelined requests fails while a response is written. The responses behind it that were ready left no line, so their ids led to `attempt ended` and to nothing after it. The line `response cut off` counted only buffers that were written whole.

Change: `PendingResponses` (callers/pending.rs) owns the pending requests of a connection. If it is dropped with any, it logs `connection ended before its responses` with their number and the ids of the ready ones; running ones log `request ended before its response`, which replaces `caller disconnected before the response`, because the caller is not always the cause. Written bytes are counted inside `write`. Writing moved to callers/write.rs with its tests, which are unchanged but for the added count.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -5,28 +5,29 @@
 //! after all earlier responses were written: a caller resends requests whose connection closes
 //! before the response.
 
-use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use celerygate_daemon::connections::{OpenConnections, close_gracefully, close_unread};
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Body, Bytes};
+use hyper::body::Bytes;
 use hyper::http::request::Parts;
-use smol_str::SmolStr;
-use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
-use crate::forward::{AttemptId, ResponseBody};
+use self::pending::PendingResponses;
+use self::write::{Progress, refuse, write, write_response};
+use crate::forward::ResponseBody;
 use crate::http1::{self, ParseError, ParseOutcome, RequestMessage};
 use crate::listen;
 
+mod pending;
+mod write;
+
 /// Maximum number of concurrent requests on one connection.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 /// Minimum free space in the buffer for each read; most requests fit.
@@ -49,9 +50,6 @@
 const ELEVATED_PRESSURE_SHARE: f64 = 0.5;
 /// Share above which every caller is asked to close.
 const HIGH_PRESSURE_SHARE: f64 = 0.8;
-/// Time without any byte written after which a caller counts as gone.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Open callers' connections and the number that is allowed.
 #[derive(Debug)]
 pub struct ConnectionCounter {
@@ -138,18 +136,6 @@
     }
 }
 
-/// A request whose response is not written yet; dropping it cancels the request.
-struct PendingResponse {
-    response: JoinHandle<Response<ResponseBody>>,
-    keep_alive: bool,
-}
-
-impl Drop for PendingResponse {
-    fn drop(&mut self) {
-        self.response.abort();
-    }
-}
-
 /// Reading side of a connection, with bytes that are not yet parsed.
 struct RequestReader {
     reader: OwnedReadHalf,
@@ -192,11 +178,11 @@
         self.is_closed
     }
 
-    fn next_step(&mut self, pending: &VecDeque<PendingResponse>, continue_sent: bool) -> Step {
+    fn next_step(&mut self, pending: &PendingResponses, continue_sent: bool) -> Step {
         if self.buffer.is_empty() || pending.len() >= MAX_PIPELINED_REQUESTS {
             return Step::Read;
         }
-        if pending.back().is_some_and(|last| !last.keep_alive) {
+        if !pending.allows_more() {
             return Step::Read;
         }
         match http1::parse(&self.buffer, MAX_BODY_BYTES) {
@@ -261,7 +247,7 @@
     F: Fn(Parts, Bytes) -> R + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let mut pending: VecDeque<PendingResponse> = VecDeque::new();
+    let mut pending = PendingResponses::default();
     let mut continue_sent = false;
     let idle_timeout =
         || (service.idle_timeout)().map_or(IDLE_TIMEOUT, |configured| configured + IDLE_MARGIN);
@@ -275,7 +261,7 @@
                 continue_sent = false;
                 let RequestMessage { parts, body, keep_alive } = *message;
                 let response = tokio::spawn((service.handle)(parts, body));
-                pending.push_back(PendingResponse { response, keep_alive });
+                pending.push(response, keep_alive);
                 continue;
             }
             Step::Refuse(error) => {
@@ -285,7 +271,8 @@
             }
             Step::SendContinue => {
                 continue_sent = true;
-                if write(writer, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                let head = b"HTTP/1.1 100 Continue\r\n\r\n";
+                if write(writer, head, &mut Progress::default()).await.is_err() {
                     return ConnectionEnd::Failed;
                 }
             }
@@ -296,7 +283,7 @@
             // targets.
             return ConnectionEnd::Failed;
         }
-        let Some(first) = pending.front_mut() else {
+        if pending.is_empty() {
             let is_stopping = *shutdown.borrow();
             // A request of which a part has arrived is read to its end.
             let idle_time = if is_stopping && input.buffer.is_empty() {
@@ -313,10 +300,10 @@
                 () = listen::wait_for_shutdown(&mut shutdown), if !is_stopping => {}
             }
             continue;
-        };
-        let response = tokio::select! {
+        }
+        let (response, keep_alive) = tokio::select! {
             biased;
-            response = &mut first.response => response,
+            next = pending.next() => next,
             () = input.read() => continue,
         };
         let Ok(response) = response else {
@@ -325,9 +312,8 @@
         };
         // Closing the connection would make the caller resend the requests after this one, so the
         // connection stays open while others are pending.
-        let is_last = pending.len() == 1;
+        let is_last = pending.is_empty();
         let requests_close = response.headers().contains_key(hyper::header::CONNECTION);
-        let keep_alive = pending.front().is_none_or(|first| first.keep_alive);
         let is_under_pressure = match service.connections.descriptor_pressure() {
             DescriptorPressure::Low => false,
             DescriptorPressure::Elevated => {
@@ -343,99 +329,10 @@
         if close {
             return ConnectionEnd::Responded;
         }
-        pending.pop_front();
         idle_since = Instant::now();
     }
 }
 
-async fn refuse(writer: &mut OwnedWriteHalf, error: ParseError) {
-    let status =
-        hyper::StatusCode::from_u16(error.status()).unwrap_or(hyper::StatusCode::BAD_REQUEST);
-    let mut head = Vec::new();
-    http1::write_head(&mut head, status, &hyper::HeaderMap::new(), Some(0), true);
-    if write(writer, &head).await.is_err() {
-        log::debug!("caller disconnected before the error response");
-    }
-}
-
-/// Writes all bytes, as long as the caller keeps reading.
-async fn write(writer: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> std::io::Result<()> {
-    while !bytes.is_empty() {
-        match timeout(WRITE_TIMEOUT, writer.write(bytes)).await {
-            Ok(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
-            Ok(Ok(written)) => bytes = &bytes[written..],
-            Ok(Err(error)) => return Err(error),
-            Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
-        }
-    }
-    Ok(())
-}
-
-/// Logs a response that the caller did not get completely if it is dropped before the end of the
-/// response, for example when the process exits.
-struct WriteGuard {
-    request: SmolStr,
-    started_at: Instant,
-    written_bytes: usize,
-    is_complete: bool,
-}
-
-impl WriteGuard {
-    fn new(response: &Response<ResponseBody>) -> Self {
-        let request = response.extensions().get().map(|AttemptId(id)| id.clone());
-        Self {
-            request: request.unwrap_or_default(),
-            started_at: Instant::now(),
-            written_bytes: 0,
-            is_complete: false,
-        }
-    }
-}
-
-impl Drop for WriteGuard {
-    fn drop(&mut self) {
-        if !self.is_complete {
-            log::info!(request = self.request.as_str(), written_bytes = self.written_bytes,
-                elapsed_ms = self.started_at.elapsed().as_millis() as u64;
-                "response cut off");
-        }
-    }
-}
-
-/// Writes a response. After an error the caller of this function must close the connection, so that
-/// a truncated response does not look complete.
-async fn write_response(
-    writer: &mut OwnedWriteHalf,
-    response: Response<ResponseBody>,
-    close: bool,
-) -> std::io::Result<()> {
-    let mut guard = WriteGuard::new(&response);
-    let (parts, mut body) = response.into_parts();
-    let length = body.size_hint().exact();
-    let mut buffer = Vec::with_capacity(512 + length.unwrap_or_default().min(1 << 20) as usize);
-    http1::write_head(&mut buffer, parts.status, &parts.headers, length, close);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(std::io::Error::other)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if length.is_none() {
-            buffer.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
-        }
-        buffer.extend_from_slice(&data);
-        if length.is_none() {
-            buffer.extend_from_slice(b"\r\n");
-        }
-        write(writer, &buffer).await?;
-        guard.written_bytes += buffer.len();
-        buffer.clear();
-    }
-    if length.is_none() {
-        buffer.extend_from_slice(b"0\r\n\r\n");
-    }
-    write(writer, &buffer).await?;
-    guard.is_complete = true;
-    Ok(())
-}
-
 #[cfg(test)]
 #[path = "callers_tests.rs"]
 mod tests;
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -1,10 +1,10 @@
 //! Guards against responses that callers lose because of the way in which a connection is closed.
 
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::header::{CONNECTION, HeaderValue};
-use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::*;
 
@@ -157,27 +157,3 @@
     assert!(served.is_finished(), "the stop ends before the queued connection is served");
     assert!(served.await.unwrap().expect("the connection is not reset") > RESPONSE_BYTES);
 }
-
-/// Guards against a time-out that cuts off a response although the caller keeps reading it.
-#[tokio::test(start_paused = true)]
-async fn write_slow_reader() {
-    let (mut writer, mut reader) = tokio::io::duplex(1_024);
-    let reading = tokio::spawn(async move {
-        let mut buffer = [0; 1_024];
-        let mut received = 0;
-        while received < 8 * 1_024 {
-            sleep(WRITE_TIMEOUT / 2).await;
-            received += reader.read(&mut buffer).await.unwrap();
-        }
-    });
-    write(&mut writer, &[0; 8 * 1_024]).await.expect("the response is written");
-    reading.await.unwrap();
-}
-
-/// Guards against a connection that is held forever by a caller that has stopped reading.
-#[tokio::test(start_paused = true)]
-async fn write_stopped_reader() {
-    let (mut writer, _reader) = tokio::io::duplex(1_024);
-    let error = write(&mut writer, &[0; 8 * 1_024]).await.expect_err("the write times out");
-    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
-}
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -116,7 +116,8 @@
     add_connection_close(&daemon, response)
 }
 
-/// Logs that the caller disconnected if it is dropped before the request is completed.
+/// Logs the end of a request that is dropped before it is completed: its connection has ended, or
+/// its task has failed.
 struct DisconnectGuard<'a> {
     request: &'a str,
     arrived_at: Instant,
@@ -129,7 +130,7 @@
         if !self.completed {
             let elapsed = self.daemon.now().saturating_duration_since(self.arrived_at);
             log::info!(request = self.request, elapsed_ms = elapsed.as_millis() as u64;
-                "caller disconnected before the response");
+                "request ended before its response");
         }
     }
 }
