Write the queued log lines before the process exits

What operators saw: the last lines of a process can be missing, among them `daemon stopping` and the `response cut off` of the responses that the exit ended, which are what a cut response is traced with.

Cause: a thread writes the lines from a queue, and the end of `main` ended it.

Fix: `QueueWriter::flush` queues QueueItem::Flush and waits until the lines before it are written, at most FLUSH_TIMEOUT (200 ms).

--- a/crates/fleet/src/logging.rs
+++ b/crates/fleet/src/logging.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,8 +23,25 @@
 /// The busiest entry VM of the deployments writes 1,350 lines/s.
 const LINES_PER_S: u32 = 2_000;
 
+/// Maximum time for which a flush waits. The reader of the output may be slow, and the process has
+/// little time left when it exits.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Pause between two attempts to queue a flush behind waiting lines.
+const FLUSH_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Size above which collected lines are written.
+const BATCH_BYTES: usize = 64 * 1_024;
+
+/// An entry of the queue.
+enum QueueItem {
+    Line(Vec<u8>),
+    /// Is sent back once the lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 struct QueueWriter {
-    lines: SyncSender<Vec<u8>>,
+    queue: SyncSender<QueueItem>,
     dropped: Arc<AtomicU64>,
     window: Mutex<RateWindow>,
 }
@@ -55,14 +72,27 @@
         let mut line = Vec::with_capacity(256);
         json_format(&mut line, now, record)?;
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.queue.try_send(QueueItem::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
+    /// Waits until the queued lines are written, at most [`FLUSH_TIMEOUT`].
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        let end = Instant::now() + FLUSH_TIMEOUT;
+        let (written, wait) = sync_channel(1);
+        let mut item = QueueItem::Flush(written);
+        loop {
+            match self.queue.try_send(item) {
+                Ok(()) => break,
+                Err(TrySendError::Full(returned)) if Instant::now() < end => item = returned,
+                Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+            thread::sleep(FLUSH_RETRY_INTERVAL);
+        }
+        let remaining = end.saturating_duration_since(Instant::now());
+        wait.recv_timeout(remaining).map_err(|_| io::ErrorKind::TimedOut.into())
     }
 }
 
@@ -72,17 +102,17 @@
 ///
 /// When the level is invalid or a logger is already set.
 pub fn start(level: &str) -> Result<LoggerHandle> {
-    let (lines, queue) = sync_channel(QUEUE_LINES);
+    let (queue, items) = sync_channel(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let counter = Arc::clone(&dropped);
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&queue, &counter))
+        .spawn(move || write_lines(&items, &counter, &mut io::stdout().lock()))
         .context("start the log thread")?;
     Logger::try_with_str(level)
         .with_context(|| format!("invalid log level {level:?}"))?
         .log_to_writer(Box::new(QueueWriter {
-            lines,
+            queue,
             dropped,
             window: Mutex::new(RateWindow { start: Instant::now(), lines: 0 }),
         }))
@@ -90,13 +120,16 @@
         .context("start logging")
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
-    let mut output = io::stdout().lock();
-    while let Ok(line) = queue.recv() {
-        let mut batch = line;
-        while let Ok(line) = queue.try_recv() {
-            batch.extend_from_slice(&line);
-            if batch.len() > 64 * 1_024 {
+fn write_lines(items: &Receiver<QueueItem>, dropped: &AtomicU64, output: &mut impl Write) {
+    let mut batch = Vec::new();
+    let mut flushes: Vec<SyncSender<()>> = Vec::new();
+    while let Ok(first) = items.recv() {
+        for item in std::iter::once(first).chain(items.try_iter()) {
+            match item {
+                QueueItem::Line(line) => batch.extend_from_slice(&line),
+                QueueItem::Flush(written) => flushes.push(written),
+            }
+            if batch.len() > BATCH_BYTES {
                 break;
             }
         }
@@ -108,6 +141,11 @@
         }
         // Standard output has no reader, so the error cannot be logged.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
+        batch.clear();
+        for written in flushes.drain(..) {
+            // A flush that has timed out no longer waits.
+            let _ = written.try_send(());
+        }
     }
 }
 
--- a/crates/fleet/src/logging_tests.rs
+++ b/crates/fleet/src/logging_tests.rs
@@ -3,10 +3,10 @@
 
 use super::*;
 
-fn writer(queued: usize) -> (QueueWriter, Receiver<Vec<u8>>) {
-    let (lines, queue) = sync_channel(queued);
+fn writer(queued: usize) -> (QueueWriter, Receiver<QueueItem>) {
+    let (queue, items) = sync_channel(queued);
     let window = Mutex::new(RateWindow { start: Instant::now(), lines: 0 });
-    (QueueWriter { lines, dropped: Arc::default(), window }, queue)
+    (QueueWriter { queue, dropped: Arc::default(), window }, items)
 }
 
 fn write(writer: &QueueWriter, level: log::Level) {
@@ -37,3 +37,47 @@
     assert!(!window.allows(start));
     assert!(window.allows(start + Duration::from_secs(1)));
 }
+
+/// An output that takes its time for each write and counts the written lines.
+struct SlowOutput(Arc<AtomicU64>);
+
+impl Write for SlowOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        thread::sleep(Duration::from_millis(30));
+        let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+        self.0.fetch_add(lines as u64, Ordering::Relaxed);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against an exit that loses the last lines of a process: how its stop ended.
+#[test]
+fn flush_waits_for_queued_lines() {
+    let (writer, items) = writer(8);
+    let written = Arc::<AtomicU64>::default();
+    let mut output = SlowOutput(Arc::clone(&written));
+    let thread = thread::spawn(move || write_lines(&items, &AtomicU64::new(0), &mut output));
+    (0..5).for_each(|_| write(&writer, log::Level::Info));
+    writer.flush().expect("the lines are written in time");
+    assert_eq!(written.load(Ordering::Relaxed), 5);
+    drop(writer);
+    thread.join().expect("the thread ends with the queue");
+}
+
+/// Guards against an exit that waits without a bound for an output that nothing reads, with and
+/// without room in the queue.
+#[test]
+fn flush_without_reader_times_out() {
+    for queued in [1, 2] {
+        let (writer, _items) = writer(queued);
+        write(&writer, log::Level::Info);
+        let started_at = Instant::now();
+        let error = writer.flush().expect_err("the lines are not written");
+        assert_eq!(error.kind(), io::ErrorKind::TimedOut);
+        assert!(started_at.elapsed() >= FLUSH_TIMEOUT);
+    }
+}
