Wake the requests that wait for a target when a daemon stops

What callers see: a request that waits for a target is refused up to 250 ms after the stop refused others. The caller tries another VM that much later, and the daemon has that much less time for the refusal.

Cause: the wait ends with an attempt or with its time-out, and a stop was neither.

Fix: `stop_accepting_requests` wakes the waiters. The wait begins before the check whether requests are accepted, so a stop in between is not missed.

Test: stop_accepting_requests_wakes_waiters, before "the waiting request is not woken".

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -277,6 +277,8 @@
             };
             return refusal(code);
         }
+        // Begins before the check, so that a stop in between wakes the request.
+        let attempt_ended = daemon.tables.attempt_ended.notified();
         if !may_have_run && !daemon.tables.accepts_requests() {
             return stopping_refusal();
         }
@@ -296,7 +298,6 @@
             remaining: admitted.deadline.saturating_duration_since(now),
             tried: &tried,
         };
-        let attempt_ended = daemon.tables.attempt_ended.notified();
         let chosen = match targets::choose(daemon, content, &query, now) {
             Choice::Use(chosen) => chosen,
             Choice::Wait(instance) => {
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -333,9 +333,11 @@
         self.accepts_requests.load(Ordering::Acquire)
     }
 
-    /// Refuses all new requests, since they could not complete before the process exits.
+    /// Refuses all new requests, since they could not complete before the process exits, and wakes
+    /// the requests that wait for a target, which are refused as well.
     pub fn stop_accepting_requests(&self) {
         self.accepts_requests.store(false, Ordering::Release);
+        self.attempt_ended.notify_waiters();
     }
 
     /// Counts a running request until the returned guard is dropped.
--- a/crates/fleet/src/tables_tests.rs
+++ b/crates/fleet/src/tables_tests.rs
@@ -68,3 +68,14 @@
     tables.stop_accepting_requests();
     assert!(!tables.accepts_requests());
 }
+
+/// Guards against a request that waits for a target and is refused only when it repeats its choice,
+/// a quarter of a second after the others.
+#[tokio::test]
+async fn stop_accepting_requests_wakes_waiters() {
+    let tables = Tables::new();
+    let attempt_ended = tables.attempt_ended.notified();
+    tables.stop_accepting_requests();
+    let woken = tokio::time::timeout(Duration::from_millis(20), attempt_ended).await;
+    assert!(woken.is_ok(), "the waiting request is not woken");
+}
