Answer a request whose task fails with status 500

What callers see: a request that makes the daemon's code panic ends with its connection, together with the requests pipelined behind it. Callers repeat requests of a closed connection, so they send it again.

Fix: the task's failure is logged with its cause and answered with 500 in the order of the requests; the connection goes on.

Test: serve_failing_request; with the connection closed instead "the connection ends without a response".

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -10,9 +10,10 @@
 use std::time::Duration;
 
 use celerygate_daemon::connections::{OpenConnections, close_gracefully, close_unread};
-use hyper::Response;
+use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -306,9 +307,13 @@
             next = pending.next() => next,
             () = input.read() => continue,
         };
-        let Ok(response) = response else {
-            log::error!("request task failed");
-            return ConnectionEnd::Failed;
+        let response = match response {
+            Ok(response) => response,
+            Err(error) if error.is_cancelled() => return ConnectionEnd::Failed,
+            Err(error) => {
+                log::error!(error:% = error; "request task failed");
+                failure_response()
+            }
         };
         // Closing the connection would make the caller resend the requests after this one, so the
         // connection stays open while others are pending.
@@ -333,6 +338,15 @@
     }
 }
 
+/// Returns the response to a request whose task has failed. The request may have run, which a closed
+/// connection would hide: a caller repeats its request then.
+fn failure_response() -> Response<ResponseBody> {
+    let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
 #[cfg(test)]
 #[path = "callers_tests.rs"]
 mod tests;
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -1,6 +1,6 @@
 //! Guards against responses that callers lose because of the way in which a connection is closed.
 
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
@@ -12,6 +12,8 @@
 /// buffer.
 const RESPONSE_BYTES: usize = 300_000;
 const RECEIVE_BUFFER_BYTES: u32 = 8 * 1_024;
+/// Path of a request whose task panics.
+const FAILING_PATH: &str = "/failing";
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 /// Time in which the daemon reads what was sent and writes its response.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
@@ -23,7 +25,8 @@
     shutdown: watch::Receiver<bool>,
     close: bool,
 ) -> Arc<OpenConnections> {
-    let handle = move |_, _| async move {
+    let handle = move |parts: Parts, _| async move {
+        assert_ne!(parts.uri.path(), FAILING_PATH, "the task fails");
         let body = Full::new(Bytes::from(vec![b'x'; RESPONSE_BYTES]));
         let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
         if close {
@@ -157,3 +160,24 @@
     assert!(served.is_finished(), "the stop ends before the queued connection is served");
     assert!(served.await.unwrap().expect("the connection is not reset") > RESPONSE_BYTES);
 }
+
+/// Guards against a request that gets no response because its task panics, and against the loss of
+/// the responses behind it.
+#[tokio::test]
+async fn serve_failing_request() {
+    let listener = listen_on_loopback().await;
+    let mut caller = connect(listener.local_addr().unwrap()).await;
+    let (_close, shutdown) = watch::channel(false);
+    start(listener, shutdown, false);
+    let requests = format!(
+        "GET {FAILING_PATH} HTTP/1.1\r\nhost: a\r\n\r\n\
+         GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+    );
+    caller.write_all(requests.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    caller.read_to_end(&mut received).await.unwrap();
+    let received = String::from_utf8_lossy(&received);
+    let status = received.lines().next().unwrap_or("the connection ends without a response");
+    assert!(status.starts_with("HTTP/1.1 500 "), "{status}");
+    assert!(received.len() > RESPONSE_BYTES, "{}", received.len());
+}
