End responses that a caller reads below a lowest rate

What operators saw: a caller that reads a byte every few seconds holds its connection, and up to 1 MiB of response, for as long as it likes. The time-out covered each write, and each byte began it again.

Fix: a response's writes may wait 60 s (RATE_ALLOWANCE) plus 10 s for each 16 KiB that were written (WRITE_CHUNK_BYTES); the time without any progress stays 10 s. The time of the target is not counted. The allowance keeps write_slow_reader valid as it is: 8 KiB in 40 s are served.

Tests: write_below_lowest_rate, a byte a second; without the bound "the caller holds the connection for 16382 s". write_above_lowest_rate, 512 KiB at 16 KiB per 9 s; without the time for written bytes "the response is written: Kind(TimedOut)".

--- a/crates/fleet/src/callers/write.rs
+++ b/crates/fleet/src/callers/write.rs
@@ -12,8 +12,15 @@
 use crate::forward::{AttemptId, ResponseBody};
 use crate::http1::{self, ParseError};
 
-/// Time without any byte written after which a caller counts as gone.
+/// Time without any byte written after which a caller counts as gone. Also the time in which a
+/// caller must read [`WRITE_CHUNK_BYTES`] once [`RATE_ALLOWANCE`] is used up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of a response that must be written in each [`WRITE_TIMEOUT`]: 1.6 KiB/s. The slowest link
+/// of a deployment has 14 Mbit/s, so a caller that shares it with 1,000 others reads faster.
+const WRITE_CHUNK_BYTES: usize = 16 * 1_024;
+/// Time that the writing of a response may take beyond the lowest rate. Callers whose link is
+/// congested for a while are served; one that reads a byte a second does not hold its connection.
+const RATE_ALLOWANCE: Duration = Duration::from_secs(60);
 
 /// Refuses a request that could not be parsed.
 pub async fn refuse(writer: &mut (impl AsyncWrite + Unpin), error: ParseError) {
@@ -31,16 +38,30 @@
 pub struct Progress {
     /// Bytes that the kernel has taken.
     pub written_bytes: usize,
+    /// Time for which writes have waited for the caller. The target's time is not the caller's.
+    waited: Duration,
 }
 
-/// Writes all bytes, as long as the caller keeps reading, and counts those that were written.
+impl Progress {
+    /// Returns the time for which the next write may wait.
+    fn write_timeout(&self) -> Duration {
+        let chunks = self.written_bytes as f64 / WRITE_CHUNK_BYTES as f64;
+        let allowed = RATE_ALLOWANCE + WRITE_TIMEOUT.mul_f64(chunks);
+        WRITE_TIMEOUT.min(allowed.saturating_sub(self.waited))
+    }
+}
+
+/// Writes all bytes, as long as the caller reads at the lowest rate, and counts what was written.
 pub async fn write(
     writer: &mut (impl AsyncWrite + Unpin),
     mut bytes: &[u8],
     progress: &mut Progress,
 ) -> std::io::Result<()> {
     while !bytes.is_empty() {
-        match timeout(WRITE_TIMEOUT, writer.write(bytes)).await {
+        let started_at = Instant::now();
+        let written = timeout(progress.write_timeout(), writer.write(bytes)).await;
+        progress.waited += started_at.elapsed();
+        match written {
             Ok(Ok(0)) => return Err(std::io::ErrorKind::WriteZero.into()),
             Ok(Ok(written)) => {
                 bytes = &bytes[written..];
