State exactly what a reset discards, and test it with a full queue

On Linux the peer keeps what it has received; the reset discards the sender's own queue. close_gracefully_unread_request sent 64 KiB to a peer with a receive buffer of the usual size, where little or nothing is left in that queue.

The test now sends 300,000 bytes to a peer with a receive buffer of 8 KiB. With the close replaced by a drop it fails with "the connection is not reset: Os { code: 104, kind: ConnectionReset }".

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -92,8 +92,9 @@
 /// Closes a connection after its last response: ends the sending direction, then discards what the
 /// peer still sends until it closes.
 ///
-/// The kernel resets a connection that is closed while received bytes are unread, and the peer's
-/// kernel then drops the part of the response that the peer has not read yet.
+/// The kernel resets a connection that is closed while received bytes are unread, or that receives
+/// bytes after its close. A reset discards what is still in the sender's own queue. The peer's
+/// kernel keeps what it has received before, on Linux; other systems may discard that too.
 pub async fn close_gracefully(
     mut reader: impl AsyncRead + Unpin,
     mut writer: impl AsyncWrite + Unpin,
--- a/crates/daemon/src/connections_tests.rs
+++ b/crates/daemon/src/connections_tests.rs
@@ -27,21 +27,20 @@
     (listener.accept().await.unwrap().0, peer)
 }
 
-/// Guards against a reset that discards the response in the kernel of a peer whose next request is
-/// unread.
+/// Guards against a reset that discards the part of a response which is still in the sender's queue,
+/// because the peer's next request is unread.
 #[tokio::test]
 async fn close_gracefully_unread_request() {
-    const RESPONSE_BYTES: usize = 64 * 1_024;
-    let (mut stream, mut peer) = connected_pair().await;
-    peer.write_all(b"GET /next HTTP/1.1\r\n\r\n").await.unwrap();
-    stream.write_all(&[7; RESPONSE_BYTES]).await.unwrap();
+    let (mut stream, mut peer) = connected_pair_with_small_buffer().await;
+    peer.write_all(NEXT_REQUEST).await.unwrap();
+    stream.write_all(&[7; LARGE_RESPONSE_BYTES]).await.unwrap();
     let (reader, writer) = stream.into_split();
     let closing = tokio::spawn(close_gracefully(reader, writer));
     // The peer reads only after the connection is being closed.
     sleep(Duration::from_millis(50)).await;
     let mut received = Vec::new();
     peer.read_to_end(&mut received).await.expect("the connection is not reset");
-    assert_eq!(received.len(), RESPONSE_BYTES);
+    assert_eq!(received.len(), LARGE_RESPONSE_BYTES);
     drop(peer);
     closing.await.unwrap();
 }
