Log when a stop closes the listeners, and name its counts

What operators saw: the log of a stop has its begin and its end, and not the moment from which requests are refused; `connections` and `calls` did not say of whom, and `complete` not of what.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -246,13 +246,18 @@
     daemon.tables.set_state(VmState::Leaving);
     daemon.tables.sync_requested.notify_one();
     log::info!(running = daemon.tables.requests_running(),
-        connections = connections.callers.count(), grace_ms = grace.as_millis() as u64;
+        caller_connections = connections.callers.count(), grace_ms = grace.as_millis() as u64;
         "daemon leaving");
     let accept_time = match daemon.role() {
         DaemonRole::Entry => grace.mul_f64(ACCEPT_SHARE),
         DaemonRole::Control => CONTROL_SHUTDOWN_DELAY,
     };
     sleep(accept_time).await;
+    log::info!(running = daemon.tables.requests_running(),
+        caller_connections = connections.callers.count(),
+        call_connections = connections.calls.count(),
+        elapsed_ms = signalled_at.elapsed().as_millis() as u64;
+        "listeners closing, refusing new requests");
     daemon.tables.stop_accepting_requests();
     // Without receivers there is no connection to close.
     let _ = close.send(true);
@@ -262,9 +267,10 @@
         timeout_at(exit_at, connections.callers.wait_until_closed()),
         timeout_at(calls_end, connections.calls.wait_until_closed()),
     );
-    let is_complete = callers.is_ok() && calls.is_ok();
-    log::info!(complete = is_complete, running = daemon.tables.requests_running(),
-        connections = connections.callers.count(), calls = connections.calls.count(),
+    let all_closed = callers.is_ok() && calls.is_ok();
+    log::info!(all_closed = all_closed, running = daemon.tables.requests_running(),
+        caller_connections = connections.callers.count(),
+        call_connections = connections.calls.count(),
         elapsed_ms = signalled_at.elapsed().as_millis() as u64;
         "daemon stopping");
 }
