--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -119,7 +119,8 @@
     add_connection_close(&daemon, response)
 }
 
-/// Logs that the caller disconnected if it is dropped before the request is completed.
+/// Logs the end of a request that is dropped before it is completed: its connection has ended, or
+/// its task has failed.
 struct DisconnectGuard<'a> {
     request: &'a str,
     arrived_at: Instant,
@@ -132,7 +133,7 @@
         if !self.completed {
             let elapsed = self.daemon.now().saturating_duration_since(self.arrived_at);
             log::info!(request = self.request, elapsed_ms = elapsed.as_millis() as u64;
-                "caller disconnected before the response");
+                "request ended before its response");
         }
     }
 }
@@ -279,6 +280,8 @@
             };
             return refusal(code);
         }
+        // Begins before the check, so that a stop in between wakes the request.
+        let attempt_ended = daemon.tables.attempt_ended.notified();
         if !may_have_run && !daemon.tables.accepts_requests() {
             return stopping_refusal();
         }
@@ -290,7 +293,6 @@
             break;
         }
         let query = query_of(admitted, &tried, now);
-        let attempt_ended = daemon.tables.attempt_ended.notified();
         let chosen = match targets::choose(daemon, content, &query, now) {
             Choice::Use(chosen) => chosen,
             Choice::Wait(instance) => {
