Bound the memory and the time for bodies of targets' responses

A target that sent a body without end, chunked or without a length, could fill the memory of an entry VM: the fleet's path held every body without a known length until it was complete or the deadline passed, without a bound. A body that was passed on had no deadline: its caller waited for as long as the target kept the connection open. The body of a refusal was read to its end, too, so that callers were told "possibly run" at the deadline for requests whose refusal says that they have not run.

A body is now held up to 1 MiB, and all held bodies together up to 64 MiB, a quarter of the memory of the smallest VM; above either limit the held part is passed on and the rest follows as it arrives. The decision (`next_bytes`) and the budget are plain structs without network, passed in. A body that is passed on ends with an error at the deadline of the request, so that the caller's connection closes without the last chunk. A target that breaks such a body off, or sends one without a length until the deadline, counts as failing; a long one with a length may be late because of the link. The body of a refusal is read up to 64 KiB and 100 ms; its statement is in the head and holds.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-pub use self::body::{TargetBody, has_other_coding};
+pub use self::body::{BodyFailure, TargetBody, has_other_coding};
 use self::connection::Connection;
 use self::socket::IdleState;
 
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -1,5 +1,7 @@
 //! Body of a target's response.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -18,6 +20,30 @@
     headers.get_all(TRANSFER_ENCODING).iter().any(|value| !is_chunked(value))
 }
 
+/// Why the body of a response is incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum BodyFailure {
+    /// The target closed the connection before the end of the body.
+    BodyCut,
+    /// The connection was reset or lost.
+    ConnectionLost,
+    /// The bytes are no chunks, or trailers or chunk extensions are longer than allowed.
+    BodyMalformed,
+}
+
+impl BodyFailure {
+    /// Returns the reason for an error of a [`TargetBody`].
+    pub fn of(error: &hyper::Error) -> Self {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        match source.map(io::Error::kind) {
+            Some(io::ErrorKind::UnexpectedEof) => Self::BodyCut,
+            Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Self::BodyMalformed,
+            _ => Self::ConnectionLost,
+        }
+    }
+}
+
 /// Body of a target's response. Dropping it before its end closes the connection, which cancels the
 /// request at the target.
 ///
--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -10,6 +10,7 @@
 use celerygate_types::{Clock, DataCentreId, Incarnation, RegionId, RequestCount};
 
 use crate::adapter::ProtocolAdapter;
+use crate::forward::ResponseBuffers;
 use crate::group::Group;
 use crate::mesh::Mesh;
 use crate::tables::Tables;
@@ -42,6 +43,8 @@
     pub adapter: ProtocolAdapter,
     /// Connection pool for targets.
     pub pool: Arc<ConnectionPool>,
+    /// Memory for the bodies of targets' responses.
+    pub response_buffers: ResponseBuffers,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -10,7 +10,6 @@
 use celerygate_steering::routing::{Repeatable, Route, select_service};
 use celerygate_types::wire::{Outcome, VmState};
 use celerygate_types::{OrganisationId, RegionId, ResultCode, Revision, ServiceId, TargetId};
-use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
@@ -27,12 +26,13 @@
 use crate::tables::Content;
 use crate::targets::{self, Choice, Query, TargetWaitGuard};
 
+pub use self::body::ResponseBuffers;
+pub use celerygate_daemon::body::ResponseBody;
+
 mod attempt;
+mod body;
 mod response;
 
-/// Body of a response to a caller.
-pub type ResponseBody = UnsyncBoxBody<Bytes, hyper::Error>;
-
 /// Id of the caller's attempt that a response belongs to, as an extension of the response.
 #[derive(Clone, Debug)]
 pub struct AttemptId(pub SmolStr);
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -102,9 +102,8 @@
             return AttemptResult::Failed(ResultCode::TargetFailed);
         }
         Ok(Ok(response)) => {
-            let read =
-                timeout_at(deadline, read_response(daemon, admitted, chosen, response)).await;
-            match read {
+            let read = read_response(daemon, admitted, chosen, response, deadline);
+            match timeout_at(deadline, read).await {
                 Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
                 Ok(ResponseResult { attempt, end, load, outcome }) => {
                     if end == AttemptEnd::Answered {
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -1,6 +1,8 @@
 //! Reads a target's response and decides whether the attempt succeeded.
 
-use celerygate_daemon::upstream::{TargetBody, has_other_coding};
+use std::sync::Arc;
+
+use celerygate_daemon::upstream::{BodyFailure, TargetBody, has_other_coding};
 use celerygate_steering::headers::HeaderFilter;
 use celerygate_steering::placement::{AttemptEnd, ReportedLoad};
 use celerygate_steering::responses::{EchoRule, ResponseHead, ResponseKind, response_kind};
@@ -8,20 +10,17 @@
 use celerygate_types::ResultCode;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Body;
 use hyper::header::HeaderMap;
 use hyper::http::response;
+use tokio::time::Instant;
 
+use super::AdmittedRequest;
 use super::attempt::AttemptResult;
-use super::{AdmittedRequest, ResponseBody, full_body};
+use super::body::{AnsweredRequest, ForwardedBody, RefusalBodyEnd, read_refusal, read_start};
 use crate::adapter::ResponseMetadata;
 use crate::daemon::Daemon;
 use crate::targets::ChosenTarget;
 
-/// Responses up to this size are buffered completely before the first byte is sent to the caller,
-/// so that a truncated response can be replaced by another target's.
-const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1_024 * 1_024;
-
 /// Result of an attempt that received a response head.
 pub(super) struct ResponseResult {
     pub(super) attempt: AttemptResult,
@@ -31,10 +30,11 @@
 }
 
 pub(super) async fn read_response(
-    daemon: &Daemon,
+    daemon: &Arc<Daemon>,
     admitted: &AdmittedRequest<'_>,
     chosen: &ChosenTarget,
     response: Response<TargetBody>,
+    deadline: Instant,
 ) -> ResponseResult {
     let (parts, body) = response.into_parts();
     let metadata = (daemon.adapter.read_response)(&parts);
@@ -53,13 +53,8 @@
     }
     let load = metadata.load;
     if kind == ResponseKind::NotRun {
-        if body.collect().await.is_err() {
-            log::debug!(request = admitted.metadata.request.as_str();
-                "target's rejection truncated");
-        }
-        let has_free_slot = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
-        let attempt = AttemptResult::Rejected { had_free_slot: load.is_some_and(has_free_slot) };
-        return ResponseResult { attempt, end: AttemptEnd::Rejected, load, outcome: "rejected" };
+        let body_end = read_refusal(&daemon.response_buffers.limits, body).await;
+        return rejected(admitted, chosen, load, body_end);
     }
     let is_failure = !metadata.is_signed || parts.status.is_server_error();
     if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
@@ -68,9 +63,15 @@
         return ResponseResult { attempt, end: AttemptEnd::Failed, load, outcome: "target-error" };
     }
     let headers = response_headers(&parts);
-    match read_body(body).await {
-        Ok(body) => {
-            let mut response = Response::new(body);
+    match read_start(&daemon.response_buffers, body).await {
+        Ok(start) => {
+            let answered = || AnsweredRequest {
+                daemon: Arc::clone(daemon),
+                request: admitted.metadata.request.clone(),
+                instance: chosen.instance.clone(),
+                deadline,
+            };
+            let mut response = Response::new(ForwardedBody::new(start, answered).boxed_unsync());
             *response.status_mut() = parts.status;
             *response.headers_mut() = headers;
             let end = if is_failure { AttemptEnd::Failed } else { AttemptEnd::Answered };
@@ -82,14 +83,37 @@
             }
         }
         Err(error) => {
-            log::info!(request = admitted.metadata.request.as_str(), error:% = error;
-                "target's response truncated");
+            log::warn!(request = admitted.metadata.request.as_str(),
+                target_id = chosen.instance.as_str(), reason:% = BodyFailure::of(&error),
+                error:% = error; "target's response is incomplete");
             let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
             ResponseResult { attempt, end: AttemptEnd::Failed, load, outcome: "broken-response" }
         }
     }
 }
 
+/// Returns the result of a refusal that states that the request has not run. The statement is in the
+/// head, which is complete, so that it holds whatever follows.
+fn rejected(
+    admitted: &AdmittedRequest<'_>,
+    chosen: &ChosenTarget,
+    load: Option<ReportedLoad>,
+    body_end: RefusalBodyEnd,
+) -> ResponseResult {
+    let end = match body_end {
+        RefusalBodyEnd::Complete => AttemptEnd::Rejected,
+        _ => {
+            log::warn!(request = admitted.metadata.request.as_str(),
+                target_id = chosen.instance.as_str(), reason:% = body_end;
+                "body of a refusal has no valid end");
+            AttemptEnd::Failed
+        }
+    };
+    let has_free_slot = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
+    let attempt = AttemptResult::Rejected { had_free_slot: load.is_some_and(has_free_slot) };
+    ResponseResult { attempt, end, load, outcome: "rejected" }
+}
+
 fn kind_of(
     admitted: &AdmittedRequest<'_>,
     parts: &response::Parts,
@@ -115,13 +139,3 @@
     }
     headers
 }
-
-/// Buffers a body up to [`MAX_BUFFERED_RESPONSE_BYTES`]; a larger one is streamed.
-async fn read_body(body: TargetBody) -> Result<ResponseBody, hyper::Error> {
-    let is_buffered =
-        body.size_hint().upper().is_none_or(|bytes| bytes <= MAX_BUFFERED_RESPONSE_BYTES);
-    if is_buffered {
-        return Ok(full_body(body.collect().await?.to_bytes()));
-    }
-    Ok(body.boxed_unsync())
-}
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -95,6 +95,7 @@
         group,
         adapter,
         pool: Arc::new(ConnectionPool::default()),
+        response_buffers: forward::ResponseBuffers::default(),
         metrics: Metrics::new()?,
     });
     if let Some(start_group) = start_group {
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -17,9 +17,10 @@
 use celerygate_fleet::adapter::{ProtocolAdapter, RequestMetadata, ResponseMetadata};
 use celerygate_fleet::callers::{self, ConnectionCounter};
 use celerygate_fleet::daemon::Daemon;
-use celerygate_fleet::forward::{self, ResponseBody};
+use celerygate_fleet::forward::{self, ResponseBody, ResponseBuffers};
 use celerygate_fleet::mesh::Mesh;
 use celerygate_fleet::tables::{Content, Tables};
+use celerygate_steering::buffers::BodyLimits;
 use celerygate_steering::routing::{
     Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
 };
@@ -74,6 +75,11 @@
 impl Fleet {
     /// Starts a daemon whose route sends requests to these targets.
     pub fn start(targets: &[&RawTarget], repeatable: Repeatable) -> Self {
+        Self::start_with(targets, repeatable, BodyLimits::default())
+    }
+
+    /// Starts a daemon with limits for the bodies of responses.
+    pub fn start_with(targets: &[&RawTarget], repeatable: Repeatable, limits: BodyLimits) -> Self {
         let tables = Arc::new(Tables::new());
         assert!(tables.activate(content(repeatable)));
         let settings = settings();
@@ -87,6 +93,7 @@
             group: None,
             adapter: adapter(),
             pool: Arc::new(ConnectionPool::default()),
+            response_buffers: ResponseBuffers::new(limits),
             metrics: Metrics::new().expect("metrics"),
         };
         let fleet = Self { daemon: Arc::new(daemon) };
@@ -112,6 +119,14 @@
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
+    /// Returns whether the daemon avoids a target because of its failures.
+    pub fn is_avoided(&self, number: usize) -> bool {
+        let now = self.daemon.now();
+        let targets = self.daemon.tables.targets.lock();
+        let stats = targets.stats.get(&id(&format!("target-{number}")));
+        stats.is_some_and(|stats| stats.is_avoided(now))
+    }
+
     /// Serves callers on a free port and returns its address.
     pub async fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions on the request path: plain structs and functions without I/O. Callers pass the time
 //! in.
 
+pub mod buffers;
 pub mod grants;
 pub mod headers;
 pub mod idempotency;
--- a/crates/steering/src/placement/stats.rs
+++ b/crates/steering/src/placement/stats.rs
@@ -92,6 +92,16 @@
     /// Records the end of an attempt.
     pub fn record_attempt_end(&mut self, end: AttemptEnd, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.record_result(end, now);
+    }
+
+    /// Records a failure after the end of its attempt was recorded, while the response was passed
+    /// on.
+    pub fn record_late_failure(&mut self, now: Instant) {
+        self.record_result(AttemptEnd::Failed, now);
+    }
+
+    fn record_result(&mut self, end: AttemptEnd, now: Instant) {
         let failed = match end {
             AttemptEnd::Abandoned => return,
             AttemptEnd::Answered => false,
