Bound response heads and informational responses

The connection is closed, the outcome of the request is unknown, and the target counts as failing, in the fleet's path and in celerygated's.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -292,8 +292,8 @@
             upstream.restore(*request);
             AttemptEnd::failed(Stage::Connected, Failure::TargetFailed, reason)
         }
-        Ok(Err(SendError::NoResponse { reason, error, .. })) => {
-            let detail = format!("{reason}: {error}");
+        Ok(Err(SendError::NoResponse { reason, detail, .. })) => {
+            let detail = format!("{reason}: {detail}");
             AttemptEnd::failed(Stage::BytesSent, Failure::TargetFailed, detail)
         }
         // The stage is unknown here, so assume that bytes of the request were sent.
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod connection;
+mod informational;
 mod socket;
 
 use std::collections::HashMap;
@@ -18,6 +19,7 @@
 
 pub use self::body::{BodyFailure, TargetBody, has_other_coding};
 use self::connection::Connection;
+use self::informational::{InformationalCount, MAX_INFORMATIONAL_RESPONSES};
 use self::socket::IdleState;
 
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
@@ -55,12 +57,12 @@
         reason: String,
     },
     /// The target may have received the request.
-    #[error("no response from the target: {reason}: {error}")]
+    #[error("no response from the target: {reason}: {detail}")]
     NoResponse {
         /// What was received instead of a response head.
         reason: NoResponseReason,
-        /// Error that ended the connection.
-        error: hyper::Error,
+        /// Description of the failure.
+        detail: String,
         /// Whether the connection was probably closed while it was idle.
         lost_while_idle: bool,
     },
@@ -78,6 +80,8 @@
     HeadMalformed,
     /// The head is longer than allowed.
     HeadTooLong,
+    /// More informational responses than allowed came instead of the final one.
+    TooManyInformational,
 }
 
 impl NoResponseReason {
@@ -163,11 +167,20 @@
         address: SocketAddr,
         mut connection: Connection,
         idle_since: Option<Instant>,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
         let received_earlier = connection.received_bytes();
-        match connection.sender().try_send_request(request).await {
+        let informational = InformationalCount::attach(&mut request);
+        let sent = tokio::select! {
+            sent = connection.sender().try_send_request(request) => sent,
+            () = informational.exceeded() => {
+                let detail = format!("more than {MAX_INFORMATIONAL_RESPONSES}");
+                let reason = NoResponseReason::TooManyInformational;
+                return Err(SendError::NoResponse { reason, detail, lost_while_idle: false });
+            }
+        };
+        match sent {
             Ok(response) => {
                 Ok(response
                     .map(|body| TargetBody::new(body, Arc::clone(self), address, connection)))
@@ -184,7 +197,8 @@
                     // A target that has sent a part of a head has received the request.
                     let lost_while_idle = reason == NoResponseReason::NoBytes
                         && idle_since.is_some_and(|since| self.record_close(since, sent_at));
-                    Err(SendError::NoResponse { reason, error, lost_while_idle })
+                    let detail = error.to_string();
+                    Err(SendError::NoResponse { reason, detail, lost_while_idle })
                 }
             },
         }
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -31,6 +31,10 @@
 /// Read buffer of a connection to another region, bounded for the same reason.
 const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
 
+/// Size from which an incomplete response head is rejected. Heads of targets have some hundred
+/// bytes; common servers and proxies allow 8 to 64 KiB.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 /// A connection to a target.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
@@ -47,6 +51,7 @@
     pub async fn open(address: SocketAddr, path: NetworkPath) -> anyhow::Result<Self> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         let mut http = http1::Builder::new();
+        http.max_header_size(MAX_HEAD_BYTES);
         if path == NetworkPath::CrossRegion {
             socket.set_recv_buffer_size(CROSS_REGION_RECEIVE_BUFFER_BYTES)?;
             http.max_buf_size(CROSS_REGION_READ_BUFFER_BYTES);
--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -53,3 +53,23 @@
         .await;
     }
 }
+
+/// Guards against response heads of any length and informational responses without end, which
+/// occupy the daemon until the deadline.
+#[tokio::test]
+async fn head_endless() {
+    let line = format!("x-a: {}\r\n", "x".repeat(4_096));
+    let long_head = format!("HTTP/1.1 200 OK\r\n{}content-length: 0\r\n\r\n", line.repeat(90));
+    let informational = "HTTP/1.1 100 Continue\r\n\r\n".repeat(10);
+    for response in [
+        ScriptedResponse::KeepAlive(long_head.into()),
+        ScriptedResponse::Endless("HTTP/1.1 200 OK\r\nx: ".into(), vec![b'x'; 65_536]),
+        ScriptedResponse::Endless(Vec::new(), informational.into()),
+    ] {
+        let (daemon, _target, _announcement) = start(response).await;
+        let received = get(&daemon).await;
+        // The code of a deadline that has passed is 1302.
+        let is_failed = received.contains("\"code\":1301");
+        assert!(is_failed && received.starts_with("HTTP/1.1 502 "), "{:?}", received.get(..300));
+    }
+}
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -75,10 +75,10 @@
     let connection = if is_repeatable { ConnectionReuse::Any } else { ConnectionReuse::Recent };
     let mut outcome = timeout_at(deadline, send(connection)).await;
     let mut is_resent = false;
-    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error, .. })) = &outcome
+    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, detail, .. })) = &outcome
         && is_repeatable
     {
-        log::info!(request = admitted.metadata.request.as_str(), error:% = error,
+        log::info!(request = admitted.metadata.request.as_str(), error = detail.as_str(),
             target_id = chosen.instance.as_str();
             "idle connection lost, resent request on a new one");
         outcome = timeout_at(deadline, send(ConnectionReuse::New)).await;
@@ -94,8 +94,9 @@
             log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
             return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
-        Ok(Err(SendError::NoResponse { reason, error, .. })) => {
-            log::info!(request = admitted.metadata.request.as_str(), reason:% = reason, error:% = error,
+        Ok(Err(SendError::NoResponse { reason, detail, .. })) => {
+            log::info!(request = admitted.metadata.request.as_str(), reason:% = reason,
+                error = detail.as_str(),
                 target_id = chosen.instance.as_str(); "no response from the target");
             attempt_guard.end(AttemptEnd::Failed, None);
             log_attempt(daemon, admitted, chosen, arrived_at, "no-response");
--- a/crates/fleet/tests/endless_responses.rs
+++ b/crates/fleet/tests/endless_responses.rs
@@ -137,3 +137,40 @@
     assert_eq!(fleet.daemon.response_buffers.budget.used(), ByteCount(0));
     assert_eq!(fleet.status_and_body(Method::GET, "a").await, (200, Some(text.into())));
 }
+
+/// Guards against response heads of any length: one that does not end, and one that ends after more
+/// bytes than allowed.
+#[tokio::test]
+async fn head_too_long() {
+    let line = format!("x-a: {}\r\n", "x".repeat(4_096));
+    let long_head = format!("{}{}content-length: 0\r\n\r\n", head("a"), line.repeat(90));
+    for response in [
+        ScriptedResponse::KeepAlive(long_head.into()),
+        ScriptedResponse::Endless(format!("{}x-b: ", head("a")).into(), vec![b'x'; 65_536]),
+        ScriptedResponse::Endless(head("a").into(), b"a: b\r\n".repeat(1_000)),
+    ] {
+        let (fleet, _target) = start(response).await;
+        let started = Instant::now();
+        assert_eq!(fleet.status(Method::POST, "a").await, 502);
+        assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
+        assert!(fleet.is_avoided(0), "the target does not count as failing");
+    }
+}
+
+/// Guards against informational responses without end that occupy the daemon until the deadline,
+/// and against a few of them that are not tolerated.
+#[tokio::test]
+async fn informational_responses() {
+    let informational = "HTTP/1.1 100 Continue\r\n\r\n";
+    let endless = ScriptedResponse::Endless(Vec::new(), informational.repeat(10).into());
+    let (fleet, target) = start(endless).await;
+    let started = Instant::now();
+    assert_eq!(fleet.status(Method::POST, "a").await, 502);
+    assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
+    eventually("the connection is closed", async || target.endless_closed() == 1).await;
+    assert!(fleet.is_avoided(0), "the target does not count as failing");
+
+    let few = format!("{}{}", informational.repeat(3), answer("a", "ok"));
+    let (fleet, _target) = start(ScriptedResponse::KeepAlive(few.into())).await;
+    assert_eq!(fleet.status(Method::POST, "a").await, 200);
+}
