--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use celerygate_steering::responses::EchoRule;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -31,11 +32,16 @@
 /// Read buffer of a connection to another region, bounded for the same reason.
 const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
 
+/// Size from which an incomplete response head is rejected. Heads of targets have some hundred
+/// bytes; common servers and proxies allow 8 to 64 KiB.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 /// A connection to a target.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     stream: Weak<TcpStream>,
     received_bytes: Arc<AtomicU64>,
+    echo_rule: EchoRule,
 }
 
 impl Connection {
@@ -47,6 +53,7 @@
     pub async fn open(address: SocketAddr, path: NetworkPath) -> anyhow::Result<Self> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         let mut http = http1::Builder::new();
+        http.max_header_size(MAX_HEAD_BYTES);
         if path == NetworkPath::CrossRegion {
             socket.set_recv_buffer_size(CROSS_REGION_RECEIVE_BUFFER_BYTES)?;
             http.max_buf_size(CROSS_REGION_READ_BUFFER_BYTES);
@@ -67,7 +74,7 @@
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream, received_bytes })
+        Ok(Self { sender, stream, received_bytes, echo_rule: EchoRule::Optional })
     }
 
     /// Returns the sender of requests.
@@ -80,6 +87,16 @@
         self.received_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the next response must name its request.
+    pub fn echo_rule(&self) -> EchoRule {
+        self.echo_rule
+    }
+
+    /// Records that the target has named a request in a response.
+    pub fn require_echo(&mut self) {
+        self.echo_rule = EchoRule::Required;
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -75,11 +75,11 @@
     let connection = if is_repeatable { ConnectionReuse::Any } else { ConnectionReuse::Recent };
     let mut outcome = timeout_at(deadline, send(connection)).await;
     let mut is_resent = false;
-    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, error, .. })) = &outcome
+    if let Ok(Err(SendError::NoResponse { lost_while_idle: true, detail, .. })) = &outcome
         && is_repeatable
         && may_resend(daemon, chosen)
     {
-        log::info!(request = admitted.metadata.request.as_str(), error:% = error,
+        log::info!(request = admitted.metadata.request.as_str(), error = detail.as_str(),
             target_id = chosen.instance.as_str();
             "idle connection lost, resent request on a new one");
         outcome = timeout_at(deadline, send(ConnectionReuse::New)).await;
@@ -95,17 +95,17 @@
             log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
             return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
-        Ok(Err(SendError::NoResponse { reason, error, .. })) => {
-            log::info!(request = admitted.metadata.request.as_str(), reason:% = reason, error:% = error,
+        Ok(Err(SendError::NoResponse { reason, detail, .. })) => {
+            log::info!(request = admitted.metadata.request.as_str(), reason:% = reason,
+                error = detail.as_str(),
                 target_id = chosen.instance.as_str(); "no response from the target");
             attempt_guard.end(AttemptEnd::Failed, None);
             log_attempt(daemon, admitted, chosen, arrived_at, "no-response");
             return AttemptResult::Failed(ResultCode::TargetFailed);
         }
         Ok(Ok(response)) => {
-            let read =
-                timeout_at(deadline, read_response(daemon, admitted, chosen, response)).await;
-            match read {
+            let read = read_response(daemon, admitted, chosen, response, deadline);
+            match timeout_at(deadline, read).await {
                 Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
                 Ok(ResponseResult { attempt, end, load, outcome }) => {
                     if end == AttemptEnd::Answered {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,6 +2,7 @@
 //! in.
 
 pub mod availability;
+pub mod buffers;
 pub mod grants;
 pub mod headers;
 pub mod idempotency;
