Limit the bytes that are read before the head of a target's response

What callers see: one faulty target that sends interim responses (100 Continue) without end stops a whole entry VM. Its other requests get no answer, and SIGTERM is noticed seconds late, so that the platform kills it.

Cause: the HTTP library limits the size of a head, not the number of interim responses before it. The socket always has more bytes, so that a worker parses tens of thousands of heads per read and only yields after 128 reads, until the deadline of the request.

Change: between a request and the head of its response, 512 KiB may be read; then the read fails and the connection is closed, so that the request counts as one that may have run. The read buffer is 128 KiB instead of the library's 408 KiB: it limits the size of a head, and how far a read can go beyond one.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -136,7 +136,7 @@
         request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
-        match connection.sender().try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => {
                 Ok(response
                     .map(|body| TargetBody::new(body, Arc::clone(self), address, connection)))
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -1,16 +1,19 @@
 //! One connection to a target.
 
 use std::net::SocketAddr;
-use std::sync::Weak;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use super::socket::{self, IdleState, TargetSocket};
+use super::socket::{self, HeadLimit, IdleState, TargetSocket};
 use super::{NetworkPath, RequestBody};
 
 /// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
@@ -29,10 +32,17 @@
 const CROSS_REGION_RECEIVE_BUFFER_BYTES: u32 = 256 * 1_024;
 /// Read buffer of a connection to another region, bounded for the same reason.
 const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
+/// Read buffer of other connections, which also limits the size of a response's head.
+const READ_BUFFER_BYTES: usize = 128 * 1_024;
+/// Number of bytes that may be read between a request and the head of its response. The read that
+/// completes the head may continue in the body, of which the HTTP library buffers two reads.
+const HEAD_LIMIT_BYTES: usize = 4 * READ_BUFFER_BYTES;
+
 /// A connection to a target.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     stream: Weak<TcpStream>,
+    head_limit: Arc<HeadLimit>,
 }
 
 impl Connection {
@@ -47,6 +57,8 @@
         if path == NetworkPath::CrossRegion {
             socket.set_recv_buffer_size(CROSS_REGION_RECEIVE_BUFFER_BYTES)?;
             http.max_buf_size(CROSS_REGION_READ_BUFFER_BYTES);
+        } else {
+            http.max_buf_size(READ_BUFFER_BYTES);
         }
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
         stream.set_nodelay(true)?;
@@ -55,7 +67,7 @@
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
         let socket = TargetSocket::new(stream);
-        let stream = socket.downgrade();
+        let (stream, head_limit) = (socket.downgrade(), socket.head_limit());
         let (sender, connection) = http.handshake(TokioIo::new(socket)).await?;
         tokio::spawn(async move {
             // A failed request receives the error itself; this one concerns no request.
@@ -64,12 +76,22 @@
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream })
+        Ok(Self { sender, stream, head_limit })
     }
 
-    /// Returns the sender of requests.
-    pub fn sender(&mut self) -> &mut SendRequest<RequestBody> {
-        &mut self.sender
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// When no head is received, or too many bytes without one.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        self.head_limit.begin(HEAD_LIMIT_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        response
     }
 
     /// Returns whether the connection is closed.
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -5,6 +5,7 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 
@@ -36,15 +37,60 @@
     }
 }
 
+/// Limits the bytes that are read between a request and the head of its response. The HTTP library
+/// limits the size of a head, but not the number of interim responses before it.
+#[derive(Debug)]
+pub struct HeadLimit {
+    /// Number of bytes that may still be read, [`HeadLimit::UNLIMITED`] if no head is awaited.
+    remaining: AtomicUsize,
+}
+
+impl HeadLimit {
+    const UNLIMITED: usize = usize::MAX;
+
+    fn new() -> Self {
+        Self { remaining: AtomicUsize::new(Self::UNLIMITED) }
+    }
+
+    /// Starts the wait for a head, in which `bytes` may be read.
+    pub fn begin(&self, bytes: usize) {
+        self.remaining.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Ends the wait for a head.
+    pub fn end(&self) {
+        self.remaining.store(Self::UNLIMITED, Ordering::Relaxed);
+    }
+
+    fn is_exhausted(&self) -> bool {
+        self.remaining.load(Ordering::Relaxed) == 0
+    }
+
+    fn record_read(&self, bytes: usize) {
+        let subtract = |remaining: usize| match remaining {
+            Self::UNLIMITED => None,
+            remaining => Some(remaining.saturating_sub(bytes)),
+        };
+        // Without a limit there is nothing to subtract from.
+        let _ = self.remaining.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+    }
+}
+
 /// The socket as the HTTP library uses it. Dropping it closes the connection.
 pub struct TargetSocket {
     stream: Arc<TcpStream>,
+    head_limit: Arc<HeadLimit>,
 }
 
 impl TargetSocket {
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: Arc::new(stream) }
+        Self { stream: Arc::new(stream), head_limit: Arc::new(HeadLimit::new()) }
+    }
+
+    /// Returns the limit of the bytes that are read before the head of a response.
+    pub fn head_limit(&self) -> Arc<HeadLimit> {
+        Arc::clone(&self.head_limit)
     }
 
     /// Returns a reference to the socket that does not keep it open.
@@ -59,10 +105,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.head_limit.is_exhausted() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "no response head within limit");
+            return Poll::Ready(Err(error));
+        }
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             match self.stream.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+                Ok(bytes) => {
+                    self.head_limit.record_read(bytes);
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
