--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use super::socket::{self, HeadLimit, IdleState, TargetSocket};
+use super::socket::{self, IdleState, ReadCounter, TargetSocket};
 use super::{NetworkPath, RequestBody};
 
 /// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
@@ -32,17 +32,18 @@
 const CROSS_REGION_RECEIVE_BUFFER_BYTES: u32 = 256 * 1_024;
 /// Read buffer of a connection to another region, bounded for the same reason.
 const CROSS_REGION_READ_BUFFER_BYTES: usize = 32 * 1_024;
+
 /// Read buffer of other connections, which also limits the size of a response's head.
 const READ_BUFFER_BYTES: usize = 128 * 1_024;
 /// Number of bytes that may be read between a request and the head of its response. The read that
 /// completes the head may continue in the body, of which the HTTP library buffers two reads.
-const HEAD_LIMIT_BYTES: usize = 4 * READ_BUFFER_BYTES;
+const HEAD_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
 /// A connection to a target.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     stream: Weak<TcpStream>,
-    head_limit: Arc<HeadLimit>,
+    reads: Arc<ReadCounter>,
 }
 
 impl Connection {
@@ -67,7 +68,7 @@
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
         let socket = TargetSocket::new(stream);
-        let (stream, head_limit) = (socket.downgrade(), socket.head_limit());
+        let (stream, reads) = (socket.downgrade(), socket.reads());
         let (sender, connection) = http.handshake(TokioIo::new(socket)).await?;
         tokio::spawn(async move {
             // A failed request receives the error itself; this one concerns no request.
@@ -76,7 +77,7 @@
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream, head_limit })
+        Ok(Self { sender, stream, reads })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -88,12 +89,17 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
-        self.head_limit.begin(HEAD_LIMIT_BYTES);
+        self.reads.begin_head(HEAD_LIMIT_BYTES);
         let response = self.sender.try_send_request(request).await;
-        self.head_limit.end();
+        self.reads.end_head();
         response
     }
 
+    /// Returns the number of bytes received so far, also after the connection has ended.
+    pub fn received_bytes(&self) -> u64 {
+        self.reads.received_bytes()
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -5,7 +5,7 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 
@@ -37,60 +37,56 @@
     }
 }
 
-/// Limits the bytes that are read between a request and the head of its response. The HTTP library
-/// limits the size of a head, but not the number of interim responses before it.
+/// Counts the bytes that are read from a socket, and limits those between a request and the head of
+/// its response. The HTTP library limits the size of a head, but not the number of interim responses
+/// before it.
 #[derive(Debug)]
-pub struct HeadLimit {
-    /// Number of bytes that may still be read, [`HeadLimit::UNLIMITED`] if no head is awaited.
-    remaining: AtomicUsize,
+pub struct ReadCounter {
+    received: AtomicU64,
+    /// Count at which reading fails, `u64::MAX` if no head is awaited.
+    limit: AtomicU64,
 }
 
-impl HeadLimit {
-    const UNLIMITED: usize = usize::MAX;
-
+impl ReadCounter {
     fn new() -> Self {
-        Self { remaining: AtomicUsize::new(Self::UNLIMITED) }
+        Self { received: AtomicU64::new(0), limit: AtomicU64::new(u64::MAX) }
+    }
+
+    /// Returns the number of bytes received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
     }
 
     /// Starts the wait for a head, in which `bytes` may be read.
-    pub fn begin(&self, bytes: usize) {
-        self.remaining.store(bytes, Ordering::Relaxed);
+    pub fn begin_head(&self, bytes: u64) {
+        self.limit.store(self.received_bytes() + bytes, Ordering::Relaxed);
     }
 
     /// Ends the wait for a head.
-    pub fn end(&self) {
-        self.remaining.store(Self::UNLIMITED, Ordering::Relaxed);
+    pub fn end_head(&self) {
+        self.limit.store(u64::MAX, Ordering::Relaxed);
     }
 
     fn is_exhausted(&self) -> bool {
-        self.remaining.load(Ordering::Relaxed) == 0
-    }
-
-    fn record_read(&self, bytes: usize) {
-        let subtract = |remaining: usize| match remaining {
-            Self::UNLIMITED => None,
-            remaining => Some(remaining.saturating_sub(bytes)),
-        };
-        // Without a limit there is nothing to subtract from.
-        let _ = self.remaining.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+        self.received_bytes() >= self.limit.load(Ordering::Relaxed)
     }
 }
 
 /// The socket as the HTTP library uses it. Dropping it closes the connection.
 pub struct TargetSocket {
     stream: Arc<TcpStream>,
-    head_limit: Arc<HeadLimit>,
+    reads: Arc<ReadCounter>,
 }
 
 impl TargetSocket {
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: Arc::new(stream), head_limit: Arc::new(HeadLimit::new()) }
+        Self { stream: Arc::new(stream), reads: Arc::new(ReadCounter::new()) }
     }
 
-    /// Returns the limit of the bytes that are read before the head of a response.
-    pub fn head_limit(&self) -> Arc<HeadLimit> {
-        Arc::clone(&self.head_limit)
+    /// Returns the counter of the bytes read from the socket.
+    pub fn reads(&self) -> Arc<ReadCounter> {
+        Arc::clone(&self.reads)
     }
 
     /// Returns a reference to the socket that does not keep it open.
@@ -105,15 +101,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.head_limit.is_exhausted() {
+        if self.reads.is_exhausted() {
             let error = io::Error::new(io::ErrorKind::InvalidData, "no response head within limit");
             return Poll::Ready(Err(error));
         }
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             match self.stream.try_read_buf(buffer) {
-                Ok(bytes) => {
-                    self.head_limit.record_read(bytes);
+                Ok(count) => {
+                    self.reads.received.fetch_add(count as u64, Ordering::Relaxed);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -15,10 +15,12 @@
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
 use celerygate_fleet::adapter::{ProtocolAdapter, RequestMetadata, ResponseMetadata};
+use celerygate_fleet::callers::{self, ConnectionCounter};
 use celerygate_fleet::daemon::Daemon;
 use celerygate_fleet::forward::{self, ResponseBody};
 use celerygate_fleet::mesh::Mesh;
 use celerygate_fleet::tables::{Content, Tables};
+use celerygate_steering::availability::Notice;
 use celerygate_steering::routing::{
     Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
 };
@@ -30,7 +32,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use self::raw_target::RawTarget;
 
@@ -47,6 +52,12 @@
 const SIGNED: &str = "signed";
 /// Header of a target's refusals.
 const NOT_RUN: &str = "not-run";
+/// Header of all responses of a target that leaves.
+const LEAVING: &str = "leaving";
+/// Milliseconds for which a target wants no requests.
+const PAUSE: &str = "pause-ms";
+/// Milliseconds after which a refused caller should retry.
+pub const RETRY_AFTER: &str = "retry-after-ms";
 
 /// Returns the offset of the first occurrence of `part` in `bytes`.
 pub fn position(bytes: &[u8], part: &[u8]) -> Option<usize> {
@@ -70,13 +81,18 @@
 impl Fleet {
     /// Starts a daemon whose route sends requests to these targets.
     pub fn start(targets: &[&RawTarget], repeatable: Repeatable) -> Self {
+        Self::start_with_clock(targets, repeatable, Clock::system())
+    }
+
+    /// Starts a daemon with the given clock.
+    pub fn start_with_clock(targets: &[&RawTarget], repeatable: Repeatable, clock: Clock) -> Self {
         let tables = Arc::new(Tables::new());
         assert!(tables.activate(content(repeatable)));
         let settings = settings();
         let vm = settings.vm.clone();
         let daemon = Daemon {
             settings,
-            clock: Clock::system(),
+            clock,
             incarnation: Incarnation(1),
             tables,
             mesh: Mesh::new(vm, Incarnation(1), 1),
@@ -94,9 +110,14 @@
 
     /// Reports a target as ready.
     pub fn report(&self, instance: &str, address: SocketAddr) {
+        self.report_life(instance, address, 1);
+    }
+
+    /// Reports a target as ready whose process started at a time.
+    pub fn report_life(&self, instance: &str, address: SocketAddr, born_unix_ms: u64) {
         let record = InstanceRecord {
             address: address.to_string().into(),
-            born_unix_ms: 1,
+            born_unix_ms,
             cold_ms: 0,
             data_centre: id("east-1"),
             instance: id(instance),
@@ -108,6 +129,23 @@
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
+    /// Serves callers on a free port and returns its address.
+    pub async fn listen(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
+        let address = listener.local_addr().expect("local address of the listener");
+        let daemon = Arc::clone(&self.daemon);
+        let service = callers::Service {
+            connections: Arc::new(ConnectionCounter::new(1_000)),
+            idle_timeout: Box::new(|| None),
+            handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
+        };
+        tokio::spawn(async move {
+            let (_shutdown, running) = watch::channel(false);
+            callers::serve(listener, running, service).await;
+        });
+        address
+    }
+
     /// Sends a request and returns the head of the response, with its unread body.
     pub async fn send(&self, method: Method, attempt: &str) -> Response<ResponseBody> {
         let request = Request::builder()
@@ -140,6 +178,23 @@
     }
 }
 
+/// Sends a request on a new connection and returns all bytes received until the daemon closes it.
+pub async fn send_raw(callers: SocketAddr, method: &Method, attempt: &str) -> Vec<u8> {
+    let body = if method == Method::POST { raw_target::BODY_END } else { "" };
+    let request = format!(
+        "{method} /a/b HTTP/1.1\r\nhost: {HOST}\r\n{ID}: {attempt}\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(callers).await.expect("connect");
+    stream.write_all(request.as_bytes()).await.expect("send");
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    // A reset counts as the end of the connection.
+    let _ = read.expect("connection still open after the time-out");
+    received
+}
+
 /// Returns a complete signed response to an attempt.
 pub fn answer(attempt: &str, body: &str) -> String {
     let length = body.len();
@@ -184,15 +239,26 @@
             is_not_run: parts.headers.contains_key(NOT_RUN),
             is_signed: parts.headers.contains_key(SIGNED),
             load: None,
+            notice: Notice {
+                is_leaving: parts.headers.contains_key(LEAVING),
+                pause: header_ms(&parts.headers, PAUSE),
+            },
         },
-        write_refusal: |refusal, _| match refusal.code.outcome() {
-            Outcome::NotRun => 503,
-            _ => 502,
+        write_refusal: |refusal, headers| {
+            if let Some(time) = refusal.retry_after {
+                headers.insert(RETRY_AFTER, HeaderValue::from(time.as_millis() as u64));
+            }
+            if refusal.code.outcome() == Outcome::NotRun { 503 } else { 502 }
         },
         read_document: |_| Ok(RoutingTable::default()),
     }
 }
 
+fn header_ms(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let ms = headers.get(name)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 fn header_text(value: &HeaderValue) -> smol_str::SmolStr {
     value.to_str().unwrap_or_default().into()
 }
