--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -2,7 +2,6 @@
 
 mod body;
 mod connection;
-mod informational;
 mod socket;
 
 use std::collections::HashMap;
@@ -18,8 +17,7 @@
 use tokio::time::Instant;
 
 pub use self::body::{BodyFailure, TargetBody, has_other_coding};
-use self::connection::Connection;
-use self::informational::{InformationalCount, MAX_INFORMATIONAL_RESPONSES};
+use self::connection::{Connection, HEAD_LIMIT_BYTES};
 use self::socket::IdleState;
 
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
@@ -80,7 +78,7 @@
     HeadMalformed,
     /// The head is longer than allowed.
     HeadTooLong,
-    /// More informational responses than allowed came instead of the final one.
+    /// More bytes than allowed came without a final response, in informational responses (1xx).
     TooManyInformational,
 }
 
@@ -90,6 +88,8 @@
             Self::HeadTooLong
         } else if error.is_parse() {
             Self::HeadMalformed
+        } else if received_bytes >= HEAD_LIMIT_BYTES {
+            Self::TooManyInformational
         } else if received_bytes > 0 {
             Self::HeadCut
         } else {
@@ -167,20 +167,11 @@
         address: SocketAddr,
         mut connection: Connection,
         idle_since: Option<Instant>,
-        mut request: Request<RequestBody>,
+        request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
         let received_earlier = connection.received_bytes();
-        let informational = InformationalCount::attach(&mut request);
-        let sent = tokio::select! {
-            sent = connection.sender().try_send_request(request) => sent,
-            () = informational.exceeded() => {
-                let detail = format!("more than {MAX_INFORMATIONAL_RESPONSES}");
-                let reason = NoResponseReason::TooManyInformational;
-                return Err(SendError::NoResponse { reason, detail, lost_while_idle: false });
-            }
-        };
-        match sent {
+        match connection.send(request).await {
             Ok(response) => {
                 Ok(response
                     .map(|body| TargetBody::new(body, Arc::clone(self), address, connection)))
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -37,21 +37,56 @@
     }
 }
 
+/// Counts the bytes that are read from a socket, and limits those between a request and the head of
+/// its response. The HTTP library limits the size of a head, but not the number of interim responses
+/// before it.
+#[derive(Debug)]
+pub struct ReadCounter {
+    received: AtomicU64,
+    /// Count at which reading fails, `u64::MAX` if no head is awaited.
+    limit: AtomicU64,
+}
+
+impl ReadCounter {
+    fn new() -> Self {
+        Self { received: AtomicU64::new(0), limit: AtomicU64::new(u64::MAX) }
+    }
+
+    /// Returns the number of bytes received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Starts the wait for a head, in which `bytes` may be read.
+    pub fn begin_head(&self, bytes: u64) {
+        self.limit.store(self.received_bytes() + bytes, Ordering::Relaxed);
+    }
+
+    /// Ends the wait for a head.
+    pub fn end_head(&self) {
+        self.limit.store(u64::MAX, Ordering::Relaxed);
+    }
+
+    fn is_exhausted(&self) -> bool {
+        self.received_bytes() >= self.limit.load(Ordering::Relaxed)
+    }
+}
+
 /// The socket as the HTTP library uses it. Dropping it closes the connection.
 pub struct TargetSocket {
     stream: Arc<TcpStream>,
-    received_bytes: Arc<AtomicU64>,
+    reads: Arc<ReadCounter>,
 }
 
 impl TargetSocket {
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: Arc::new(stream), received_bytes: Arc::default() }
+        Self { stream: Arc::new(stream), reads: Arc::new(ReadCounter::new()) }
     }
 
     /// Returns the counter of the bytes read from the socket.
-    pub fn received_bytes(&self) -> Arc<AtomicU64> {
-        Arc::clone(&self.received_bytes)
+    pub fn reads(&self) -> Arc<ReadCounter> {
+        Arc::clone(&self.reads)
     }
 
     /// Returns a reference to the socket that does not keep it open.
@@ -66,11 +101,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.reads.is_exhausted() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "no response head within limit");
+            return Poll::Ready(Err(error));
+        }
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             match self.stream.try_read_buf(buffer) {
                 Ok(count) => {
-                    self.received_bytes.fetch_add(count as u64, Ordering::Relaxed);
+                    self.reads.received.fetch_add(count as u64, Ordering::Relaxed);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
