--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod connection;
+mod informational;
 mod socket;
 
 use std::collections::HashMap;
@@ -18,6 +19,7 @@
 
 pub use self::body::{BodyFailure, TargetBody, has_other_coding};
 use self::connection::{Connection, HEAD_LIMIT_BYTES};
+use self::informational::{InformationalCount, MAX_INFORMATIONAL_RESPONSES};
 use self::socket::IdleState;
 
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
@@ -78,7 +80,8 @@
     HeadMalformed,
     /// The head is longer than allowed.
     HeadTooLong,
-    /// More bytes than allowed came without a final response, in informational responses (1xx).
+    /// More informational responses (1xx), or bytes in them, than allowed came instead of the final
+    /// one.
     TooManyInformational,
 }
 
@@ -167,11 +170,20 @@
         address: SocketAddr,
         mut connection: Connection,
         idle_since: Option<Instant>,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let sent_at = Instant::now();
         let received_earlier = connection.received_bytes();
-        match connection.send(request).await {
+        let informational = InformationalCount::attach(&mut request);
+        let sent = tokio::select! {
+            sent = connection.send(request) => sent,
+            () = informational.exceeded() => {
+                let detail = format!("more than {MAX_INFORMATIONAL_RESPONSES}");
+                let reason = NoResponseReason::TooManyInformational;
+                return Err(SendError::NoResponse { reason, detail, lost_while_idle: false });
+            }
+        };
+        match sent {
             Ok(response) => {
                 Ok(response
                     .map(|body| TargetBody::new(body, Arc::clone(self), address, connection)))
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -40,8 +40,9 @@
 /// Read buffer of other connections, which also limits the size of a response's head.
 const READ_BUFFER_BYTES: usize = 128 * 1_024;
 /// Number of bytes that may be read between a request and the head of its response. The HTTP library
-/// limits the size of a head, but not the number of informational responses before it. The read that
-/// completes the head may continue in the body, of which the library buffers two reads.
+/// handles all informational responses that it has read before it yields, so their number is not enough
+/// to bound its work. The read that completes the head may continue in the body, of which the library
+/// buffers two reads.
 pub const HEAD_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
 /// A connection to a target.
