Test commands that wait at a leader that steps down

Three members exchange messages in one process. A change and a read wait at a leader that is cut off; another leader is elected and commits its own change.

--- a/crates/fleet/src/group_tests.rs
+++ b/crates/fleet/src/group_tests.rs
@@ -178,3 +178,89 @@
     tables.set_state(VmState::Leaving);
     assert!(is_leaving(&driver, "10.0.0.1"));
 }
+
+type SentMessages = Arc<Mutex<Vec<(usize, VmId, Message)>>>;
+
+/// Runs the members for a time and delivers their messages, except those of the `isolated` member.
+fn run_members(
+    members: &mut [ReplicaDriver<'_>],
+    clock: &ManualClock,
+    sent: &SentMessages,
+    isolated: Option<usize>,
+    time: Duration,
+) {
+    let end = clock.elapsed() + time;
+    while clock.elapsed() < end {
+        clock.advance(TICK_INTERVAL);
+        for (number, member) in members.iter_mut().enumerate() {
+            member.handle(Input::Tick { random: number as u64 * 400 }).expect("the write succeeds");
+            member.change_members().expect("the write succeeds");
+        }
+        while let Some((from, to, message)) = { sent.lock().pop() } {
+            let to = members.iter().position(|member| member.context.settings.vm == to);
+            let Some(to) = to.filter(|to| ![Some(from), Some(*to)].contains(&isolated)) else {
+                continue;
+            };
+            let from = members[from].context.settings.vm.clone();
+            members[to].handle(Input::Message { from, message }).expect("the write succeeds");
+        }
+        members.iter_mut().for_each(ReplicaDriver::reply_to_reads);
+    }
+}
+
+/// Guards against a command that is acknowledged although another leader has replaced it, and
+/// against a read or command that waits forever at a leader that has stepped down.
+#[test]
+fn step_down_outstanding_commands() {
+    let vms = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+    let (clock, sent) = (ManualClock::new(), SentMessages::default());
+    let folders = vms.map(|_| tempfile::tempdir().expect("a temporary folder"));
+    let contexts = vms.map(|vm| {
+        let vm = vm.parse().expect("valid id");
+        context(FleetSettings { vm, lost_disks_max: 1, ..settings(&vms, true) }, &clock)
+    });
+    let callbacks: [Callbacks; 3] = std::array::from_fn(|from| {
+        let sent = Arc::clone(&sent);
+        let send: SendMessage = Box::new(move |to, message| {
+            if let FleetMessage::Agreement(message) = message {
+                sent.lock().insert(0, (from, to.clone(), message));
+            }
+        });
+        Callbacks { send, ..self::callbacks() }
+    });
+    let mut members: Vec<ReplicaDriver<'_>> = contexts
+        .iter()
+        .zip(&callbacks)
+        .zip(&folders)
+        .map(|((context, callbacks), folder)| {
+            ReplicaDriver::open(context, callbacks, folder.path()).expect("an empty folder")
+        })
+        .collect();
+    let run = |members: &mut [_], isolated, seconds| {
+        run_members(members, &clock, &sent, isolated, Duration::from_secs(seconds));
+    };
+    let leader_of = |members: &[ReplicaDriver<'_>], except| {
+        let mut leaders = (0..vms.len()).filter(|vm| members[*vm].node.replica().is_leader());
+        leaders.find(|vm| Some(*vm) != except).expect("a leader")
+    };
+    run(&mut members, None, 10);
+    let old = leader_of(&members, None);
+    // The read arrives after the latest confirmation by a quorum.
+    clock.advance(Duration::from_millis(1));
+    let (reply, mut replaced) = oneshot::channel();
+    members[old].propose(change(), reply).expect("the write succeeds");
+    let (reply, mut read) = oneshot::channel();
+    members[old].handle_input(GroupInput::Read { reply }).expect("the write succeeds");
+    sent.lock().clear();
+    run(&mut members, Some(old), 10);
+    assert_eq!(read.try_recv(), Ok(GroupReply::NotLeader(None)));
+    assert!(replaced.try_recv().is_err(), "answered before its fate is known");
+    let new = leader_of(&members, Some(old));
+    let (reply, mut accepted) = oneshot::channel();
+    members[new].propose(change(), reply).expect("the write succeeds");
+    run(&mut members, Some(old), 1);
+    let changed = GroupReply::Applied(ApplyOutcome::DocumentChanged { version: 7 });
+    assert_eq!(accepted.try_recv(), Ok(changed));
+    run(&mut members, None, 10);
+    assert_eq!(replaced.try_recv(), Ok(GroupReply::Unknown));
+}
