Show leaving and paused targets in metrics and status

Operators could not see that a target got no requests because of its own responses. The state of a life ends as soon as the target is reported as gone or a later incarnation is known, so the gauge does not count ended processes.

--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -180,6 +180,7 @@
     for (service, target) in expired {
         log::info!(service:% = service, target:% = target; "announcement expired");
     }
+    notices::update_metrics(daemon);
     for (service, target) in pauses_ended {
         notices::log_pause_end(&service, &target);
     }
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -5,7 +5,7 @@
 use celerygate_steering::availability::{AvailabilityChange, Notice};
 use celerygate_steering::headers::parse_retry_after;
 use celerygate_steering::targets::SelectedTarget;
-use celerygate_types::{RequestId, ServiceId};
+use celerygate_types::{RequestId, ServiceId, TargetId};
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
 use hyper::http::HeaderMap;
@@ -44,6 +44,7 @@
     let changes = targets.record_notice(service, target, incarnation, notice, now);
     drop(targets);
     for change in &changes {
+        daemon.metrics.count_notice(*change);
         match change {
             AvailabilityChange::LeavingBegan => log::info!(
                 request:% = request, service:% = service, target:% = target;
@@ -59,12 +60,20 @@
         }
     }
     if !changes.is_empty() {
+        update_metrics(daemon);
         permits::refuse_waiting(daemon, service);
         permits::dispatch(daemon);
     }
 }
 
+/// Updates the number of targets that get no new requests.
+pub fn update_metrics(daemon: &Daemon) {
+    let now = daemon.clock.now();
+    let unavailable = daemon.tables.targets.lock().unavailable(now);
+    daemon.metrics.set_unavailable_targets(unavailable);
+}
+
 /// Logs the end of a pause.
-pub fn log_pause_end(service: &ServiceId, target: &celerygate_types::TargetId) {
+pub fn log_pause_end(service: &ServiceId, target: &TargetId) {
     log::info!(service:% = service, target:% = target; "pause of a target has ended");
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,10 +1,11 @@
 //! Logging and metrics.
 
 use anyhow::{Context, Result};
+use celerygate_steering::availability::{AvailabilityChange, UnavailableCounts};
 use celerygate_types::wire::{LogFormat, LogSettings};
 use flexi_logger::{Logger, LoggerHandle, WriteMode};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -41,6 +42,8 @@
     lookups: Counter<u64>,
     dropped_messages: Counter<u64>,
     request_duration: Histogram<f64>,
+    target_notices: Counter<u64>,
+    unavailable_targets: Gauge<u64>,
 }
 
 impl Metrics {
@@ -77,6 +80,14 @@
                 .with_boundaries(REQUEST_DURATION_BUCKETS_S.to_vec())
                 .with_description("Time from a request's head to the end of its response.")
                 .build(),
+            target_notices: meter
+                .u64_counter("celerygate_target_notices")
+                .with_description("Targets that stated in a response that they leave or pause.")
+                .build(),
+            unavailable_targets: meter
+                .u64_gauge("celerygate_unavailable_targets")
+                .with_description("Targets that get no new requests because of their notices.")
+                .build(),
             _provider: provider,
         })
     }
@@ -99,6 +110,23 @@
         self.dropped_messages.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts the begin of a target's leaving or pause.
+    pub fn count_notice(&self, change: AvailabilityChange) {
+        let notice = match change {
+            AvailabilityChange::LeavingBegan => "leaving",
+            AvailabilityChange::PauseBegan { .. } => "pause",
+            AvailabilityChange::LeavingEnded | AvailabilityChange::PauseEnded => return,
+        };
+        self.target_notices.add(1, &[KeyValue::new("notice", notice)]);
+    }
+
+    /// Sets the number of targets that get no new requests because of their notices.
+    pub fn set_unavailable_targets(&self, counts: UnavailableCounts) {
+        let UnavailableCounts { leaving, paused } = counts;
+        self.unavailable_targets.record(leaving, &[KeyValue::new("state", "leaving")]);
+        self.unavailable_targets.record(paused, &[KeyValue::new("state", "paused")]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/daemon/tests/notices.rs
+++ b/crates/daemon/tests/notices.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use support::caller::{Reply, get};
 use support::daemon::{ALPHA_KEY, AnnouncementGuard, Daemon};
+use support::eventually;
 use support::raw_target::{RawTarget, ScriptedResponse};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -39,6 +40,15 @@
     daemon.status().await["targets"][0]["note"].as_str().expect("a note").to_owned()
 }
 
+/// Returns the value of a metric whose only label of its own has this value.
+async fn metric(daemon: &Daemon, name: &str, label: &str) -> u64 {
+    let reply = daemon.send_to_operators(Method::GET, "/metrics", None).await;
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    let is_sample = |line: &&str| line.starts_with(name) && line.contains(label);
+    let sample = text.lines().find(is_sample).unwrap_or_else(|| panic!("{name}: {text}"));
+    sample.rsplit(' ').next().and_then(|value| value.parse().ok()).expect("a number")
+}
+
 /// Guards against new requests to a target that leaves, whatever response states it.
 #[tokio::test]
 async fn leaving_stated_by_any_response() {
@@ -60,6 +70,8 @@
         assert!(!reply.headers.contains_key("retry-after"), "{first:?}: it does not return");
         assert_eq!(target.requests().len(), 1, "{first:?}");
         assert_eq!(note(&daemon).await, "leaving", "{first:?}");
+        assert_eq!(metric(&daemon, "celerygate_unavailable_targets", "leaving").await, 1);
+        assert_eq!(metric(&daemon, "celerygate_target_notices_total", "leaving").await, 1);
     }
 }
 
@@ -67,7 +79,7 @@
 /// not end, and one that counts as a failure.
 #[tokio::test]
 async fn pause_refused_until_its_end() {
-    let first = response("503 Service Unavailable", "retry-after: 1.5\r\n");
+    let first = response("503 Service Unavailable", "retry-after: 3.5\r\n");
     let first = ScriptedResponse::KeepAlive(first);
     let (daemon, target, _announcement) = start_with_first_response(first, 3).await;
     let sent_at = Instant::now();
@@ -80,14 +92,26 @@
         }
         reply.assert_error(503, 1203, "no-capacity", "not-run");
         let retry_after = reply.headers["retry-after"].to_str().expect("text");
-        assert!(["1", "2"].contains(&retry_after), "{retry_after}");
+        let retry_after_s: f64 = retry_after.parse().expect("a number");
+        let left_s = 3.5 - sent_at.elapsed().as_secs_f64();
+        assert!((left_s..=4.0).contains(&retry_after_s), "{retry_after} with {left_s} s left");
+        if refused == 0 {
+            assert_eq!(note(&daemon).await, "paused");
+            assert_eq!(metric(&daemon, "celerygate_unavailable_targets", "paused").await, 1);
+        }
         refused += 1;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    assert!(sent_at.elapsed() >= Duration::from_millis(1_500));
+    assert!(sent_at.elapsed() >= Duration::from_millis(3_500));
     assert!(refused > 0);
     assert_eq!(target.requests().len(), 2);
     assert_eq!(note(&daemon).await, "");
+    assert_eq!(metric(&daemon, "celerygate_target_notices_total", "pause").await, 1);
+    for line in ["target asks for a pause", "pause of a target has ended"] {
+        // The end is noticed with the next tick at the latest, and a thread writes the log.
+        eventually(line, async || daemon.log().contains(line).then_some(())).await;
+        assert_eq!(daemon.log().matches(line).count(), 1, "{line}");
+    }
 }
 
 /// Guards against a time that is no number of seconds and stops the traffic to a target.
--- a/crates/fleet/src/targets/availability.rs
+++ b/crates/fleet/src/targets/availability.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use celerygate_steering::availability::{
-    self, AvailabilityChange, Eligibility, Notice, TargetLife,
+    self, AvailabilityChange, Eligibility, LifeStatus, Notice, TargetLife,
 };
+use celerygate_steering::instances::InstanceTable;
 use celerygate_steering::placement::{ProcessingTimes, acceptable_wait};
+use celerygate_types::wire::InstanceState;
 use celerygate_types::{Incarnation, TargetId};
 use tokio::time::sleep;
 
@@ -94,11 +96,16 @@
     }
     let now = daemon.now();
     let life = TargetLife { target: chosen.instance.clone(), incarnation: chosen.incarnation };
-    let changes = daemon.tables.targets.lock().availability.record(&life, notice, now);
+    let (changes, unavailable) = {
+        let availability = &mut daemon.tables.targets.lock().availability;
+        (availability.record(&life, notice, now), availability.unavailable(now))
+    };
     if changes.is_empty() {
         return;
     }
+    daemon.metrics.set_unavailable_targets(unavailable);
     for change in changes {
+        daemon.metrics.count_notice(change);
         log_change(&chosen.instance, request, change, now);
     }
     daemon.tables.attempt_ended.notify_waiters();
@@ -160,6 +167,20 @@
     availability::earliest_resume(allowed.map(|target| eligibility(&local, target, now)))
 }
 
+fn life_status(
+    instances: &InstanceTable,
+    target: &TargetId,
+    incarnation: Incarnation,
+) -> LifeStatus {
+    let Some(known) = instances.get(target) else { return LifeStatus::Unknown };
+    let is_later = Incarnation(known.record.born_unix_ms) > incarnation;
+    if is_later || known.record.state == InstanceState::Gone {
+        LifeStatus::Ended
+    } else {
+        LifeStatus::Current
+    }
+}
+
 /// Logs the ends of pauses and of leaving targets, and updates the metrics, until the task is aborted.
 pub async fn watch_availability(daemon: Arc<Daemon>) {
     loop {
@@ -167,12 +188,12 @@
         let now = daemon.now();
         let instances = daemon.tables.instances.read();
         let mut local = daemon.tables.targets.lock();
-        let known = |target: &TargetId| {
-            instances.get(target).map(|known| Incarnation(known.record.born_unix_ms))
-        };
-        let changes = local.availability.expire(known, now);
+        let status = |target: &TargetId, incarnation| life_status(&instances, target, incarnation);
+        let changes = local.availability.expire(status, now);
+        let unavailable = local.availability.unavailable(now);
         drop(local);
         drop(instances);
+        daemon.metrics.set_unavailable_targets(unavailable);
         for (target, change) in &changes {
             log_change(target, "", *change, now);
         }
--- a/crates/fleet/tests/notices.rs
+++ b/crates/fleet/tests/notices.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use celerygate_fleet::targets::{self, Choice, Query};
-use celerygate_steering::availability::Notice;
+use celerygate_steering::availability::{Notice, TargetLife};
 use celerygate_steering::routing::Repeatable;
-use celerygate_types::ManualClock;
+use celerygate_types::{Incarnation, ManualClock};
 use hyper::Method;
 use support::raw_target::{RawTarget, ScriptedResponse};
 use support::{Fleet, RETRY_AFTER, answer, eventually, head};
@@ -129,6 +129,55 @@
     assert_eq!(fleet.status(Method::GET, "b").await, 200);
 }
 
+/// Guards against a pause whose end is not noticed without requests, and against metrics that do not
+/// follow.
+#[tokio::test]
+async fn watch_availability_pause() {
+    let clock = ManualClock::new();
+    let target = start_target(|attempt| keep_alive(pause(attempt, 60_000))).await;
+    let fleet = Fleet::start_with_clock(&[&target], Repeatable::OnlyIfNotRun, clock.clock());
+    tokio::spawn(targets::watch_availability(Arc::clone(&fleet.daemon)));
+    let paused = |count: u32| {
+        let text = fleet.daemon.metrics.scrape().expect("metrics");
+        let is_sample = |line: &&str| {
+            line.starts_with("celerygate_unavailable_targets") && line.contains("paused")
+        };
+        text.lines().find(is_sample).is_some_and(|line| line.ends_with(&format!(" {count}")))
+    };
+    assert_eq!(fleet.status(Method::GET, "a").await, 503);
+    assert!(paused(1));
+    clock.advance(Duration::from_secs(60));
+    eventually("the pause has ended", || async { paused(0) }).await;
+}
+
+/// Guards against a target that counts as leaving after its process has ended.
+#[tokio::test]
+async fn watch_availability_ended_process() {
+    let target =
+        start_target(|attempt| keep_alive(with_headers(&answer(attempt, "ok"), "leaving: 1\r\n")))
+            .await;
+    for ends_by_report in [false, true] {
+        let fleet = Fleet::start(&[&target], Repeatable::OnlyIfNotRun);
+        let daemon = &fleet.daemon;
+        tokio::spawn(targets::watch_availability(Arc::clone(daemon)));
+        let (id, notice) =
+            ("target-0".parse().expect("an id"), Notice { is_leaving: true, pause: None });
+        let life = TargetLife { target: id, incarnation: Incarnation(1) };
+        daemon.tables.targets.lock().availability.record(&life, notice, daemon.now());
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert!(!daemon.tables.targets.lock().availability.is_empty(), "it has not ended yet");
+        if ends_by_report {
+            daemon.tables.instances.write().mark_gone(&life.target, None, daemon.now());
+        } else {
+            fleet.report_life("target-0", target.address, 2);
+        }
+        eventually("the state is forgotten", || async {
+            daemon.tables.targets.lock().availability.is_empty()
+        })
+        .await;
+    }
+}
+
 /// Guards against a retry time that is later than the earliest end of a pause.
 #[tokio::test]
 async fn pause_earliest_end_for_callers() {
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -20,7 +20,7 @@
 pub const MAX_PAUSE: Duration = Duration::from_secs(600);
 /// Number of requests in flight with which a target resumes after a pause.
 pub const INITIAL_RESUME_LIMIT: u32 = 1;
-/// How long the state of an unknown target is kept. Its record may return with a later report.
+/// How long the state of an unknown target is kept.
 pub const UNKNOWN_RETENTION: Duration = MAX_PAUSE;
 
 /// What a response states about its target.
@@ -203,7 +203,18 @@
     pub incarnation: Incarnation,
 }
 
-/// Number of targets that take no new requests.
+/// What is known about a target's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeStatus {
+    /// The process runs as far as known.
+    Current,
+    /// The process has ended, or a later one is known.
+    Ended,
+    /// The target is not known, or not any more. Its record may return with a later report.
+    Unknown,
+}
+
+/// Number of targets that take no new requests because of their notices.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UnavailableCounts {
     /// Targets that leave.
@@ -212,6 +223,21 @@
     pub paused: u64,
 }
 
+impl UnavailableCounts {
+    /// Counts targets.
+    pub fn of<'a>(targets: impl IntoIterator<Item = &'a Availability>, now: Instant) -> Self {
+        let mut counts = Self::default();
+        for availability in targets {
+            match availability.eligibility(0, now) {
+                Eligibility::Leaving => counts.leaving += 1,
+                Eligibility::Paused { .. } => counts.paused += 1,
+                Eligibility::Eligible | Eligibility::AtResumeLimit { .. } => {}
+            }
+        }
+        counts
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     incarnation: Incarnation,
@@ -287,20 +313,22 @@
     }
 
     /// Ends the pauses whose time has passed, and forgets targets that resumed, whose life has ended
-    /// or that are unknown for [`UNKNOWN_RETENTION`]. `known` returns the incarnation of a known
-    /// target. Returns the changes.
+    /// or that are unknown for [`UNKNOWN_RETENTION`]. Returns the changes.
     pub fn expire(
         &mut self,
-        known: impl Fn(&TargetId) -> Option<Incarnation>,
+        status: impl Fn(&TargetId, Incarnation) -> LifeStatus,
         now: Instant,
     ) -> Vec<(TargetId, AvailabilityChange)> {
         let mut changes = Vec::new();
         self.entries.retain(|target, entry| {
             let ended = entry.availability.end_pause(now);
             changes.extend(ended.map(|change| (target.clone(), change)));
-            let has_life = match known(target) {
-                Some(incarnation) => incarnation <= entry.incarnation,
-                None => now.saturating_duration_since(entry.recorded_at) < UNKNOWN_RETENTION,
+            let has_life = match status(target, entry.incarnation) {
+                LifeStatus::Current => true,
+                LifeStatus::Ended => false,
+                LifeStatus::Unknown => {
+                    now.saturating_duration_since(entry.recorded_at) < UNKNOWN_RETENTION
+                }
             };
             if !has_life {
                 let ended = entry.availability.end_life();
@@ -318,15 +346,7 @@
 
     /// Returns the number of targets that take no new requests.
     pub fn unavailable(&self, now: Instant) -> UnavailableCounts {
-        let mut counts = UnavailableCounts::default();
-        for entry in self.entries.values() {
-            match entry.availability.eligibility(0, now) {
-                Eligibility::Leaving => counts.leaving += 1,
-                Eligibility::Paused { .. } => counts.paused += 1,
-                Eligibility::Eligible | Eligibility::AtResumeLimit { .. } => {}
-            }
-        }
-        counts
+        UnavailableCounts::of(self.entries.values().map(|entry| &entry.availability), now)
     }
 }
 
--- a/crates/steering/src/availability_tests.rs
+++ b/crates/steering/src/availability_tests.rs
@@ -70,11 +70,11 @@
         assert_eq!(paused, Eligibility::Paused { until }, "after {later} ms");
     }
     assert_eq!(eligibility(&table, 1, 0, until), Eligibility::Eligible);
-    let known = |_: &TargetId| Some(Incarnation(1));
-    assert!(table.expire(known, until - ms(1)).is_empty());
+    let current = |_: &TargetId, _| LifeStatus::Current;
+    assert!(table.expire(current, until - ms(1)).is_empty());
     let ended = [(life(1).target, AvailabilityChange::PauseEnded)];
-    assert_eq!(table.expire(known, until), ended);
-    assert!(table.expire(known, until).is_empty(), "the end is reported twice");
+    assert_eq!(table.expire(current, until), ended);
+    assert!(table.expire(current, until).is_empty(), "the end is reported twice");
 }
 
 /// Guards against a shorter pause of a response that overtook another, which would end the longer one
@@ -123,7 +123,7 @@
         table.record_response(&life(1), SLOTS, now);
     }
     assert_eq!(eligibility(&table, 1, 100, now), Eligibility::Eligible);
-    assert!(table.expire(|_| Some(Incarnation(1)), now).is_empty());
+    assert!(table.expire(|_, _| LifeStatus::Current, now).is_empty());
     assert!(table.is_empty(), "a target that resumed is kept");
 }
 
@@ -209,12 +209,12 @@
     let target = life(1).target;
     let mut table = AvailabilityTable::default();
     table.record(&life(1), LEAVING, start);
-    assert!(table.expire(|_| Some(Incarnation(1)), start + UNKNOWN_RETENTION * 2).is_empty());
-    assert!(table.expire(|_| None, start + UNKNOWN_RETENTION - ms(1)).is_empty());
+    assert!(table.expire(|_, _| LifeStatus::Current, start + UNKNOWN_RETENTION * 2).is_empty());
+    assert!(table.expire(|_, _| LifeStatus::Unknown, start + UNKNOWN_RETENTION - ms(1)).is_empty());
     assert_eq!(eligibility(&table, 1, 0, start), Eligibility::Leaving);
     let ended = [(target.clone(), AvailabilityChange::LeavingEnded)];
-    assert_eq!(table.clone().expire(|_| None, start + UNKNOWN_RETENTION), ended);
-    assert_eq!(table.expire(|_| Some(Incarnation(2)), start), ended);
+    assert_eq!(table.clone().expire(|_, _| LifeStatus::Unknown, start + UNKNOWN_RETENTION), ended);
+    assert_eq!(table.expire(|_, _| LifeStatus::Ended, start), ended);
     assert!(table.is_empty());
 }
 
--- a/crates/steering/src/targets/notices.rs
+++ b/crates/steering/src/targets/notices.rs
@@ -5,7 +5,9 @@
 use celerygate_types::{Incarnation, ServiceId, SlotCount, TargetId};
 
 use super::{Target, TargetTable};
-use crate::availability::{AvailabilityChange, AvailabilityChanges, Notice, earliest_resume};
+use crate::availability::{
+    AvailabilityChange, AvailabilityChanges, Notice, UnavailableCounts, earliest_resume,
+};
 
 impl TargetTable {
     fn life_mut(
@@ -57,6 +59,12 @@
         ended
     }
 
+    /// Returns the number of live targets that take no new requests because of their notices.
+    pub fn unavailable(&self, now: Instant) -> UnavailableCounts {
+        let live = self.iter().filter(|(_, target)| target.is_live(now));
+        UnavailableCounts::of(live.map(|(_, target)| &target.availability), now)
+    }
+
     /// Returns the earliest end of a pause if all usable targets of a service are paused or leave,
     /// none otherwise. `running` returns the requests of this daemon at a target, or none if the
     /// configuration does not allow the target.
