Leave paused targets out of the capacity beside ejections

The limits on ejections counted the slots of paused and leaving targets as capacity that remains, so a failing target could be ejected although the targets that take requests could not carry the load. Only targets that take requests count now. A pause itself still takes no part of the third of the targets that may be ejected.

`targets::notices` has tests of its own.

--- a/crates/steering/src/targets/health.rs
+++ b/crates/steering/src/targets/health.rs
@@ -148,7 +148,7 @@
 struct RegionState {
     live: usize,
     ejected: usize,
-    /// Slots of the targets that are not ejected.
+    /// Slots of the targets that are not ejected, are not paused and do not leave.
     usable_slots: u64,
 }
 
@@ -158,7 +158,7 @@
         state.live += 1;
         if target.health.is_ejected(now) {
             state.ejected += 1;
-        } else {
+        } else if target.accepts_requests(now) {
             state.usable_slots += u64::from(target.slots.get());
         }
     }
@@ -184,7 +184,8 @@
     if !target.health.is_failing() || !target.is_live(now) {
         return EjectionVerdict::Kept;
     }
-    let (region, slots) = (target.region.clone(), u64::from(target.slots.get()));
+    let region = target.region.clone();
+    let slots = if target.accepts_requests(now) { u64::from(target.slots.get()) } else { 0 };
     let state = region_state(targets, &region, now);
     let load = u64::from(region_load(&region).get());
     let allowed =
--- a/crates/steering/src/targets/notices.rs
+++ b/crates/steering/src/targets/notices.rs
@@ -80,3 +80,7 @@
         }))
     }
 }
+
+#[cfg(test)]
+#[path = "notices_tests.rs"]
+mod tests;
