--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -97,8 +97,6 @@
     }
 }
 
-/// Returns the result of a refusal that states that the request has not run. The statement is in the
-/// head, which is complete, so that it holds whatever follows.
 /// What a target reports with a rejection.
 struct Rejection {
     load: Option<ReportedLoad>,
@@ -106,6 +104,8 @@
     body_end: RefusalBodyEnd,
 }
 
+/// Returns the result of a refusal that states that the request has not run. The statement is in the
+/// head, which is complete, so that it holds whatever follows.
 fn rejected(
     admitted: &AdmittedRequest<'_>,
     chosen: &ChosenTarget,
