--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -248,7 +248,7 @@
 /// Result of an attempt.
 pub enum AttemptEnd {
     /// The head of a response was received.
-    Response(Response<TargetBody>),
+    Response(Box<Response<TargetBody>>),
     /// No response was received.
     Failed {
         /// Stage that the attempt reached.
@@ -295,7 +295,7 @@
             let selected = &assigned.selected;
             record_notice(daemon, &exchange.id, &exchange.service, selected, notice);
             match reject_reason(&exchange.id, &mut response) {
-                None => return AttemptEnd::Response(response),
+                None => return AttemptEnd::Response(Box::new(response)),
                 Some(reason) => {
                     // The response to this request may still follow on the connection.
                     response.into_body().discard();
