Share the accept of queued connections between both daemons

`listener::accept_queued` of `celerygated` and the copy in the fleet's daemon did the same; the copy ended at the first aborted connection, which leaves those behind it to a reset. The fleet now uses the shared function, and both log the number of connections as `accepted the last connections`.

Test: accept_queued_up_to_max; without the accepts "left: 0, right: 2", and four tests of the fleet's listeners fail too (serve_queued_connections_on_stop: "the connection is not reset: Os { code: 104, ..").

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -45,12 +45,17 @@
             () = shutdown.wait_until_closing() => break,
         }
     }
-    match accept_queued(listener, &permits) {
-        Ok(accepted) => {
-            if !accepted.is_empty() {
-                log::info!(connections = accepted.len(); "accepted the last connections");
+    match accept_queued(listener, permits.available_permits()) {
+        Ok(queued) => {
+            if !queued.is_empty() {
+                log::info!(connections = queued.len(); "accepted the last connections");
+            }
+            for (stream, address) in queued {
+                // The last permits are only taken here, so there is one for each connection.
+                if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+                    spawn(Accepted { stream, address, permit });
+                }
             }
-            accepted.into_iter().for_each(spawn);
         }
         Err(error) => log::warn!(error:% = error; "connections in the accept queue are lost"),
     }
@@ -68,19 +73,27 @@
     }
 }
 
-/// Accepts the connections in the kernel's queue and closes the listener, which resets connections
-/// that were not accepted.
-fn accept_queued(listener: TcpListener, permits: &Arc<Semaphore>) -> io::Result<Vec<Accepted>> {
+/// Accepts the connections in the kernel's queue, at most `max`, and closes the listener, which
+/// resets connections that were not accepted. They may hold requests, which get a response or a
+/// refusal instead of a reset.
+///
+/// # Errors
+///
+/// When the listener cannot be used without the runtime.
+pub fn accept_queued(
+    listener: TcpListener,
+    max: usize,
+) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
     // The runtime may not know yet that the listener is readable, so the kernel is asked directly.
     let listener = listener.into_std()?;
     let mut queued = Vec::new();
-    while let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+    while queued.len() < max {
         let accepted = listener.accept().and_then(|(stream, address)| {
             stream.set_nonblocking(true)?;
             Ok((TcpStream::from_std(stream)?, address))
         });
         match accepted {
-            Ok((stream, address)) => queued.push(Accepted { stream, address, permit }),
+            Ok(accepted) => queued.push(accepted),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(error) => {
@@ -91,3 +104,7 @@
     }
     Ok(queued)
 }
+
+#[cfg(test)]
+#[path = "listener_tests.rs"]
+mod tests;
--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -132,7 +132,7 @@
         while let Some(stream) = listen::accept(&listener, &mut accept_shutdown).await {
             spawn(stream);
         }
-        listen::accept_queued(listener).into_iter().for_each(spawn);
+        listen::accept_last(listener).for_each(spawn);
         drop(open_listener);
     }
 }
--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -12,6 +12,7 @@
 use celerygate_daemon::connections::{
     OpenConnection, OpenConnections, close_gracefully, close_unread,
 };
+use celerygate_daemon::listener::accept_queued;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -79,7 +80,7 @@
         while let Some(stream) = accept(&listener, &mut accept_shutdown).await {
             spawn(stream);
         }
-        accept_queued(listener).into_iter().for_each(spawn);
+        accept_last(listener).for_each(spawn);
         drop(open_listener);
     }
 }
@@ -104,23 +105,16 @@
     }
 }
 
-/// Closes a listener and returns the connections that the kernel has accepted for it. They may hold
-/// requests, which get a response or a refusal instead of a reset.
-pub(crate) fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::warn!(error:% = error; "queued connections not accepted");
-            return Vec::new();
-        }
-    };
-    // The listener does not block: without a queued connection, `accept` fails.
-    let accepted = std::iter::from_fn(|| listener.accept().ok());
-    let streams = accepted.take(BACKLOG as usize).map(|(stream, _)| {
-        stream.set_nonblocking(true)?;
-        TcpStream::from_std(stream)
+/// Closes a listener and returns the connections that the kernel has accepted for it.
+pub(crate) fn accept_last(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let queued = accept_queued(listener, BACKLOG as usize).unwrap_or_else(|error| {
+        log::warn!(error:% = error; "queued connections not accepted");
+        Vec::new()
     });
-    streams.filter_map(Result::ok).collect()
+    if !queued.is_empty() {
+        log::info!(connections = queued.len(); "accepted the last connections");
+    }
+    queued.into_iter().map(|(stream, _)| stream)
 }
 
 /// Waits until `shutdown` becomes true or its sender is dropped.
