Say what the time limit for calls in a stop bounds

The comment of CALLS_TIMEOUT did not say from when it counts, that idle connections are not waited for, and that connections are served on while the stop waits for callers.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -34,8 +34,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a leaving control VM still answers requests.
 const CONTROL_SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
-/// Maximum time for which a stop waits for the connections of operators, targets and lookups. An
-/// operator's command is answered within 1.5 s.
+/// Maximum time, counted from the close of the listeners, for which a stop waits for the connections
+/// of operators, targets, lookups and the metrics on which a call is running or whose last response
+/// may be on its way. Covers an operator's command, which is answered within 1.5 s, and its delivery.
+/// Afterwards these connections are served on until the process exits, but do not delay the exit.
 const CALLS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between two clean-ups of the tables.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(5);
