--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -126,12 +126,62 @@
     daemon.wait_for_exit().await;
     for _ in 0..5 {
         daemon.spawn_process();
-        while std::net::TcpStream::connect(daemon.callers).is_err() {}
+        while std::net::TcpStream::connect(daemon.callers).is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
         daemon.terminate();
         daemon.wait_for_exit().await;
     }
 }
 
+/// Guards against a stop that ends by its own clock or by further signals while a request is
+/// running, and against one that goes on after the last response.
+#[tokio::test]
+async fn terminate_waits_for_request() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut caller = daemon.caller().await;
+    let held =
+        tokio::spawn(async move { caller.try_send(get("/svc/echo/hold", Some(ALPHA_KEY))).await });
+    eventually("the request runs", async || (!target.requests().is_empty()).then_some(())).await;
+    daemon.terminate_twice().await;
+    for _ in 0..3 {
+        daemon.terminate();
+        eventually("the signal is handled", async || {
+            daemon.log().contains("stop requested again").then_some(())
+        })
+        .await;
+        // In sum longer than the time-outs of a head (5 s) and of the wait for a peer (2 s).
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(daemon.exit_status(), None, "the daemon exited during the request");
+    }
+    target.release();
+    let response = held.await.unwrap().expect("the request is answered");
+    assert_eq!(response.status, StatusCode::OK);
+    daemon.wait_for_exit().await;
+}
+
+/// Guards against a daemon that does not start again after its supervisor has killed it at the end
+/// of the time for a stop, during a request.
+#[tokio::test]
+async fn kill_during_stop_and_start_again() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let before = daemon.status().await["revision"].as_u64();
+    let mut caller = daemon.caller().await;
+    let held =
+        tokio::spawn(async move { caller.try_send(get("/svc/echo/hold", Some(ALPHA_KEY))).await });
+    eventually("the request runs", async || (!target.requests().is_empty()).then_some(())).await;
+    daemon.terminate_twice().await;
+    daemon.signal(Signal::KILL);
+    assert!(held.await.unwrap().is_err(), "the kernel closes the connection");
+    while daemon.exit_status().is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    daemon.start_process().await;
+    assert!(daemon.status().await["revision"].as_u64() >= before);
+}
+
 /// Guards against SIGHUP ending the process and its requests.
 #[tokio::test]
 async fn reload_signal_during_request() {
