Write the log before the exit after a failed peer listener

The line `peer listener failed, exiting` was queued, and the process ended right after it. Not tested: the exit itself.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -164,6 +164,7 @@
     tokio::spawn(async move {
         if let Err(error) = receiver.mesh.receive(inbound).await {
             log::error!(error:% = format!("{error:#}"); "peer listener failed, exiting");
+            log::logger().flush();
             std::process::exit(1);
         }
     });
