Ask the kernel before a call's connection is closed as unused

On a machine that stalls for 200 ms, the wait for the first bytes can end before the runtime knows of a request that the kernel has received. The end of the wait now asks the kernel.

Test: has_unread_bytes_unknown_to_runtime; with a check that never finds bytes "assertion failed: has_unread_bytes(&stream)".

--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -132,11 +134,17 @@
     tokio::select! {
         biased;
         readable = stream.readable() => readable.is_ok(),
-        () = stopped => false,
+        () = stopped => has_unread_bytes(stream),
         () = sleep(IDLE_TIMEOUT) => false,
     }
 }
 
+/// Asks the kernel for unread bytes. The runtime may not know of them yet on a busy machine.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_ok_and(|bytes| bytes > 0)
+}
+
 async fn connection<F, R, B>(
     stream: TcpStream,
     open: OpenConnection,
--- a/crates/fleet/src/listen_tests.rs
+++ b/crates/fleet/src/listen_tests.rs
@@ -3,7 +3,6 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{CONNECTION, HeaderValue};
-use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::time::timeout;
 
@@ -179,3 +178,15 @@
         assert_eq!(read_all(peer).await.expect("the connection is not reset"), 0);
     }
 }
+
+/// Guards against a stop on a stalled machine that closes a connection as unused because the runtime
+/// does not know yet of the request that the kernel has received.
+#[tokio::test]
+async fn has_unread_bytes_unknown_to_runtime() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    assert!(!has_unread_bytes(&stream));
+    std::io::Write::write_all(&mut peer, REQUEST).unwrap();
+    assert!(has_unread_bytes(&stream));
+}
