Check in celerygated that a response names its request

A target of celerygated that sent an earlier response once more, just when the next request on the connection was sent, gave that response to another caller. The fleet's path compares the id that targets return; celerygated sent `celerygate-request` to targets and ignored it in responses. A switch of protocols and a transfer coding that is not decoded were passed on, too.

celerygated now decides with the same function as the fleet (`response_kind`): a response that names another request, or several, is not passed on; the request counts as possibly run and the connection is closed. Since targets were never asked to return the id, it is optional until the target has returned it once on a connection, and required there from then on.

`response_internal_headers` sent `celerygate-request: forged` and expected the other headers of that response.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -242,7 +242,7 @@
         let (stage, failure, detail) = match end {
             AttemptEnd::Response(response) => {
                 recorded_key.iter_mut().for_each(RecordedKey::mark_sent);
-                return Ok(relay::relay(daemon, exchange, assigned, response));
+                return Ok(relay::relay(daemon, exchange, assigned, *response));
             }
             AttemptEnd::Failed { stage, failure, detail } => (stage, failure, detail),
         };
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -9,8 +9,9 @@
 
 use celerygate_steering::headers::{self, HeaderFilter};
 use celerygate_steering::outcome::{Failure, NextAttempt, Stage};
+use celerygate_steering::responses::{RejectReason, ResponseHead, ResponseKind, response_kind};
 use celerygate_steering::targets::{Distance, Observation, SelectedTarget};
-use celerygate_types::{OrganisationId, ResultCode, ServiceId, TargetId};
+use celerygate_types::{OrganisationId, RequestId, ResultCode, ServiceId, TargetId};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HOST, HeaderValue};
@@ -19,13 +20,18 @@
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout_at};
 
-use super::{Exchange, REQUEST_ID_HEADER, copy_forwarded_headers, header_pairs, is_known_empty};
+use super::{
+    Exchange, REQUEST_ID_HEADER, copy_forwarded_headers, header_pairs, header_values,
+    is_known_empty,
+};
 use crate::daemon::Daemon;
 use crate::links::{self, PacedBody};
 use crate::permits::{self, AdmissionRequest};
 use crate::refusal::Refusal;
 use crate::tables::SlotGrant;
-use crate::upstream::{ConnectionReuse, NetworkPath, RequestBody, SendError, TargetBody};
+use crate::upstream::{
+    ConnectionReuse, NetworkPath, RequestBody, SendError, TargetBody, has_other_coding,
+};
 
 /// Request header with the organisation that sent the request, for the target.
 const ORGANISATION_HEADER: &str = "celerygate-organisation";
@@ -241,7 +247,7 @@
 /// Result of an attempt.
 pub enum AttemptEnd {
     /// The head of a response was received.
-    Response(Response<TargetBody>),
+    Response(Box<Response<TargetBody>>),
     /// No response was received.
     Failed {
         /// Stage that the attempt reached.
@@ -283,7 +289,14 @@
     };
     let sent = daemon.connection_pool.send(assigned.address, path, ConnectionReuse::Any, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
-        Ok(Ok(response)) => return AttemptEnd::Response(response),
+        Ok(Ok(mut response)) => match reject_reason(&exchange.id, &mut response) {
+            None => return AttemptEnd::Response(Box::new(response)),
+            Some(reason) => {
+                // The response to this request may still follow on the connection.
+                response.into_body().discard();
+                AttemptEnd::failed(Stage::BytesSent, Failure::TargetFailed, reason)
+            }
+        },
         Ok(Err(SendError::NotConnected { request, reason })) => {
             upstream.restore(*request);
             AttemptEnd::failed(Stage::NotConnected, Failure::TargetFailed, reason)
@@ -310,6 +323,27 @@
     end
 }
 
+/// Returns why a response is not believed to be the one to a request, or `None` if it is. A target
+/// need not name the request, but one that does so once on a connection must go on.
+fn reject_reason(sent: &RequestId, response: &mut Response<TargetBody>) -> Option<RejectReason> {
+    let headers = response.headers();
+    let text = |id| std::str::from_utf8(id).unwrap_or_default();
+    let head = ResponseHead {
+        status: response.status().as_u16(),
+        request_ids: &header_values(headers, REQUEST_ID_HEADER).map(text).collect::<Vec<_>>(),
+        is_not_run: false,
+        has_other_coding: has_other_coding(headers),
+    };
+    match response_kind(sent.as_str(), response.body().echo_rule(), &head) {
+        ResponseKind::Rejected(reason) => return Some(reason),
+        ResponseKind::Answer | ResponseKind::NotRun => {}
+    }
+    if !head.request_ids.is_empty() {
+        response.body_mut().require_echo();
+    }
+    None
+}
+
 /// A request body that records whether any of it was read from the caller.
 struct ReadTrackingBody {
     inner: Incoming,
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
+use celerygate_steering::responses::EchoRule;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 
@@ -72,6 +73,19 @@
         self.reusable = None;
     }
 
+    /// Returns whether this response must name its request: the target has done so earlier on the
+    /// connection.
+    pub fn echo_rule(&self) -> EchoRule {
+        self.reusable.as_ref().map_or(EchoRule::Optional, |(.., connection)| connection.echo_rule())
+    }
+
+    /// Records that this response names its request, so that later ones on the connection must.
+    pub fn require_echo(&mut self) {
+        if let Some((.., connection)) = &mut self.reusable {
+            connection.require_echo();
+        }
+    }
+
     fn return_to_pool(&mut self) {
         if let Some((pool, address, connection)) = self.reusable.take() {
             pool.put(address, connection);
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use celerygate_steering::responses::EchoRule;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -40,6 +41,7 @@
     sender: SendRequest<RequestBody>,
     stream: Weak<TcpStream>,
     received_bytes: Arc<AtomicU64>,
+    echo_rule: EchoRule,
 }
 
 impl Connection {
@@ -72,7 +74,7 @@
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream, received_bytes })
+        Ok(Self { sender, stream, received_bytes, echo_rule: EchoRule::Optional })
     }
 
     /// Returns the sender of requests.
@@ -85,6 +87,16 @@
         self.received_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the next response must name its request.
+    pub fn echo_rule(&self) -> EchoRule {
+        self.echo_rule
+    }
+
+    /// Records that the target has named a request in a response.
+    pub fn require_echo(&mut self) {
+        self.echo_rule = EchoRule::Required;
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/daemon/tests/forwarding.rs
+++ b/crates/daemon/tests/forwarding.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, StatusCode};
 use support::caller::{get, request, send_raw, with_header};
 use support::daemon::{ALPHA_KEY, AnnouncementGuard, Daemon};
-use support::raw_target::{BODY_END, LATE_BYTES_DELAY, RawTarget, ScriptedResponse};
+use support::raw_target::{BODY_END, LATE_BYTES_DELAY, RawTarget, ScriptedResponse, request_id};
 use support::target::Target;
 use support::{eventually, position, random_bytes};
 
@@ -377,12 +377,20 @@
 /// Guards against internal or hop-by-hop headers of a target that are forwarded to callers.
 #[tokio::test]
 async fn response_internal_headers() {
-    let answer = "HTTP/1.1 200 OK\r\ncelerygate-request: forged\r\ncelerygate-other: forged\r\n\
-                  connection: x-hop\r\nx-hop: 1\r\nx-kept: 1\r\ncontent-length: 0\r\n\r\n";
-    let (daemon, _target, _announcement) =
-        start_with_response(ScriptedResponse::KeepAlive(answer.into())).await;
+    let target = RawTarget::start(|_, text| {
+        let id = request_id(text);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncelerygate-request: {id}\r\ncelerygate-other: forged\r\n\
+             connection: x-hop\r\nx-hop: 1\r\nx-kept: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        ScriptedResponse::KeepAlive(answer.into())
+    })
+    .await;
+    let daemon = Daemon::start().await;
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
     let reply = daemon.caller().await.send(get("/svc/echo/a", Some(ALPHA_KEY))).await;
     assert!(reply.headers.values().all(|value| value != "forged"), "{:?}", reply.headers);
+    assert_eq!(reply.headers.get_all("celerygate-request").iter().count(), 1);
     assert!(!reply.headers.contains_key("x-hop") && reply.headers.contains_key("x-kept"));
 }
 
--- a/crates/daemon/tests/support/raw_target.rs
+++ b/crates/daemon/tests/support/raw_target.rs
@@ -44,6 +44,13 @@
     Endless(Vec<u8>, Vec<u8>),
 }
 
+/// Returns the request id in the text of a request of `celerygated`.
+pub fn request_id(text: &str) -> &str {
+    let mut lines = text.lines();
+    let id = lines.find_map(|line| line.strip_prefix("celerygate-request: "));
+    id.expect("a request id")
+}
+
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct RawRequest {
