Log a reason of its own for each response that is not believed

An operator could not tell why a request ended with `target-failed`: a body that was cut, reset or malformed gave the same line, a response without a signature the same outcome as a failure of the target, and celerygated's line `response ended` said only `target-failed`.

`response ended` has the reason and the number of forwarded bytes.

--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -16,7 +16,7 @@
 use crate::body::{BodyError, ResponseBody};
 use crate::daemon::Daemon;
 use crate::links::{self, PacedBody};
-use crate::upstream::TargetBody;
+use crate::upstream::{BodyFailure, TargetBody};
 
 /// How a relayed response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
@@ -39,8 +39,15 @@
     let deadline = Box::pin(sleep_until(exchange.ends_at().into()));
     let is_error = parts.status.is_server_error();
     let body = PacedBody::new(body, links::inbound(daemon, &assigned.selected.region), daemon);
-    let completion =
-        Completion { daemon: Arc::clone(daemon), exchange, assigned, is_error, end: None };
+    let completion = Completion {
+        daemon: Arc::clone(daemon),
+        exchange,
+        assigned,
+        is_error,
+        end: None,
+        failure: None,
+        forwarded_bytes: 0,
+    };
     let mut relayed = Response::new(RelayBody { body, deadline, completion }.boxed_unsync());
     *relayed.status_mut() = parts.status;
     let filter = HeaderFilter::for_response(header_pairs(&parts.headers));
@@ -69,7 +76,10 @@
         }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         match &frame {
-            Some(Err(_)) => self.completion.end = Some(ResponseEnd::TargetFailed),
+            Some(Err(error)) => {
+                self.completion.end = Some(ResponseEnd::TargetFailed);
+                self.completion.failure = Some(BodyFailure::of(error));
+            }
             Some(Ok(_)) if !self.body.is_end_stream() => {}
             _ => self.completion.end = Some(ResponseEnd::Complete),
         }
@@ -106,10 +116,14 @@
     assigned: AssignedTarget,
     is_error: bool,
     end: Option<ResponseEnd>,
+    /// Why the target's body is incomplete.
+    failure: Option<BodyFailure>,
+    forwarded_bytes: u64,
 }
 
 impl Completion {
-    fn count_bytes(&self, bytes: usize) {
+    fn count_bytes(&mut self, bytes: usize) {
+        self.forwarded_bytes += bytes as u64;
         let service = &self.exchange.service;
         self.daemon.tables.traffic.lock().add(service, bytes as u64);
     }
@@ -132,9 +146,11 @@
         let now = self.daemon.clock.now();
         let duration = now.saturating_duration_since(self.exchange.received_at);
         let name: &'static str = end.into();
+        let reason: &'static str = self.failure.map_or("", BodyFailure::into);
         log::info!(
             request:% = self.exchange.id, service:% = self.exchange.service,
             target:% = self.assigned.selected.target, end = name,
+            reason = reason, forwarded_bytes = self.forwarded_bytes,
             time_us = duration.as_micros() as u64;
             "response ended"
         );
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -60,7 +60,8 @@
     if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
         drop(body);
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
-        return ResponseResult { attempt, end: AttemptEnd::Failed, load, outcome: "target-error" };
+        let outcome = if metadata.is_signed { "target-error" } else { "unsigned-response" };
+        return ResponseResult { attempt, end: AttemptEnd::Failed, load, outcome };
     }
     let headers = response_headers(&parts);
     match read_start(&daemon.response_buffers, body).await {
