Bound the memory for requests of all callers

A request body may have 64 MiB, and bodies are held until the request is answered. Nothing bounded their sum: a few callers with large bodies, or one that sends bytes without end behind a running request, could fill the memory of an entry VM and end it, and with it the requests of all other callers.

Received bytes above 32 KiB of a connection now need room in a budget of 96 MiB that all connections of the process share, held until the response is written. An incomplete request that finds no room is refused at once with 503 and a closed connection; it was not passed on, so that "not run" is true. Behind a running request the bytes stay in the kernel instead. Small requests are served all the same. The buffer of a connection is shrunk after a large request.

The budget is the one of the responses, a plain struct that is passed in.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use celerygate_daemon::connections::{OpenConnections, close_gracefully};
+use celerygate_steering::buffers::{MemoryBudget, Reservation};
+use celerygate_types::ByteCount;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Bytes};
@@ -33,6 +35,11 @@
 const READ_BUFFER_BYTES: usize = 2 * 1_024;
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+/// Memory for the incomplete and running requests of all callers: three eighths of a VM with 256 MiB.
+pub const REQUEST_MEMORY: ByteCount = ByteCount(96 * 1_024 * 1_024);
+/// Received bytes of a connection that need no room in [`REQUEST_MEMORY`], so that small requests are
+/// served while large ones have used it up.
+const UNRESERVED_BYTES: usize = 32 * 1_024;
 /// Idle time after which a connection is closed, unless the deployment configures one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Added to the configured idle timeout, because a caller may send a request just before it
@@ -99,6 +106,8 @@
 pub struct Service<F> {
     /// Counter of open connections.
     pub connections: Arc<ConnectionCounter>,
+    /// Memory for the requests of all connections.
+    pub request_memory: Arc<MemoryBudget>,
     /// Returns the idle timeout configured for the deployment, if any.
     pub idle_timeout: Box<dyn Fn() -> Option<Duration> + Send + Sync>,
     /// Serves one request with its head and body.
@@ -130,6 +139,7 @@
 struct PendingResponse {
     response: JoinHandle<Response<ResponseBody>>,
     keep_alive: bool,
+    _memory: Reservation,
 }
 
 impl Drop for PendingResponse {
@@ -143,11 +153,14 @@
     reader: OwnedReadHalf,
     buffer: Vec<u8>,
     is_closed: bool,
+    memory: Reservation,
+    /// Whether the last received bytes found no room in the memory for requests.
+    is_out_of_memory: bool,
 }
 
 /// Next action on a connection.
 enum Step {
-    Start(Box<RequestMessage>),
+    Start(Box<RequestMessage>, Reservation),
     Refuse(ParseError),
     SendContinue,
     Read,
@@ -158,7 +171,7 @@
     async fn read(&mut self) {
         self.buffer.reserve(READ_BUFFER_BYTES);
         match self.reader.read_buf(&mut self.buffer).await {
-            Ok(bytes) if bytes > 0 => {}
+            Ok(bytes) if bytes > 0 => self.reserve_memory(),
             Ok(_) => self.is_closed = true,
             Err(error) => {
                 log::debug!(error:% = error; "caller's connection failed");
@@ -167,13 +180,29 @@
         }
     }
 
+    fn reserve_memory(&mut self) {
+        let needed = self.buffer.len().saturating_sub(UNRESERVED_BYTES) as u64;
+        let missing = needed.saturating_sub(self.memory.size().0);
+        self.is_out_of_memory = !self.memory.grow(ByteCount(missing));
+    }
+
+    /// Removes a complete request from the buffer and returns its memory.
+    fn take_request(&mut self, used: usize) -> Reservation {
+        self.buffer.drain(..used);
+        self.buffer.shrink_to(UNRESERVED_BYTES);
+        let empty = self.memory.empty();
+        let memory = std::mem::replace(&mut self.memory, empty);
+        self.reserve_memory();
+        memory
+    }
+
     /// Reads available bytes without waiting and returns whether the caller has closed the
     /// connection. After a stall of the process, the buffer can hold requests whose callers have
     /// already left.
     fn check_closed(&mut self) -> bool {
         match self.reader.try_read_buf(&mut self.buffer) {
             Ok(0) => self.is_closed = true,
-            Ok(_) => {}
+            Ok(_) => self.reserve_memory(),
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
             Err(_) => self.is_closed = true,
         }
@@ -192,8 +221,13 @@
                 if !pending.is_empty() && !message.parts.method.is_safe() {
                     return Step::Read;
                 }
-                self.buffer.drain(..used);
-                Step::Start(message)
+                Step::Start(message, self.take_request(used))
+            }
+            ParseOutcome::Partial { .. } if self.is_out_of_memory && pending.is_empty() => {
+                // Other requests may have ended since the last read.
+                self.reserve_memory();
+                let is_refused = self.is_out_of_memory;
+                if is_refused { Step::Refuse(ParseError::NoMemory) } else { Step::Read }
             }
             ParseOutcome::Partial { expects_continue } => {
                 let may_send = expects_continue && pending.is_empty() && !continue_sent;
@@ -228,7 +262,13 @@
     }
     let _open = service.connections.open.begin();
     let (reader, mut writer) = stream.into_split();
-    let mut input = RequestReader { reader, buffer: Vec::new(), is_closed: false };
+    let mut input = RequestReader {
+        reader,
+        buffer: Vec::new(),
+        is_closed: false,
+        memory: service.request_memory.reservation(),
+        is_out_of_memory: false,
+    };
     match serve_requests(&mut input, &mut writer, shutdown, &service).await {
         ConnectionEnd::Responded => close_gracefully(input.reader, writer).await,
         // A request that the caller sends meanwhile stays unread, so that the caller repeats it.
@@ -253,18 +293,23 @@
     let mut idle_since = Instant::now();
     loop {
         match input.next_step(&pending, continue_sent) {
-            Step::Start(message) => {
+            Step::Start(message, memory) => {
                 if input.check_closed() {
                     return ConnectionEnd::Failed;
                 }
                 continue_sent = false;
                 let RequestMessage { parts, body, keep_alive } = *message;
                 let response = tokio::spawn((service.handle)(parts, body));
-                pending.push_back(PendingResponse { response, keep_alive });
+                pending.push_back(PendingResponse { response, keep_alive, _memory: memory });
                 continue;
             }
             Step::Refuse(error) => {
-                log::info!(reason:% = error; "received invalid HTTP request");
+                if error == ParseError::NoMemory {
+                    log::warn!(received_bytes = input.buffer.len();
+                        "no memory for a request, refused it");
+                } else {
+                    log::info!(reason:% = error; "received invalid HTTP request");
+                }
                 refuse(writer, error).await;
                 return ConnectionEnd::Responded;
             }
@@ -302,7 +347,8 @@
         let response = tokio::select! {
             biased;
             response = &mut first.response => response,
-            () = input.read() => continue,
+            // Without memory, the bytes behind the pending requests stay in the kernel.
+            () = input.read(), if !input.is_out_of_memory => continue,
         };
         let Ok(response) = response else {
             log::error!("request task failed");
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -28,6 +28,7 @@
     };
     let service = Service {
         connections: Arc::new(ConnectionCounter::new(1_000)),
+        request_memory: MemoryBudget::new(REQUEST_MEMORY),
         idle_timeout: Box::new(|| None),
         handle,
     };
--- a/crates/fleet/src/http1.rs
+++ b/crates/fleet/src/http1.rs
@@ -53,6 +53,8 @@
     HeadTooLarge,
     /// The body is too large.
     BodyTooLarge,
+    /// The memory for incomplete and running requests is used up.
+    NoMemory,
 }
 
 impl ParseError {
@@ -62,6 +64,7 @@
             Self::Malformed => 400,
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
+            Self::NoMemory => 503,
         }
     }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -9,6 +9,7 @@
 use celerygate_daemon::signals::{self, Signals};
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
+use celerygate_steering::buffers::MemoryBudget;
 use celerygate_types::Incarnation;
 use celerygate_types::wire::{DaemonRole, FleetMessage, FleetSettings, VmState};
 use http_body_util::Full;
@@ -123,6 +124,7 @@
         let tables = Arc::clone(&daemon.tables);
         let service = callers::Service {
             connections: Arc::clone(&connections),
+            request_memory: MemoryBudget::new(callers::REQUEST_MEMORY),
             idle_timeout: Box::new(move || tables.content()?.routing.idle_timeout()),
             handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
         };
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -15,12 +15,12 @@
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
 use celerygate_fleet::adapter::{ProtocolAdapter, RequestMetadata, ResponseMetadata};
-use celerygate_fleet::callers::{self, ConnectionCounter};
+use celerygate_fleet::callers::{self, ConnectionCounter, REQUEST_MEMORY};
 use celerygate_fleet::daemon::Daemon;
 use celerygate_fleet::forward::{self, ResponseBody, ResponseBuffers};
 use celerygate_fleet::mesh::Mesh;
 use celerygate_fleet::tables::{Content, Tables};
-use celerygate_steering::buffers::BodyLimits;
+use celerygate_steering::buffers::{BodyLimits, MemoryBudget};
 use celerygate_steering::routing::{
     Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
 };
@@ -134,6 +134,7 @@
         let daemon = Arc::clone(&self.daemon);
         let service = callers::Service {
             connections: Arc::new(ConnectionCounter::new(1_000)),
+            request_memory: MemoryBudget::new(REQUEST_MEMORY),
             idle_timeout: Box::new(|| None),
             handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
         };
--- a/crates/steering/src/buffers.rs
+++ b/crates/steering/src/buffers.rs
@@ -1,7 +1,8 @@
-//! Bounds for the bytes of responses that are held in memory.
+//! Bounds for the bytes of requests and responses that are held in memory.
 //!
 //! A response is held until it is complete, so that one that ends early can be replaced by a failure
-//! or by another target's. What does not fit is passed on as it arrives.
+//! or by another target's. What does not fit is passed on as it arrives. A request that does not fit
+//! is refused.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -56,7 +57,7 @@
     if known <= limits.held_max.0 { NextBytes::Hold } else { NextBytes::PassOn }
 }
 
-/// Memory that all held bodies of a process share.
+/// Memory that all held requests or all held responses of a process share.
 #[derive(Debug)]
 pub struct MemoryBudget {
     max: ByteCount,
@@ -93,6 +94,16 @@
 }
 
 impl Reservation {
+    /// Returns the number of reserved bytes.
+    pub fn size(&self) -> ByteCount {
+        ByteCount(self.bytes)
+    }
+
+    /// Returns an empty reservation of the same budget.
+    pub fn empty(&self) -> Self {
+        self.budget.reservation()
+    }
+
     /// Adds bytes to the reservation and returns whether the budget has room for them.
     pub fn grow(&mut self, bytes: ByteCount) -> bool {
         let has_room = self.budget.try_take(bytes.0);
