Keep a due full sync until it is requested

Entry VMs ask each control VM from time to time for all targets, since heartbeats without a change are not relayed and targets that are not heard of expire. If the request before was unanswered at that moment, the reply to it set the position to its own changes, and the full sync was dropped until the next round: the reply was taken to be about a request that had not been sent. With slow links to a control VM this can repeat.

The full sync is now due until a request for it is sent, and a lost reply leaves its position in place.

`request_full_sync_while_waiting` before: left: Send(Position { targets_epoch: 3, targets_change: 40, daemons_digest: 9 }), right: Send(Position { targets_epoch: 3, targets_change: 0, daemons_digest: 9 }).

--- a/crates/fleet/src/sync/cursor.rs
+++ b/crates/fleet/src/sync/cursor.rs
@@ -41,6 +41,7 @@
     position: Position,
     sent_at: Option<Instant>,
     request_deferred: bool,
+    is_full_sync_due: bool,
 }
 
 impl Cursor {
@@ -54,18 +55,21 @@
         }
         self.sent_at = Some(now);
         self.request_deferred = false;
+        if std::mem::take(&mut self.is_full_sync_due) {
+            self.position.targets_change = 0;
+        }
         NextRequest::Send(self.position)
     }
 
     /// Makes the next request fetch all targets.
     pub fn request_full_sync(&mut self) {
-        self.position.targets_change = 0;
+        self.is_full_sync_due = true;
     }
 
     /// Handles a reply; `is_truncated` states that it contains only part of the changes.
     pub fn handle_reply(&mut self, position: Position, is_truncated: bool) -> AfterReply {
         let requests_again = is_truncated || self.request_deferred;
-        *self = Self { position, sent_at: None, request_deferred: false };
+        *self = Self { position, sent_at: None, request_deferred: false, ..*self };
         if requests_again { AfterReply::RequestAgain } else { AfterReply::Done }
     }
 }
--- a/crates/fleet/src/sync/cursor_tests.rs
+++ b/crates/fleet/src/sync/cursor_tests.rs
@@ -50,3 +50,20 @@
         NextRequest::Send(Position { targets_change: 0, ..known })
     );
 }
+
+/// Guards against a full sync that is dropped because the reply to an earlier request arrives before
+/// it is requested.
+#[test]
+fn request_full_sync_while_waiting() {
+    let now = Instant::now();
+    let mut cursor = Cursor::default();
+    let known = Position { targets_epoch: 3, targets_change: 40, daemons_digest: 9 };
+    cursor.next_request(now);
+    cursor.request_full_sync();
+    assert_eq!(cursor.next_request(now), NextRequest::Wait);
+    cursor.handle_reply(known, false);
+    let full = Position { targets_change: 0, ..known };
+    assert_eq!(cursor.next_request(now), NextRequest::Send(full));
+    // The reply is lost.
+    assert_eq!(cursor.next_request(now + REPLY_TIMEOUT), NextRequest::Send(full));
+}
