--- a/crates/fleet/src/callers/pending.rs
+++ b/crates/fleet/src/callers/pending.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 
+use celerygate_steering::buffers::Reservation;
 use hyper::Response;
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -18,6 +19,7 @@
 struct PendingResponse {
     response: JoinHandle<HttpResponse>,
     keep_alive: bool,
+    _memory: Reservation,
 }
 
 impl Drop for PendingResponse {
@@ -40,9 +42,14 @@
 }
 
 impl PendingResponses {
-    /// Adds a request that runs as a task.
-    pub fn push(&mut self, response: JoinHandle<HttpResponse>, keep_alive: bool) {
-        self.0.push_back(PendingResponse { response, keep_alive });
+    /// Adds a request that runs as a task. `memory` is held until its response is ready.
+    pub fn push(
+        &mut self,
+        response: JoinHandle<HttpResponse>,
+        keep_alive: bool,
+        memory: Reservation,
+    ) {
+        self.0.push_back(PendingResponse { response, keep_alive, _memory: memory });
     }
 
     /// Returns the number of requests.
--- a/crates/fleet/src/callers/pending_tests.rs
+++ b/crates/fleet/src/callers/pending_tests.rs
@@ -1,5 +1,7 @@
 //! Guards against requests that end without a response and without a line in the log.
 
+use celerygate_steering::buffers::MemoryBudget;
+use celerygate_types::ByteCount;
 use http_body_util::{BodyExt, Empty};
 
 use super::*;
@@ -17,17 +19,19 @@
 async fn take_unanswered_ready_and_running() {
     let mut pending = PendingResponses::default();
     assert_eq!(pending.take_unanswered(), None);
+    let budget = MemoryBudget::new(ByteCount(0));
     let running = std::sync::Arc::new(());
     let guard = std::sync::Arc::clone(&running);
-    pending.push(tokio::spawn(async { response("a-1") }), true);
+    pending.push(tokio::spawn(async { response("a-1") }), true, budget.reservation());
     pending.push(
         tokio::spawn(async move {
             let _guard = guard;
             std::future::pending().await
         }),
         true,
+        budget.reservation(),
     );
-    pending.push(tokio::spawn(async { response("a-3") }), true);
+    pending.push(tokio::spawn(async { response("a-3") }), true, budget.reservation());
     tokio::task::yield_now().await;
     let ready = SmallVec::from_iter(["a-1".into(), "a-3".into()]);
     assert_eq!(pending.take_unanswered(), Some(Unanswered { count: 3, ready }));
