Serve a call of which a part of the head was read when a daemon stops

Operators, targets and lookups saw: a call on a kept connection ends without a response if the stop comes between two parts of its head. The HTTP library takes such a connection for idle.

Fix: the connection's socket notes that bytes were read which are no complete head yet. The library is asked to close it once the head is complete, or after 1 s (PARTIAL_HEAD_TIMEOUT).

Test: serve_partial_head_on_stop, new, used and stalled connections; without the wait "0 bytes on a used connection". Open: a part of a pipelined request behind a running one.

--- a/crates/fleet/src/listen.rs
+++ b/crates/fleet/src/listen.rs
@@ -22,7 +22,7 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use self::stream::Stream;
 
@@ -39,6 +39,9 @@
 /// Time for which a stopping daemon waits for the first bytes of a connection. A connection from
 /// the accept queue may have sent its request, or its request may be on its way.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a stopping daemon waits for the rest of a request's head on a connection that was
+/// used before. It leaves time for the response within the time that a stop waits for calls.
+const PARTIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Opens a listening socket.
 ///
@@ -163,19 +166,29 @@
     if !wait_for_first_bytes(&stream, &mut shutdown).await {
         return;
     }
+    let stream = Stream::new(stream, shutdown.clone());
+    let activity = stream.activity();
+    let service_activity = activity.clone();
     let service = service_fn(move |request| {
+        let activity = service_activity.clone();
+        activity.begin_request();
         let response = handle(request);
-        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+        Box::pin(async move {
+            let response = response.await;
+            activity.end_request();
+            Ok::<_, Infallible>(response)
+        })
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-    let io = TokioIo::new(Stream::new(stream, shutdown.clone()));
+    let io = TokioIo::new(stream);
     let mut connection = http.serve_connection(io, service);
     // The shutdown may begin after the connection was polled, so it is polled once more before the
     // library is asked to close it: a request that the kernel has received is read then.
     let mut is_stopping = false;
     let mut is_closing = false;
     let mut stopped = pin!(wait_for_shutdown(&mut shutdown));
+    let mut partial_head_timer = pin!(sleep(Duration::ZERO));
     let ended = poll_fn(|context| {
         loop {
             if let Poll::Ready(ended) = connection.poll_without_shutdown(context) {
@@ -185,11 +198,15 @@
                 return Poll::Pending;
             }
             if is_stopping {
+                if activity.has_partial_head() {
+                    ready!(partial_head_timer.as_mut().poll(context));
+                }
                 Pin::new(&mut connection).graceful_shutdown();
                 is_closing = true;
             } else {
                 ready!(stopped.as_mut().poll(context));
                 is_stopping = true;
+                partial_head_timer.as_mut().reset(Instant::now() + PARTIAL_HEAD_TIMEOUT);
             }
         }
     })
--- a/crates/fleet/src/listen/stream.rs
+++ b/crates/fleet/src/listen/stream.rs
@@ -2,6 +2,8 @@
 
 use std::io::{self, IoSlice, Read};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use socket2::SockRef;
@@ -12,19 +14,55 @@
 /// Size of the buffer for bytes that the runtime does not know of yet.
 const DIRECT_READ_BYTES: usize = 4 * 1_024;
 
+/// What a connection is doing, shared between its socket and the code that stops it.
+#[derive(Clone, Default)]
+pub struct Activity(Arc<State>);
+
+#[derive(Default)]
+struct State {
+    is_running: AtomicBool,
+    has_read: AtomicBool,
+}
+
+impl Activity {
+    /// Notes that the head of a request is complete.
+    pub fn begin_request(&self) {
+        self.0.is_running.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that the response to a request is ready, so that the request was read.
+    pub fn end_request(&self) {
+        self.0.has_read.store(false, Ordering::Relaxed);
+        self.0.is_running.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether bytes were read that are not a complete head yet. The HTTP library takes
+    /// such a connection for idle if it was used before.
+    pub fn has_partial_head(&self) -> bool {
+        self.0.has_read.load(Ordering::Relaxed) && !self.0.is_running.load(Ordering::Relaxed)
+    }
+}
+
 /// A socket that asks the kernel for received bytes while the daemon stops. The runtime learns of
 /// new bytes only between tasks, and the HTTP library closes a connection as idle if it has not
 /// read the next request.
 pub struct Stream {
     socket: TcpStream,
     shutdown: watch::Receiver<bool>,
+    activity: Activity,
     has_written_while_stopping: bool,
 }
 
 impl Stream {
     /// Wraps a connected socket.
     pub fn new(socket: TcpStream, shutdown: watch::Receiver<bool>) -> Self {
-        Self { socket, shutdown, has_written_while_stopping: false }
+        let activity = Activity::default();
+        Self { socket, shutdown, activity, has_written_while_stopping: false }
+    }
+
+    /// Returns what the connection is doing.
+    pub fn activity(&self) -> Activity {
+        self.activity.clone()
     }
 
     /// Returns the socket.
@@ -59,12 +97,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let filled = buffer.filled().len();
+        let mut polled = Pin::new(&mut self.socket).poll_read(context, buffer);
         if polled.is_pending() && *self.shutdown.borrow() {
-            self.read_directly(buffer)
-        } else {
-            polled
+            polled = self.read_directly(buffer);
+        }
+        if buffer.filled().len() > filled {
+            self.activity.0.has_read.store(true, Ordering::Relaxed);
         }
+        polled
     }
 }
 
--- a/crates/fleet/src/listen_tests.rs
+++ b/crates/fleet/src/listen_tests.rs
@@ -3,7 +3,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{CONNECTION, HeaderValue};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
 use super::*;
@@ -118,6 +118,35 @@
     }
 }
 
+/// Guards against a stop that drops a request of which a part of the head was read, on a new and on
+/// a used connection, and against one that waits without a bound for the rest on a used one.
+#[tokio::test]
+async fn serve_partial_head_on_stop() {
+    let (begin, end) = REQUEST.split_at(10);
+    let server = Server::start(RESPONSE_BYTES, "keep-alive").await;
+    let (mut new, mut used, mut stalled) =
+        (server.connect().await, server.connect().await, server.connect().await);
+    for peer in [&mut used, &mut stalled] {
+        send(peer);
+        read_response(peer).await;
+    }
+    for peer in [&mut new, &mut used, &mut stalled] {
+        peer.write_all(begin).await.unwrap();
+    }
+    sleep(SETTLE_TIME).await;
+    server.close.send(true).unwrap();
+    sleep(SETTLE_TIME).await;
+    for (name, peer) in [("new", &mut new), ("used", &mut used)] {
+        peer.write_all(end).await.expect("the connection is not reset");
+        let received = read_all(peer).await.expect("the connection is not reset");
+        assert!(received > RESPONSE_BYTES, "{received} bytes on a {name} connection");
+    }
+    drop((new, used));
+    let closed = timeout(PARTIAL_HEAD_TIMEOUT * 2, server.open.wait_until_closed()).await;
+    assert!(closed.is_ok(), "the stop waits for the rest of a head");
+    drop(stalled);
+}
+
 /// Guards against a reset that discards a response because the peer has sent another request behind
 /// the one whose response closes the connection.
 #[tokio::test]
