Bound the memory for frames that are being received

A client that reaches the peer port and has no secret could make a daemon hold 1,024 incomplete frames of 1 MiB, and 16 MiB in the fleet, for 5 s each: a frame is checked only once it is complete. Each frame and the number of connections were bounded, their product was not.

Frames above 64 KiB now share 32 MiB while they are received, 48 MiB in the fleet, taken as their bytes arrive; the connection of a frame that finds no room is closed.

The other frame tests call `read_frame` through a function with the default limits; the text of the oversized frame's error now has the unit.

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
+use celerygate_steering::buffers::{MemoryBudget, Reservation};
+use celerygate_types::ByteCount;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
@@ -35,6 +37,28 @@
 /// Delay after a failed attempt to connect or accept.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
+/// Received bytes of a frame that need no memory of the total: every message but snapshots is smaller.
+/// Also the step in which a larger frame takes memory.
+const FRAME_STEP_BYTES: usize = 64 * 1_024;
+
+/// Limits for the frames that are received.
+#[derive(Clone, Copy, Debug)]
+pub struct FrameLimits {
+    /// Size of one frame.
+    pub frame_max: ByteCount,
+    /// Total size of the frames above [`FRAME_STEP_BYTES`] that are received at the same time. The
+    /// sender of a frame is known only once the frame is complete.
+    pub total_max: ByteCount,
+}
+
+impl FrameLimits {
+    /// Limits for frames of `celerygated`.
+    pub const DEFAULT: Self = Self {
+        frame_max: ByteCount(MAX_FRAME_BYTES as u64),
+        total_max: ByteCount(32 * 1_024 * 1_024),
+    };
+}
+
 /// Sends the frames of a queue to a peer, connecting when there is a frame to send.
 pub async fn send_frames(address: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
     let mut connection: Option<TcpStream> = None;
@@ -111,19 +135,20 @@
             bail!(error)
         }
     });
-    accept_frames(listener, MAX_FRAME_BYTES, handle).await;
+    accept_frames(listener, FrameLimits::DEFAULT, handle).await;
 }
 
 /// Accepts connections and passes their frames to a handler until the task is aborted.
-pub async fn accept_frames(listener: TcpListener, max_frame_bytes: usize, handle: FrameHandler) {
+pub async fn accept_frames(listener: TcpListener, limits: FrameLimits, handle: FrameHandler) {
+    let memory = MemoryBudget::new(limits.total_max);
     let permits = Arc::new(Semaphore::new(MAX_INBOUND_CONNECTIONS));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, address)) => {
-                let handle = Arc::clone(&handle);
+                let (handle, memory) = (Arc::clone(&handle), Arc::clone(&memory));
                 tokio::spawn(async move {
-                    if let Err(error) = receive(stream, max_frame_bytes, &handle).await {
+                    if let Err(error) = receive(stream, limits, &memory, &handle).await {
                         log::debug!(peer:% = address, error:% = error; "peer connection closed");
                     }
                     drop(permit);
@@ -140,7 +165,8 @@
 
 async fn receive(
     mut stream: TcpStream,
-    max_frame_bytes: usize,
+    limits: FrameLimits,
+    memory: &Arc<MemoryBudget>,
     handle: &FrameHandler,
 ) -> Result<()> {
     let mut length = [0; 4];
@@ -149,8 +175,10 @@
         .context("first frame timed out")??;
     loop {
         let length_bytes = usize::try_from(u32::from_be_bytes(length))?;
-        let frame = read_frame(&mut stream, length_bytes, max_frame_bytes).await?;
+        let mut reservation = memory.reservation();
+        let frame = read_frame(&mut stream, length_bytes, limits, &mut reservation).await?;
         handle(&frame)?;
+        drop((frame, reservation));
         stream.read_exact(&mut length).await?;
     }
 }
@@ -158,18 +186,28 @@
 async fn read_frame(
     stream: &mut (impl AsyncRead + Unpin),
     length: usize,
-    max_frame_bytes: usize,
+    limits: FrameLimits,
+    memory: &mut Reservation,
 ) -> Result<Vec<u8>> {
-    if length > max_frame_bytes {
-        bail!("frame of {length} bytes exceeds {max_frame_bytes}");
+    if length as u64 > limits.frame_max.0 {
+        bail!("frame of {length} bytes exceeds {}", limits.frame_max);
     }
     // The buffer grows with the received bytes, so that a length alone allocates no memory.
     let mut frame = Vec::new();
-    let mut rest = stream.take(length as u64);
-    timeout(FRAME_TIMEOUT, rest.read_to_end(&mut frame)).await.context("frame timed out")??;
-    if frame.len() < length {
-        bail!("frame ends after {} of {length} bytes", frame.len());
-    }
+    let receiving = async {
+        while frame.len() < length {
+            let step = (length - frame.len()).min(FRAME_STEP_BYTES);
+            if !frame.is_empty() && !memory.grow(ByteCount(step as u64)) {
+                bail!("no memory for a frame of {length} bytes");
+            }
+            let received = (&mut *stream).take(step as u64).read_to_end(&mut frame).await?;
+            if received < step {
+                bail!("frame ends after {} of {length} bytes", frame.len());
+            }
+        }
+        Ok(())
+    };
+    timeout(FRAME_TIMEOUT, receiving).await.context("frame timed out")??;
     Ok(frame)
 }
 
--- a/crates/daemon/src/peers/tcp_tests.rs
+++ b/crates/daemon/src/peers/tcp_tests.rs
@@ -2,26 +2,52 @@
 
 use super::*;
 
+/// Reads a frame with the default limits.
+async fn read(stream: &mut (impl AsyncRead + Unpin), length: usize) -> Result<Vec<u8>> {
+    let memory = MemoryBudget::new(FrameLimits::DEFAULT.total_max);
+    read_frame(stream, length, FrameLimits::DEFAULT, &mut memory.reservation()).await
+}
+
 #[tokio::test]
 async fn read_frame_oversized() {
-    let error =
-        read_frame(&mut tokio::io::empty(), u32::MAX as usize, MAX_FRAME_BYTES).await.unwrap_err();
-    expect_test::expect!["frame of 4294967295 bytes exceeds 1048576"].assert_eq(&error.to_string());
+    let error = read(&mut tokio::io::empty(), u32::MAX as usize).await.unwrap_err();
+    expect_test::expect!["frame of 4294967295 bytes exceeds 1048576 B"]
+        .assert_eq(&error.to_string());
 }
 
 #[tokio::test]
 async fn read_frame_truncated() {
-    let error = read_frame(&mut &b"abc"[..], 5, MAX_FRAME_BYTES).await.unwrap_err();
+    let error = read(&mut &b"abc"[..], 5).await.unwrap_err();
     expect_test::expect!["frame ends after 3 of 5 bytes"].assert_eq(&error.to_string());
 }
 
 #[tokio::test(start_paused = true)]
 async fn read_frame_stalled() {
     let (mut reader, _writer) = tokio::io::duplex(16);
-    let error = read_frame(&mut reader, 5, MAX_FRAME_BYTES).await.unwrap_err();
+    let error = read(&mut reader, 5).await.unwrap_err();
     expect_test::expect!["frame timed out"].assert_eq(&error.to_string());
 }
 
+/// Guards against clients without the secret that fill the memory with incomplete frames, each of
+/// which is within the limit.
+#[tokio::test]
+async fn read_frame_total() {
+    let limits = FrameLimits { total_max: ByteCount(1 << 20), ..FrameLimits::DEFAULT };
+    let memory = MemoryBudget::new(limits.total_max);
+    let bytes = vec![b'x'; 900 * 1_024];
+    let (mut first, mut second) = (memory.reservation(), memory.reservation());
+    let frame = read_frame(&mut &bytes[..], bytes.len(), limits, &mut first).await.unwrap();
+    assert_eq!(frame, bytes);
+    let refused = read_frame(&mut &bytes[..], bytes.len(), limits, &mut second).await;
+    let error = refused.map(|frame| frame.len()).unwrap_err();
+    expect_test::expect!["no memory for a frame of 921600 bytes"].assert_eq(&error.to_string());
+    // Small frames need no memory of the total.
+    let mut small = memory.reservation();
+    read_frame(&mut &bytes[..100], 100, limits, &mut small).await.unwrap();
+    drop((first, second));
+    read_frame(&mut &bytes[..], bytes.len(), limits, &mut small).await.unwrap();
+}
+
 /// Guards against a message that is lost with the first attempt to connect and repeated only after
 /// a second, when both daemons start at the same time and the peer listens a moment later.
 #[tokio::test]
--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result, bail, ensure};
-use celerygate_daemon::peers::tcp::{FrameHandler, MAX_QUEUED_FRAMES, accept_frames, send_frames};
+use celerygate_daemon::peers::tcp::{
+    FrameHandler, FrameLimits, MAX_QUEUED_FRAMES, accept_frames, send_frames,
+};
 use celerygate_types::wire::{FleetEnvelope, FleetMessage};
-use celerygate_types::{Incarnation, VmId};
+use celerygate_types::{ByteCount, Incarnation, VmId};
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -20,6 +22,11 @@
 const VERSION: u16 = 2;
 /// Maximum size of a frame: a snapshot with some thousand routes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1_024 * 1_024;
+/// Limits for received frames: the largest frame from three daemons at the same time.
+const FRAME_LIMITS: FrameLimits = FrameLimits {
+    frame_max: ByteCount(MAX_FRAME_BYTES as u64),
+    total_max: ByteCount(3 * MAX_FRAME_BYTES as u64),
+};
 
 /// Handles a message; receives the sender and its incarnation.
 pub type MessageHandler = Arc<dyn Fn(VmId, Incarnation, FleetMessage) + Send + Sync>;
@@ -97,7 +104,7 @@
             inbound(envelope.sender, envelope.incarnation, envelope.message);
             Ok(())
         });
-        accept_frames(listener, MAX_FRAME_BYTES, handle).await;
+        accept_frames(listener, FRAME_LIMITS, handle).await;
         bail!("the peer listener stopped")
     }
 }
