--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -36,7 +36,12 @@
     };
     let connections = Arc::new(ConnectionCounter::new(1_000));
     let open = Arc::clone(connections.open());
-    let service = Service { connections, idle_timeout: Box::new(|| None), handle };
+    let service = Service {
+        connections,
+        request_memory: MemoryBudget::new(REQUEST_MEMORY),
+        idle_timeout: Box::new(|| None),
+        handle,
+    };
     tokio::spawn(serve(listener, shutdown, service));
     open
 }
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -65,7 +65,8 @@
     if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
         drop(body);
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
-        return ResponseResult { attempt, end: failure_end, load, outcome: "target-error" };
+        let outcome = if metadata.is_signed { "target-error" } else { "unsigned-response" };
+        return ResponseResult { attempt, end: failure_end, load, outcome };
     }
     let headers = response_headers(&parts);
     match read_start(&daemon.response_buffers, body).await {
@@ -97,8 +98,6 @@
     }
 }
 
-/// Returns the result of a refusal that states that the request has not run. The statement is in the
-/// head, which is complete, so that it holds whatever follows.
 /// What a target reports with a rejection.
 struct Rejection {
     load: Option<ReportedLoad>,
@@ -106,6 +105,8 @@
     body_end: RefusalBodyEnd,
 }
 
+/// Returns the result of a refusal that states that the request has not run. The statement is in the
+/// head, which is complete, so that it holds whatever follows.
 fn rejected(
     admitted: &AdmittedRequest<'_>,
     chosen: &ChosenTarget,
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -9,6 +9,7 @@
 use celerygate_daemon::signals::{self, Signals};
 use celerygate_daemon::telemetry::Metrics;
 use celerygate_daemon::upstream::ConnectionPool;
+use celerygate_steering::buffers::MemoryBudget;
 use celerygate_types::Incarnation;
 use celerygate_types::wire::{DaemonRole, FleetMessage, FleetSettings, VmState};
 use http_body_util::Full;
@@ -34,8 +35,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a leaving control VM still answers requests.
 const CONTROL_SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
-/// Maximum time for which a stop waits for the connections of operators, targets and lookups. An
-/// operator's command is answered within 1.5 s.
+/// Maximum time, counted from the close of the listeners, for which a stop waits for the connections
+/// of operators, targets, lookups and the metrics on which a call is running or whose last response
+/// may be on its way. Covers an operator's command, which is answered within 1.5 s, and its delivery.
+/// Afterwards these connections are served on until the process exits, but do not delay the exit.
 const CALLS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between two clean-ups of the tables.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(5);
@@ -123,6 +126,7 @@
         let tables = Arc::clone(&daemon.tables);
         let service = callers::Service {
             connections: Arc::clone(&connections),
+            request_memory: MemoryBudget::new(callers::REQUEST_MEMORY),
             idle_timeout: Box::new(move || tables.content()?.routing.idle_timeout()),
             handle: move |parts, body| forward::serve(Arc::clone(&daemon), parts, body),
         };
@@ -163,6 +167,7 @@
     tokio::spawn(async move {
         if let Err(error) = receiver.mesh.receive(inbound).await {
             log::error!(error:% = format!("{error:#}"); "peer listener failed, exiting");
+            log::logger().flush();
             std::process::exit(1);
         }
     });
