Ask the kernel before a caller's idle connection is closed

Suspected, not proven: the runtime learns of received bytes only between tasks. On a busy machine the timer of an idle connection can fire while a request is in the kernel, and the connection was closed with it.

Change: when the idle time has passed, the connection reads from the kernel itself, and is closed only if there is nothing. read_received_before_runtime shows that a read through the runtime does not see a request that the kernel holds, and that this one does.

--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -6,6 +6,7 @@
 //! before the response.
 
 use std::future::Future;
+use std::io::Read;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -207,6 +209,22 @@
         self.is_closed
     }
 
+    /// Reads bytes that the kernel has received and that the runtime may not know of yet, without
+    /// waiting. Returns whether there were any, or the caller has closed the connection.
+    fn read_received(&mut self) -> bool {
+        let mut bytes = [0; READ_BUFFER_BYTES];
+        match (&*SockRef::from(self.reader.as_ref())).read(&mut bytes) {
+            Ok(0) => self.is_closed = true,
+            Ok(count) => {
+                self.buffer.extend_from_slice(&bytes[..count]);
+                self.reserve_memory();
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return false,
+            Err(_) => self.is_closed = true,
+        }
+        true
+    }
+
     fn next_step(&mut self, pending: &PendingResponses, continue_sent: bool) -> Step {
         if self.buffer.is_empty() || pending.len() >= MAX_PIPELINED_REQUESTS {
             return Step::Read;
@@ -338,7 +356,8 @@
             };
             tokio::select! {
                 read = timeout_at(idle_since + idle_time, input.read()) => {
-                    if read.is_err() {
+                    // The request of a caller may have arrived while no thread was free.
+                    if read.is_err() && !input.read_received() {
                         return ConnectionEnd::Idle;
                     }
                 }
--- a/crates/fleet/src/callers_tests.rs
+++ b/crates/fleet/src/callers_tests.rs
@@ -186,3 +186,26 @@
     assert!(status.starts_with("HTTP/1.1 500 "), "{status}");
     assert!(received.len() > RESPONSE_BYTES, "{}", received.len());
 }
+
+/// Guards against an idle connection that is closed although the kernel has received a request,
+/// because the runtime does not know of it yet.
+#[tokio::test]
+async fn read_received_before_runtime() {
+    let listener = listen_on_loopback().await;
+    let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (reader, _writer) = listener.accept().await.unwrap().0.into_split();
+    let memory = MemoryBudget::new(REQUEST_MEMORY);
+    let mut input = RequestReader {
+        reader,
+        buffer: Vec::new(),
+        is_closed: false,
+        memory: memory.reservation(),
+        is_out_of_memory: false,
+    };
+    assert!(timeout(SETTLE_TIME, input.read()).await.is_err(), "no request was sent");
+    std::io::Write::write_all(&mut caller, REQUEST).unwrap();
+    assert!(!input.check_closed() && input.buffer.is_empty(), "the runtime knows of the request");
+    assert!(input.read_received());
+    assert_eq!(input.buffer, REQUEST);
+    assert!(!input.read_received(), "there are no more bytes");
+}
