Generate the bodies of body_both_directions before the connection is open

The daemon's log of one shows that it closed the kept connection 5 s after the last response ('read header from client timeout'): the test generated 16 MiB between two requests, which takes seconds in a debug build on a busy machine.

--- a/crates/daemon/tests/forwarding.rs
+++ b/crates/daemon/tests/forwarding.rs
@@ -44,16 +44,22 @@
 #[tokio::test]
 async fn body_both_directions() {
     let (daemon, target, _announcement) = start_with_target(3).await;
+    let lens = [0, 1, 65_536, 5_000_001, 16 << 20];
+    // Generated before the connection is open: the daemon closes one that is idle for 5 s.
+    let exchanges = lens.map(|len| {
+        let path = format!("/bytes/{len}");
+        let expected = random_bytes(&path, len);
+        (random_bytes(&format!("body of {len} bytes"), len), path, expected)
+    });
     let mut caller = daemon.caller().await;
-    for (number, len) in [0, 1, 65_536, 5_000_001, 16 << 20].into_iter().enumerate() {
-        let body = random_bytes(&format!("body {number}"), len);
+    for (body, path, expected) in exchanges {
+        let len = body.len();
         let request = request(Method::POST, "/svc/echo/echo", Some(ALPHA_KEY), body.clone());
         let reply = caller.send(request).await;
         assert_eq!(reply.status, StatusCode::OK);
         assert!(reply.body == body, "a body of {len} bytes was altered");
-        let path = format!("/bytes/{len}");
         let reply = caller.send(get(&format!("/svc/echo{path}"), Some(ALPHA_KEY))).await;
-        assert!(reply.body == random_bytes(&path, len), "a body of {len} bytes was altered");
+        assert!(reply.body == expected, "a body of {len} bytes was altered");
         assert_eq!(reply.headers["content-length"], len.to_string().as_str());
     }
     assert_eq!(target.requests().len(), 10);
