Wait in a stop for the longest command of an operator

An operator's change waits up to 1.5 s for a read of the newest content and up to 1.5 s for its commit, and a stop waited 2 s for calls, as if a command took 1.5 s at most. A slow command that was sent just before the listeners closed could end without an answer, so that the operator did not know whether it is in force.

The limit is now derived from the two waits, 3 s and 0.5 s for the delivery. It binds only while a call runs; a stop without one is as short as before.

--- a/crates/fleet/src/commands.rs
+++ b/crates/fleet/src/commands.rs
@@ -18,6 +18,9 @@
 /// Timeout for the control group to commit a command. Operators wait 1 s for a response before they
 /// ask another control VM, so a later response is of no use.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum time in which a command is answered: it waits for a read of the newest content and for its
+/// commit.
+pub const MAX_COMMAND_TIME: Duration = COMMIT_TIMEOUT.saturating_mul(2);
 
 /// Outcome of a command.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -23,7 +23,7 @@
 use crate::group::{self, Callbacks, GroupContext};
 use crate::mesh::{Mesh, MessageHandler};
 use crate::sync::{self, SyncState};
-use crate::{callers, clock, entry_count, forward, listen, quota, targets};
+use crate::{callers, clock, commands, entry_count, forward, listen, quota, targets};
 
 /// Share of the grace period during which a leaving entry VM still accepts requests, since callers
 /// hold lookup replies that name it. A request accepted in the first half of the period must not be
@@ -37,9 +37,11 @@
 const CONTROL_SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
 /// Maximum time, counted from the close of the listeners, for which a stop waits for the connections
 /// of operators, targets, lookups and the metrics on which a call is running or whose last response
-/// may be on its way. Covers an operator's command, which is answered within 1.5 s, and its delivery.
-/// Afterwards these connections are served on until the process exits, but do not delay the exit.
-const CALLS_TIMEOUT: Duration = Duration::from_secs(2);
+/// may be on its way. Covers an operator's command and the delivery of its answer. Afterwards these
+/// connections are served on until the process exits, but do not delay the exit.
+const CALLS_TIMEOUT: Duration = commands::MAX_COMMAND_TIME.saturating_add(CALL_DELIVERY_TIME);
+/// Time for the delivery of an operator's answer.
+const CALL_DELIVERY_TIME: Duration = Duration::from_millis(500);
 /// Interval between two clean-ups of the tables.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(5);
 
