Let a response with a length last until its caller's deadline

What callers see: since a large response that has begun is cut at the timeout of its route, also while a VM stops and while the caller still waits.

Cause: the deadline that bounds bodies without end was that of the request, the earlier one of the caller's and the route's. The route's timeout limits how long a caller is kept waiting for a response; a body with a length has an end, and the caller waits for it.

Now the caller's own deadline ends a body with a length, and the earlier one any other, as before.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -63,6 +63,9 @@
     /// Source of its token; none if the organisation has no rate limit.
     token: Option<TokenSource>,
     deadline: Instant,
+    /// Time until which the caller waits. It may be later than `deadline`, which the operator limits
+    /// for each route.
+    caller_deadline: Instant,
 }
 
 /// Outcome of a request.
@@ -200,9 +203,8 @@
     if metadata.key.as_ref().is_some_and(reveals_key) {
         return refusal(ResultCode::BadRequest);
     }
-    let time_limit =
-        metadata.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let deadline = arrived_at + time_limit;
+    let caller_deadline = arrived_at + metadata.deadline.unwrap_or(route.timeout);
+    let deadline = caller_deadline.min(arrived_at + route.timeout);
     let rule = organisation.and_then(|organisation| content.routing.organisation(organisation));
     let mut token = None;
     if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit)) {
@@ -229,6 +231,7 @@
         object: object.map(|object| rendezvous::id_hash(object)),
         token,
         deadline,
+        caller_deadline,
     };
     count_request(daemon, service);
     forward_with_retries(daemon, &content, parts, body, &admitted, arrived_at).await
--- a/crates/fleet/src/forward/body.rs
+++ b/crates/fleet/src/forward/body.rs
@@ -124,7 +124,10 @@
     pub(super) daemon: Arc<Daemon>,
     pub(super) request: SmolStr,
     pub(super) instance: TargetId,
+    /// Deadline of the request: the earlier one of the caller's and the route's.
     pub(super) deadline: Instant,
+    /// Time until which the caller waits.
+    pub(super) caller_deadline: Instant,
 }
 
 /// Why a body that is passed on ends before it is complete.
@@ -137,7 +140,8 @@
 }
 
 /// Body of a response to a caller: the bytes that are held, and then those that follow. Ends with an
-/// error if the target's body does, or at the deadline of the request.
+/// error if the target's body does, or at the deadline: the caller's for a body with a length, that of
+/// the request for one that may have no end.
 pub(super) struct ForwardedBody {
     held: Bytes,
     /// Returned to the budget when the body is dropped, since its bytes are in memory until they
@@ -159,9 +163,13 @@
     pub(super) fn new(start: BodyStart, answered: impl FnOnce() -> AnsweredRequest) -> Self {
         let rest = start.rest.map(|body| {
             let answered = answered();
+            let has_length = body.size_hint().exact().is_some();
+            // The route's timeout limits the wait for a response. One that has begun and has an end
+            // is of use to the caller for as long as it waits.
+            let deadline = if has_length { answered.caller_deadline } else { answered.deadline };
             PassedOn {
-                has_length: body.size_hint().exact().is_some(),
-                deadline: Box::pin(sleep_until(answered.deadline)),
+                has_length,
+                deadline: Box::pin(sleep_until(deadline)),
                 body,
                 answered,
                 forwarded_bytes: start.held.len() as u64,
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -76,6 +76,8 @@
                 request: admitted.metadata.request.clone(),
                 instance: chosen.instance.clone(),
                 deadline,
+                caller_deadline: Instant::now()
+                    + admitted.caller_deadline.saturating_duration_since(daemon.now()),
             };
             let mut response = Response::new(ForwardedBody::new(start, answered).boxed_unsync());
             *response.status_mut() = parts.status;
--- a/crates/fleet/tests/endless_responses.rs
+++ b/crates/fleet/tests/endless_responses.rs
@@ -7,6 +7,7 @@
 use celerygate_steering::buffers::BodyLimits;
 use celerygate_steering::routing::Repeatable;
 use celerygate_types::ByteCount;
+use http_body_util::BodyExt;
 use hyper::Method;
 use support::raw_target::{RawTarget, ScriptedResponse};
 use support::{Fleet, ROUTE_TIMEOUT, answer, eventually, head, position, send_raw};
@@ -86,6 +87,19 @@
     assert!(!fleet.is_avoided(0), "a long response that is late counts as a failure");
 }
 
+/// Guards against a streamed response that is cut at the timeout of its route although it has an end
+/// and its caller still waits for it.
+#[tokio::test]
+async fn body_with_length_outlasts_route_timeout() {
+    let body = "x".repeat(16 * 1_024 * 1_024);
+    let (fleet, _target) = start(ScriptedResponse::KeepAlive(answer("a", &body).into())).await;
+    let response = fleet.send_with_deadline(Method::GET, "a", 3 * ROUTE_TIMEOUT).await;
+    // The rest of the body does not fit into the buffers, so it is read after the timeout.
+    tokio::time::sleep(ROUTE_TIMEOUT + Duration::from_millis(200)).await;
+    let received = response.into_body().collect().await.expect("a complete body").to_bytes();
+    assert_eq!(received.len(), body.len());
+}
+
 /// Guards against a refusal whose body does not end and that is read until the deadline, or into
 /// memory, or that is reported as possibly run although its head states that it has not.
 #[tokio::test]
@@ -131,7 +145,7 @@
     }
     assert_eq!(fleet.daemon.response_buffers.budget.used(), ByteCount(2_000));
     for response in unread {
-        let body = http_body_util::BodyExt::collect(response.into_body()).await.expect("a body");
+        let body = response.into_body().collect().await.expect("a body");
         assert_eq!(body.to_bytes(), text);
     }
     assert_eq!(fleet.daemon.response_buffers.budget.used(), ByteCount(0));
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -49,6 +49,8 @@
 const SERVICE: &str = "service";
 /// Request and response header with the id of an attempt.
 const ID: &str = "attempt";
+/// Header in which a caller states how long it waits, in milliseconds.
+const DEADLINE: &str = "deadline-ms";
 /// Header of a target's own responses.
 const SIGNED: &str = "signed";
 /// Header of a target's refusals.
@@ -177,11 +179,22 @@
 
     /// Sends a request and returns the head of the response, with its unread body.
     pub async fn send(&self, method: Method, attempt: &str) -> Response<ResponseBody> {
+        self.send_with_deadline(method, attempt, ROUTE_TIMEOUT).await
+    }
+
+    /// Like [`Fleet::send`], for a caller that states how long it waits.
+    pub async fn send_with_deadline(
+        &self,
+        method: Method,
+        attempt: &str,
+        deadline: Duration,
+    ) -> Response<ResponseBody> {
         let request = Request::builder()
             .method(method.clone())
             .uri("/a/b")
             .header("host", HOST)
             .header(ID, attempt)
+            .header(DEADLINE, deadline.as_millis().to_string())
             .body(())
             .expect("a request");
         let body = match method {
@@ -256,7 +269,7 @@
             Ok(RequestMetadata {
                 request: text(ID).unwrap_or_default().into(),
                 host: text("host").unwrap_or_default().into(),
-                deadline: None,
+                deadline: header_ms(&parts.headers, DEADLINE),
                 object: None,
                 key: None,
             })
