Refuse requests that may outlast the exit of a stopping VM

Cause: a stopping entry VM accepted every request for 0.45 of the grace period, without asking whether it ends before the process exits.

Change: a request is accepted only if its deadline or its route's timeout ends before the exit, less the time for delivery. Others get a refusal that states that they have not run, with a retry time of zero, so that their callers use another VM.

Weighed: a shorter time of acceptance would refuse short requests as well; refusing whole routes ignores deadlines of callers; exiting later is not possible within the grace period.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -205,6 +205,11 @@
     }
     let caller_deadline = arrived_at + metadata.deadline.unwrap_or(route.timeout);
     let deadline = caller_deadline.min(arrived_at + route.timeout);
+    // Only the body of a large response may last until the caller's deadline.
+    let end = if route.has_large_responses { caller_deadline } else { deadline };
+    if !daemon.tables.accepts_request_until(end) {
+        return stopping_refusal();
+    }
     let rule = organisation.and_then(|organisation| content.routing.organisation(organisation));
     let mut token = None;
     if let (Some(organisation), Some(limit)) = (organisation, rule.and_then(|rule| rule.limit)) {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -26,13 +26,15 @@
 use crate::{callers, clock, commands, entry_count, forward, listen, quota, targets};
 
 /// Share of the grace period during which a leaving entry VM still accepts requests, since callers
-/// hold lookup replies that name it. A request accepted in the first half of the period must not be
-/// interrupted.
+/// hold lookup replies that name it. Of these requests it accepts those that end before the exit. A
+/// request accepted in the first half of the period must not be interrupted.
 const ACCEPT_SHARE: f64 = 0.45;
 const _: () = assert!(ACCEPT_SHARE < 0.5);
 /// Time before the end of the grace period, when the process is killed, at which it exits by
 /// itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before its exit at which a leaving VM must have the last response, for its delivery.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(200);
 /// Time for which a leaving control VM still answers requests.
 const CONTROL_SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
 /// Maximum time, counted from the close of the listeners, for which a stop waits for the connections
@@ -252,6 +254,8 @@
 async fn stop(daemon: &Daemon, close: &watch::Sender<bool>, connections: &Connections<'_>) {
     let signalled_at = TokioInstant::now();
     let grace = Duration::from_millis(daemon.settings.bounds.grace_ms);
+    let run_time = grace.saturating_sub(EXIT_MARGIN);
+    daemon.tables.set_last_response_at(daemon.now() + run_time.saturating_sub(DELIVERY_MARGIN));
     daemon.tables.set_state(VmState::Leaving);
     daemon.tables.sync_requested.notify_one();
     log::info!(running = daemon.tables.requests_running(),
@@ -270,7 +274,7 @@
     daemon.tables.stop_accepting_requests();
     // Without receivers there is no connection to close.
     let _ = close.send(true);
-    let exit_at = signalled_at + grace.saturating_sub(EXIT_MARGIN);
+    let exit_at = signalled_at + run_time;
     let calls_end = exit_at.min(TokioInstant::now() + CALLS_TIMEOUT);
     let (callers, calls) = tokio::join!(
         timeout_at(exit_at, connections.callers.wait_until_closed()),
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -241,6 +241,8 @@
     requests_running: AtomicU64,
     /// Whether new requests are accepted.
     accepts_requests: AtomicBool,
+    /// Time at which the last response must be ready, once the daemon stops; locked only briefly.
+    last_response_at: Mutex<Option<Instant>>,
 }
 
 impl Tables {
@@ -270,6 +272,7 @@
             state: Mutex::new(VmState::Starting),
             requests_running: AtomicU64::new(0),
             accepts_requests: AtomicBool::new(true),
+            last_response_at: Mutex::default(),
         }
     }
 
@@ -336,6 +339,18 @@
         self.accepts_requests.load(Ordering::Acquire)
     }
 
+    /// Sets the time at which the last response must be ready, because the process exits after it.
+    pub fn set_last_response_at(&self, at: Instant) {
+        *self.last_response_at.lock() = Some(at);
+    }
+
+    /// Returns whether a request that may take until `end` can be accepted: new requests are accepted,
+    /// and the process does not exit before `end`.
+    pub fn accepts_request_until(&self, end: Instant) -> bool {
+        let last_response_at = *self.last_response_at.lock();
+        self.accepts_requests() && last_response_at.is_none_or(|at| end <= at)
+    }
+
     /// Refuses all new requests, since they could not complete before the process exits, and wakes
     /// the requests that wait for a target, which are refused as well.
     pub fn stop_accepting_requests(&self) {
