Bound numbers from outside, and claims of targets

A deadline of 1e300 ms, a timeout_s or an idle_timeout_s of 1.5e19 made tasks panic. A start time of 2^63 at a target's address took the target out of use, since the newest start at an address was believed. Stated slots drew all objects; a stated load refused requests to an idle target; port 0 and 0.0.0.0 were kept as targets; a field nested 200,000 deep was accepted.

An instance whose address answers that it is another one (421) is not used for 15 s and displaces none. A report of a later state counts whatever its sequence number, and a report of the target itself keeps it from being silent. Slots count up to the service's connection limit. A heartbeat is read as a whole first, which refuses what is nested deeper than 128.

parse_retry_after gave Duration::MAX for a longer time, and its two tests expected that; they now expect the longest time that a sum with the clock can hold.

Tests: bounded_tests, instances_tests, odd_entries, headers_tests, heartbeat_tests and document_tests, with proptest on headers, heartbeats and documents.

--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -50,6 +50,9 @@
     pub requests: SmallVec<[SmolStr; 1]>,
     /// Whether the target states that it has not run the request.
     pub is_not_run: bool,
+    /// Whether the process at the address states that it is not the instance that the request was
+    /// sent to.
+    pub is_other_instance: bool,
     /// Whether the response carries a target's signature; without it, an intermediary may have
     /// produced the response.
     pub is_signed: bool,
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -19,7 +19,7 @@
 use super::body::{AnsweredRequest, ForwardedBody, RefusalBodyEnd, read_refusal, read_start};
 use crate::adapter::ResponseMetadata;
 use crate::daemon::Daemon;
-use crate::targets::{ChosenTarget, record_notice};
+use crate::targets::{ChosenTarget, record_misdirected, record_notice};
 
 /// Result of an attempt that received a response head.
 pub(super) struct ResponseResult {
@@ -56,6 +56,9 @@
     }
     let load = metadata.load;
     if kind == ResponseKind::NotRun {
+        if metadata.is_other_instance {
+            record_misdirected(daemon, &admitted.metadata.request, chosen);
+        }
         let body_end = read_refusal(&daemon.response_buffers.limits, body).await;
         let reported = Rejection { load, is_paused, body_end };
         return rejected(admitted, chosen, &reported);
@@ -125,7 +128,7 @@
             AttemptEnd::Failed
         }
     };
-    let has_free_slot = |load: ReportedLoad| load.running + load.waiting < chosen.slots.get();
+    let has_free_slot = |load: ReportedLoad| load.total() < chosen.slots.get();
     let had_free_slot = !is_paused && load.is_some_and(has_free_slot);
     let attempt = AttemptResult::Rejected { had_free_slot };
     ResponseResult { attempt, end, load, outcome: "rejected" }
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use celerygate_steering::instances::{ENDED_RETENTION, ReportResult};
+use celerygate_steering::instances::{ENDED_RETENTION, ReportError, ReportResult, check_report};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
     SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck,
@@ -148,7 +148,7 @@
             let changed = {
                 let mut instances = daemon.tables.instances.write();
                 let mut changed = false;
-                for record in update.records {
+                for record in plausible_records(daemon, &from, update.records) {
                     changed |= instances.report(record, now) == ReportResult::Changed;
                 }
                 changed
@@ -289,7 +289,7 @@
     let mut changed = 0_usize;
     {
         let mut instances = daemon.tables.instances.write();
-        for record in reply.targets {
+        for record in plausible_records(daemon, &from, reply.targets) {
             log_target(&record, &from);
             changed += usize::from(instances.report(record, now) == ReportResult::Changed);
         }
@@ -323,6 +323,24 @@
     }
 }
 
+/// Drops the records that cannot be those of targets.
+fn plausible_records(
+    daemon: &Daemon,
+    from: &VmId,
+    records: Vec<InstanceRecord>,
+) -> Vec<InstanceRecord> {
+    let now_unix_ms = daemon.clock.unix_ms();
+    let is_plausible = |record: &InstanceRecord| match check_report(record, now_unix_ms) {
+        Ok(()) => true,
+        Err(error) => {
+            log::warn!(target_id = record.instance.as_str(), from = from.as_str(), error:% = error;
+                "ignored an invalid target report from another daemon");
+            false
+        }
+    };
+    records.into_iter().filter(is_plausible).collect()
+}
+
 fn log_target(record: &InstanceRecord, from: &VmId) {
     log::debug!(target_id = record.instance.as_str(), address = record.address.as_str(),
         state:% = record.state, sequence = record.sequence, control = from.as_str();
@@ -384,12 +402,14 @@
 }
 
 /// Result of a target's report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReportOutcome {
     /// The report is recorded; if the target leaves, most control VMs know it.
     Acknowledged,
     /// Too few control VMs know that the target leaves; the target should report to another one.
     Unconfirmed,
+    /// The report cannot be that of a target, and is not recorded.
+    Invalid(ReportError),
 }
 
 /// Handles a target's heartbeat. A report that the target leaves is acknowledged only once most
@@ -399,7 +419,19 @@
     sync_state: &SyncState,
     record: InstanceRecord,
 ) -> ReportOutcome {
-    let reported = daemon.tables.instances.write().report(record.clone(), daemon.now());
+    if let Err(error) = check_report(&record, daemon.clock.unix_ms()) {
+        log::info!(target_id = record.instance.as_str(), error:% = error;
+            "refused invalid target report");
+        return ReportOutcome::Invalid(error);
+    }
+    let reported = {
+        let mut instances = daemon.tables.instances.write();
+        let reported = instances.report(record.clone(), daemon.now());
+        if reported == ReportResult::Outdated {
+            instances.record_sign_of_life(&record, daemon.now());
+        }
+        reported
+    };
     if reported == ReportResult::Changed {
         log::info!(target_id = record.instance.as_str(), address = record.address.as_str(),
             service = record.service.as_str(), state:% = record.state, born = record.born_unix_ms,
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -10,7 +10,7 @@
     Candidate, Locality, ObjectShares, Placement, PlacementReason, PlacementRequest,
     ProcessingTimes, TargetStats, place,
 };
-use celerygate_steering::routing::{Route, allows_region};
+use celerygate_steering::routing::{Route, ServicePolicy, allows_region};
 use celerygate_steering::targets::Distance;
 use celerygate_types::wire::InstanceState;
 use celerygate_types::{
@@ -116,21 +116,29 @@
 pub struct TargetIndex {
     reports_version: u64,
     revision: Revision,
+    /// Time at which an excluded instance may be used again; none without such instances.
+    valid_until: Option<Instant>,
     by_service: HashMap<ServiceId, Vec<IndexedTarget>>,
 }
 
 /// Returns the index; rebuilds it if reports or configuration have changed.
-fn current_index(daemon: &Daemon, content: &Content) -> Arc<TargetIndex> {
+fn current_index(daemon: &Daemon, content: &Content, now: Instant) -> Arc<TargetIndex> {
     let instances = daemon.tables.instances.read();
     let (reports_version, revision) = (instances.version(), content.replicated.revision);
     let mut current = daemon.tables.target_index.lock();
-    if current.reports_version == reports_version && current.revision == revision {
+    let is_valid = current.valid_until.is_none_or(|until| now < until);
+    if current.reports_version == reports_version && current.revision == revision && is_valid {
         return Arc::clone(&current);
     }
     let mut by_service: HashMap<ServiceId, Vec<IndexedTarget>> = HashMap::new();
-    let latest_start_times = instances.latest_start_times();
+    let latest_start_times = instances.latest_start_times(now);
+    let mut valid_until = None;
     for instance in instances.iter() {
         let record = &instance.record;
+        if let Some(until) = instance.misdirected_until(now) {
+            valid_until = Some(valid_until.map_or(until, |earliest: Instant| earliest.min(until)));
+            continue;
+        }
         // A target with a later start time at the same address means that this one has ended.
         let is_usable = record.state == InstanceState::Ready
             && latest_start_times.get(&record.address) == Some(&record.born_unix_ms)
@@ -144,22 +152,41 @@
             address: record.address.clone(),
             hash: rendezvous::id_hash(record.instance.as_str()),
             distance: distance(daemon, region, &record.data_centre),
-            slots: record.slots,
+            slots: usable_slots(record.slots, content.routing.service(&record.service)),
             region: region.clone(),
             data_centre: record.data_centre.clone(),
             warm_at: instance.warm_at,
         });
     }
-    *current = Arc::new(TargetIndex { reports_version, revision, by_service });
+    *current = Arc::new(TargetIndex { reports_version, revision, valid_until, by_service });
     Arc::clone(&current)
 }
 
+/// Returns the slots that a target can use: each request needs a connection, of which the service
+/// allows a number.
+fn usable_slots(stated: SlotCount, policy: Option<&ServicePolicy>) -> SlotCount {
+    let connections = policy.map(|policy| policy.connections).filter(|limit| *limit > 0);
+    connections.map_or(stated, |limit| stated.min(SlotCount(limit)))
+}
+
+/// Records that another process than the chosen target answered at its address. The instance is not
+/// used for a time, so that it does not displace the one that runs there.
+pub fn record_misdirected(daemon: &Daemon, request: &str, chosen: &ChosenTarget) {
+    let (now, born_unix_ms) = (daemon.now(), chosen.incarnation.0);
+    let mut instances = daemon.tables.instances.write();
+    if instances.record_misdirected(&chosen.instance, born_unix_ms, now) {
+        log::info!(request = request, target_id = chosen.instance.as_str(),
+            address = chosen.address.as_str(), born = born_unix_ms;
+            "another process answered at the target's address, no new requests for the target");
+    }
+}
+
 /// Number of candidates for an object at each distance; more than one, because some may be avoided.
 const CANDIDATES_PER_DISTANCE: usize = 4;
 
 /// Chooses a target and counts the request as in flight there.
 pub fn choose(daemon: &Daemon, content: &Content, query: &Query<'_>, now: Instant) -> Choice {
-    let index = current_index(daemon, content);
+    let index = current_index(daemon, content, now);
     let none = Vec::new();
     let service_targets = index.by_service.get(query.service).unwrap_or(&none);
     let mut local = daemon.tables.targets.lock();
--- a/crates/fleet/src/targets/availability.rs
+++ b/crates/fleet/src/targets/availability.rs
@@ -160,7 +160,7 @@
     if daemon.tables.targets.lock().availability.is_empty() {
         return None;
     }
-    let index = current_index(daemon, content);
+    let index = current_index(daemon, content, now);
     let service_targets = index.by_service.get(query.service)?;
     let local = daemon.tables.targets.lock();
     let allowed = service_targets.iter().filter(|target| is_in_allowed_region(query, target));
--- /dev/null
+++ b/crates/fleet/tests/odd_entries.rs
@@ -0,0 +1,82 @@
+//! Entries of other writers among those of the targets.
+
+mod support;
+
+use std::time::Duration;
+
+use celerygate_steering::routing::Repeatable;
+use celerygate_types::{ManualClock, SlotCount};
+use hyper::Method;
+use support::raw_target::{RawTarget, ScriptedResponse};
+use support::{Fleet, INSTANCE, answer, other_instance_refusal};
+
+/// Returns the value of a header of a forwarded request.
+fn header<'a>(request: &'a str, name: &str) -> &'a str {
+    let prefix = format!("{name}: ");
+    request.lines().find_map(|line| line.strip_prefix(prefix.as_str())).expect("a header")
+}
+
+/// Starts a target that runs only the requests that name its instance.
+async fn start_instance(instance: &'static str) -> RawTarget {
+    RawTarget::start(move |_, request| {
+        let attempt = header(request, "attempt");
+        let response = if header(request, INSTANCE) == instance {
+            answer(attempt, "ok")
+        } else {
+            other_instance_refusal(attempt)
+        };
+        ScriptedResponse::KeepAlive(response.into())
+    })
+    .await
+}
+
+/// Guards against an entry with a later start time at a target's address that takes the target out of
+/// use, in the shape seen with start times of 2^63: half of the requests failed.
+#[tokio::test]
+async fn later_start_at_the_address_of_a_target() {
+    let target = start_instance("target-0").await;
+    let fleet = Fleet::start(&[&target], Repeatable::OnlyIfNotRun);
+    assert_eq!(fleet.status(Method::POST, "before").await, 200);
+    fleet.report_life("odd", target.address, 1_000);
+    let mut statuses = Vec::new();
+    for attempt in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        statuses.push(fleet.status(Method::POST, attempt).await);
+    }
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
+/// Guards against an exclusion that never ends after a wrong refusal.
+#[tokio::test]
+async fn misdirected_instance_used_again() {
+    let target = RawTarget::start(|number, request| {
+        let attempt = header(request, "attempt");
+        let response =
+            if number == 0 { other_instance_refusal(attempt) } else { answer(attempt, "ok") };
+        ScriptedResponse::KeepAlive(response.into())
+    })
+    .await;
+    let clock = ManualClock::new();
+    let fleet = Fleet::start_with_clock(&[&target], Repeatable::OnlyIfNotRun, clock.clock());
+    assert_eq!(fleet.status(Method::POST, "a").await, 503);
+    assert_eq!(fleet.status(Method::POST, "b").await, 503);
+    assert_eq!(target.requests().len(), 1, "the target got a request that it had refused");
+    clock.advance(Duration::from_secs(15));
+    assert_eq!(fleet.status(Method::POST, "c").await, 200);
+}
+
+/// Guards against an entry whose stated slots draw all requests to an address that answers none: with
+/// 4294967295 slots, 0 of 8 requests were served beside a sound target.
+#[tokio::test]
+async fn many_slots_at_a_failing_address() {
+    let sound = start_instance("target-0").await;
+    let failing = RawTarget::start(|_, _| ScriptedResponse::Close(Vec::new())).await;
+    let fleet = Fleet::start(&[&sound], Repeatable::Always);
+    fleet.report_slots("odd", failing.address, SlotCount::MAX);
+    let mut statuses = Vec::new();
+    for number in 0..16 {
+        let attempt = format!("a{number}");
+        statuses.push(fleet.status_for_object(Method::GET, &attempt, number).await);
+    }
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served >= 15, "{statuses:?}");
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -51,12 +51,18 @@
 const ID: &str = "attempt";
 /// Header in which a caller states how long it waits, in milliseconds.
 const DEADLINE: &str = "deadline-ms";
+/// Request header with the object that a request concerns.
+const OBJECT: &str = "object";
 /// Header of a target's own responses.
 const SIGNED: &str = "signed";
 /// Header of a target's refusals.
 const NOT_RUN: &str = "not-run";
+/// Header of the refusals of a process that is not the instance that a request was sent to.
+const OTHER_INSTANCE: &str = "other-instance";
 /// Header of all responses of a target that leaves.
 const LEAVING: &str = "leaving";
+/// Request header with the id of the instance that may run the request.
+pub const INSTANCE: &str = "instance";
 /// Milliseconds for which a target wants no requests.
 const PAUSE: &str = "pause-ms";
 /// Milliseconds after which a refused caller should retry.
@@ -137,17 +143,13 @@
 
     /// Reports a target as ready whose process started at a time.
     pub fn report_life(&self, instance: &str, address: SocketAddr, born_unix_ms: u64) {
-        let record = InstanceRecord {
-            address: address.to_string().into(),
-            born_unix_ms,
-            cold_ms: 0,
-            data_centre: id("east-1"),
-            instance: id(instance),
-            sequence: 1,
-            service: id(SERVICE),
-            slots: SlotCount(4),
-            state: InstanceState::Ready,
-        };
+        let record = ready_record(instance, address, born_unix_ms);
+        self.daemon.tables.instances.write().report(record, self.daemon.now());
+    }
+
+    /// Reports a target as ready that states a number of slots.
+    pub fn report_slots(&self, instance: &str, address: SocketAddr, slots: SlotCount) {
+        let record = InstanceRecord { slots, ..ready_record(instance, address, 1) };
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
@@ -189,14 +191,27 @@
         attempt: &str,
         deadline: Duration,
     ) -> Response<ResponseBody> {
-        let request = Request::builder()
-            .method(method.clone())
-            .uri("/a/b")
-            .header("host", HOST)
-            .header(ID, attempt)
-            .header(DEADLINE, deadline.as_millis().to_string())
-            .body(())
-            .expect("a request");
+        let headers = [(DEADLINE, deadline.as_millis().to_string())];
+        self.send_with_headers(method, attempt, &headers).await
+    }
+
+    /// Sends a request for an object and returns the status.
+    pub async fn status_for_object(&self, method: Method, attempt: &str, object: u64) -> u16 {
+        let headers = [(OBJECT, object.to_string())];
+        self.send_with_headers(method, attempt, &headers).await.status().as_u16()
+    }
+
+    async fn send_with_headers(
+        &self,
+        method: Method,
+        attempt: &str,
+        headers: &[(&str, String)],
+    ) -> Response<ResponseBody> {
+        let request = Request::builder().method(method.clone()).uri("/a/b").header("host", HOST);
+        let request = headers.iter().fold(request.header(ID, attempt), |request, (name, value)| {
+            request.header(*name, value)
+        });
+        let request = request.body(()).expect("a request");
         let body = match method {
             Method::POST => Bytes::from_static(raw_target::BODY_END.as_bytes()),
             _ => Bytes::new(),
@@ -250,6 +265,11 @@
     format!("HTTP/1.1 200 OK\r\n{ID}: {attempt}\r\n{SIGNED}: 1\r\n")
 }
 
+/// Returns the refusal of a process that is not the instance that an attempt was sent to.
+pub fn other_instance_refusal(attempt: &str) -> String {
+    refusal(attempt).replacen("\r\n", &format!("\r\n{OTHER_INSTANCE}: 1\r\n"), 1)
+}
+
 /// Returns a complete refusal of an attempt that states that it has not run.
 pub fn refusal(attempt: &str) -> String {
     format!(
@@ -258,6 +278,20 @@
     )
 }
 
+fn ready_record(instance: &str, address: SocketAddr, born_unix_ms: u64) -> InstanceRecord {
+    InstanceRecord {
+        address: address.to_string().into(),
+        born_unix_ms,
+        cold_ms: 0,
+        data_centre: id("east-1"),
+        instance: id(instance),
+        sequence: 1,
+        service: id(SERVICE),
+        slots: SlotCount(4),
+        state: InstanceState::Ready,
+    }
+}
+
 fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
     text.parse().expect("a valid id")
 }
@@ -270,15 +304,19 @@
                 request: text(ID).unwrap_or_default().into(),
                 host: text("host").unwrap_or_default().into(),
                 deadline: header_ms(&parts.headers, DEADLINE),
-                object: None,
+                object: text(OBJECT).map(Into::into),
                 key: None,
             })
         },
-        write_request: |_, _, _| {},
+        write_request: |_, forward, headers| {
+            let instance = HeaderValue::from_str(forward.instance.as_str());
+            headers.insert(INSTANCE, instance.expect("a valid header"));
+        },
         is_own_header: |_| false,
         read_response: |parts| ResponseMetadata {
             requests: parts.headers.get_all(ID).iter().map(header_text).collect(),
             is_not_run: parts.headers.contains_key(NOT_RUN),
+            is_other_instance: parts.headers.contains_key(OTHER_INSTANCE),
             is_signed: parts.headers.contains_key(SIGNED),
             load: None,
             notice: Notice {
@@ -319,7 +357,7 @@
             .collect(),
         attempts_max: 2,
         is_public: true,
-        has_affinity: false,
+        has_affinity: true,
         has_large_responses: false,
         home_regions: Default::default(),
     };
--- a/crates/steering/src/headers.rs
+++ b/crates/steering/src/headers.rs
@@ -12,7 +12,7 @@
 
 use std::time::{Duration, Instant};
 
-use celerygate_types::ResultCode;
+use celerygate_types::{ResultCode, TimeSpan};
 use smallvec::SmallVec;
 
 use crate::keys;
@@ -189,14 +189,14 @@
 }
 
 /// Parses the time after which to retry, in whole or fractional seconds: digits with at most one
-/// decimal point. Signs, exponents, dates and other text give none. A time that a `Duration` cannot
-/// hold becomes the longest one.
+/// decimal point. Signs, exponents, dates and other text give none. [`TimeSpan::MAX`] replaces a longer
+/// time.
 pub fn parse_retry_after(value: &[u8]) -> Option<Duration> {
     let text = std::str::from_utf8(value).ok()?.trim();
     let is_decimal = text.starts_with(|first: char| first.is_ascii_digit())
         && text.chars().all(|character| character.is_ascii_digit() || character == '.');
     let seconds: f64 = text.parse().ok().filter(|_| is_decimal)?;
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    TimeSpan::clamped_from_secs_f64(seconds).map(TimeSpan::get)
 }
 
 /// Returns the value of a header, or an error if it has several different values.
--- a/crates/steering/src/headers_tests.rs
+++ b/crates/steering/src/headers_tests.rs
@@ -37,7 +37,7 @@
         assert_eq!(parse_retry_after(value.as_bytes()), None, "{value:?}");
     }
     assert_eq!(parse_retry_after(b"\xff"), None);
-    assert_eq!(parse_retry_after("9".repeat(400).as_bytes()), Some(Duration::MAX));
+    assert_eq!(parse_retry_after("9".repeat(400).as_bytes()), Some(TimeSpan::MAX.get()));
 }
 
 fn escaped(text: &str) -> String {
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -5,10 +5,11 @@
 //! instance that has ended is remembered for a time, so that a late report cannot bring it back.
 
 use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use celerygate_types::TargetId;
 use celerygate_types::wire::{InstanceRecord, InstanceState};
+use celerygate_types::{SlotCount, TargetId};
 use smol_str::SmolStr;
 
 /// How long an ended instance is remembered; longer than any report is in transit.
@@ -19,6 +20,63 @@
 /// Minimum delay of the expected end of the warm-up that counts as a change for other VMs.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// How far a target's start time may lie in the future of this VM's clock.
+const MAX_START_AHEAD: Duration = Duration::from_secs(24 * 60 * 60);
+/// Start of 2020. An earlier wall time means that the clock of this VM is not set, and start times
+/// cannot be compared with it.
+const CLOCK_SET_MIN_UNIX_MS: u64 = 1_577_836_800_000;
+/// Time for which an instance is not used after another process has answered at its address.
+const MISDIRECTED_RETENTION: Duration = Duration::from_secs(15);
+
+/// Why a report names no target that can be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReportError {
+    /// The address is not an IP address with a port.
+    #[error("the address {0:?} is not an IP address with a port")]
+    InvalidAddress(SmolStr),
+    /// No connection can be opened to the address.
+    #[error("the address {0} is not that of a single host, or its port is 0")]
+    NotAnEndpoint(SocketAddr),
+    /// The number of slots is zero or above [`SlotCount::MAX`].
+    #[error("expected 1 to {max} slots, found {0}", max = SlotCount::MAX.get())]
+    InvalidSlots(SlotCount),
+    /// The target started in the future.
+    #[error("the start time {born_unix_ms} is more than a day after {now_unix_ms}")]
+    StartInFuture {
+        /// The stated start time.
+        born_unix_ms: u64,
+        /// Wall time of this VM.
+        now_unix_ms: u64,
+    },
+}
+
+/// Checks that a report can be that of a target. Anyone who reaches a control VM can send reports, and
+/// other daemons can forward them.
+///
+/// # Errors
+///
+/// When a value is outside the range of what a target can state.
+pub fn check_report(record: &InstanceRecord, now_unix_ms: u64) -> Result<(), ReportError> {
+    let Ok(address) = record.address.parse::<SocketAddr>() else {
+        return Err(ReportError::InvalidAddress(record.address.clone()));
+    };
+    let is_broadcast = matches!(address.ip(), IpAddr::V4(ip) if ip.is_broadcast());
+    let is_endpoint =
+        !address.ip().is_unspecified() && !address.ip().is_multicast() && !is_broadcast;
+    if !is_endpoint || address.port() == 0 {
+        return Err(ReportError::NotAnEndpoint(address));
+    }
+    if record.slots == SlotCount::ZERO || record.slots > SlotCount::MAX {
+        return Err(ReportError::InvalidSlots(record.slots));
+    }
+    let born_unix_ms = record.born_unix_ms;
+    let latest_start = now_unix_ms.max(CLOCK_SET_MIN_UNIX_MS) + MAX_START_AHEAD.as_millis() as u64;
+    if now_unix_ms >= CLOCK_SET_MIN_UNIX_MS && born_unix_ms > latest_start {
+        return Err(ReportError::StartInFuture { born_unix_ms, now_unix_ms });
+    }
+    Ok(())
+}
+
 /// Effect of a report on the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportResult {
@@ -43,6 +101,8 @@
     pub known_since: Instant,
     /// Version of the table in which this instance last changed.
     pub version: u64,
+    /// Time until which the instance is not used, because another process answered at its address.
+    misdirected_until: Option<Instant>,
 }
 
 impl Instance {
@@ -52,6 +112,12 @@
         let cold_ms = u64::try_from(cold.as_millis()).unwrap_or(u64::MAX);
         InstanceRecord { cold_ms, ..self.record.clone() }
     }
+
+    /// Returns until when the instance is not used because another process answered at its address,
+    /// none if it may be used now.
+    pub fn misdirected_until(&self, now: Instant) -> Option<Instant> {
+        self.misdirected_until.filter(|until| now < *until)
+    }
 }
 
 /// The latest instance of every known target.
@@ -75,6 +141,7 @@
                     reported_at: now,
                     known_since: now,
                     version: self.version,
+                    misdirected_until: None,
                 },
             );
             return ReportResult::Changed;
@@ -84,11 +151,20 @@
         let is_newer = record.born_unix_ms == current.born_unix_ms
             && (record.sequence > current.sequence
                 || (record.sequence == current.sequence && record.state > current.state));
+        // The state of an instance never goes back: a report with an earlier state was sent
+        // earlier. A report with a later state counts even if its sequence number is low, since
+        // another writer can have reported a higher one.
+        let is_same_instance = record.born_unix_ms == current.born_unix_ms;
+        if is_same_instance && !is_newer && record.state > current.state {
+            self.version += 1;
+            known.record.state = record.state;
+            known.version = self.version;
+            known.reported_at = now;
+            return ReportResult::Changed;
+        }
         if !is_new_instance && (!is_newer || current.state == InstanceState::Gone) {
             return ReportResult::Outdated;
         }
-        // The state of an instance never goes back: a report with an earlier state was sent
-        // earlier.
         let state = if is_new_instance { record.state } else { record.state.max(current.state) };
         let is_colder = record.cold_ms > 0 && warm_at > known.warm_at + COLD_TOLERANCE;
         let differs = is_new_instance
@@ -104,6 +180,7 @@
         known.reported_at = now;
         if is_new_instance {
             known.known_since = now;
+            known.misdirected_until = None;
         }
         if !differs {
             return ReportResult::Renewed;
@@ -113,6 +190,34 @@
         ReportResult::Changed
     }
 
+    /// Records that a target itself has just sent a report, whatever its sequence number. A report
+    /// that another writer sent with a high one would otherwise make the target silent.
+    pub fn record_sign_of_life(&mut self, record: &InstanceRecord, now: Instant) {
+        if let Some(known) = self.instances.get_mut(&record.instance)
+            && known.record.born_unix_ms == record.born_unix_ms
+            && known.record.state != InstanceState::Gone
+        {
+            known.reported_at = now;
+        }
+    }
+
+    /// Records that another process than this instance answered at its address. Returns whether the
+    /// instance was in use.
+    pub fn record_misdirected(
+        &mut self,
+        instance: &TargetId,
+        born_unix_ms: u64,
+        now: Instant,
+    ) -> bool {
+        let Some(known) = self.instances.get_mut(instance) else { return false };
+        if known.record.born_unix_ms != born_unix_ms || known.misdirected_until(now).is_some() {
+            return false;
+        }
+        known.misdirected_until = Some(now + MISDIRECTED_RETENTION);
+        self.version += 1;
+        true
+    }
+
     /// Marks the current instance of a target as gone and returns its record. Returns `None` if the
     /// target is unknown or its instance started at another time than `born_unix_ms`.
     pub fn mark_gone(
@@ -156,10 +261,11 @@
 
     /// Returns the latest start time, in Unix milliseconds, of an instance at each address. An
     /// instance that started earlier at the same address has ended, even if its last reports arrive
-    /// late.
-    pub fn latest_start_times(&self) -> HashMap<&SmolStr, u64> {
+    /// late. Instances at whose address another process has answered do not count.
+    pub fn latest_start_times(&self, now: Instant) -> HashMap<&SmolStr, u64> {
         let mut start_times: HashMap<&SmolStr, u64> = HashMap::new();
-        for instance in self.instances.values() {
+        let instances = self.instances.values();
+        for instance in instances.filter(|instance| instance.misdirected_until(now).is_none()) {
             let start_time = start_times.entry(&instance.record.address).or_default();
             *start_time = (*start_time).max(instance.record.born_unix_ms);
         }
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -95,7 +95,76 @@
         ..record(1, 9, InstanceState::Ready)
     };
     table.report(earlier, now);
-    assert_eq!(table.latest_start_times().into_values().collect::<Vec<_>>(), [5]);
+    assert_eq!(table.latest_start_times(now).into_values().collect::<Vec<_>>(), [5]);
+}
+
+/// Guards against an entry of another writer that takes the address of a target out of use: a start
+/// time of 2^63 at a target's address made half of the requests fail.
+#[test]
+fn latest_start_times_other_instance_answers() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(5, 0, InstanceState::Ready), now);
+    let odd_id: TargetId = "odd".parse().expect("valid id");
+    let odd = InstanceRecord { instance: odd_id.clone(), ..record(9, 0, InstanceState::Ready) };
+    table.report(odd, now);
+    let latest = |table: &InstanceTable, now| -> Vec<u64> {
+        table.latest_start_times(now).into_values().collect()
+    };
+    assert_eq!(latest(&table, now), [9]);
+    assert!(!table.record_misdirected(&odd_id, 8, now), "another life of the instance");
+    assert!(table.record_misdirected(&odd_id, 9, now));
+    assert_eq!(latest(&table, now), [5]);
+    assert_eq!(latest(&table, now + MISDIRECTED_RETENTION), [9]);
+    // A process that starts under the id is used again.
+    table.report(InstanceRecord { instance: odd_id, ..record(10, 0, InstanceState::Ready) }, now);
+    assert_eq!(latest(&table, now), [10]);
+}
+
+/// Guards against a target that is taken for silent, or whose leaving is not noticed, because another
+/// writer has reported a high sequence number under its id.
+#[test]
+fn report_after_high_sequence() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, u64::MAX, InstanceState::Ready), now);
+    let later = now + Duration::from_secs(5);
+    let own = record(1, 7, InstanceState::Ready);
+    assert_eq!(table.report(own.clone(), later), ReportResult::Outdated);
+    table.record_sign_of_life(&own, later);
+    assert_eq!(table.silent(Duration::from_millis(1_500), later).count(), 0);
+    let leaving = record(1, 8, InstanceState::Draining);
+    assert_eq!(table.report(leaving, later), ReportResult::Changed);
+    assert_eq!(state(&table), InstanceState::Draining);
+}
+
+/// Guards against entries of other writers that displace targets or break the daemons that read them.
+#[test]
+fn check_report_ranges() {
+    let now_unix_ms = 1_790_000_000_000;
+    let day_ms = 24 * 60 * 60 * 1_000;
+    let check = |record: &InstanceRecord| check_report(record, now_unix_ms);
+    let valid = record(now_unix_ms, 1, InstanceState::Ready);
+    assert_eq!(check(&valid), Ok(()));
+    assert_eq!(check(&record(now_unix_ms + day_ms, 1, InstanceState::Ready)), Ok(()));
+    for born in [now_unix_ms + day_ms + 1, 1 << 63, u64::MAX] {
+        let error = check(&record(born, 1, InstanceState::Ready)).expect_err("in the future");
+        assert!(matches!(error, ReportError::StartInFuture { .. }), "{error}");
+        // A VM whose clock is not set cannot tell.
+        assert_eq!(check_report(&record(born, 1, InstanceState::Ready), 5), Ok(()));
+    }
+    for slots in [0, 65_537, u32::MAX] {
+        let odd = InstanceRecord { slots: slots.into(), ..valid.clone() };
+        assert_eq!(check(&odd), Err(ReportError::InvalidSlots(slots.into())));
+    }
+    for address in ["10.0.0.9:0", "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "[::]:80"] {
+        let odd = InstanceRecord { address: address.into(), ..valid.clone() };
+        assert!(matches!(check(&odd), Err(ReportError::NotAnEndpoint(_))), "{address}");
+    }
+    for address in ["", "nowhere", "10.0.0.9", "10.0.0.9:65536", "10.0.0.9:-1", "name:80"] {
+        let odd = InstanceRecord { address: address.into(), ..valid.clone() };
+        assert!(matches!(check(&odd), Err(ReportError::InvalidAddress(_))), "{address}");
+    }
 }
 
 #[test]
--- a/crates/steering/src/placement/stats.rs
+++ b/crates/steering/src/placement/stats.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use celerygate_types::SlotCount;
+
 /// Objects per target that are remembered as known.
 pub(super) const MAX_KNOWN_OBJECTS: usize = 64;
 /// Maximum age of a load report.
@@ -58,6 +60,24 @@
     pub waiting: u32,
 }
 
+impl ReportedLoad {
+    /// Largest number of queued requests that is believed. Targets queue a few requests per slot.
+    const WAITING_MAX: u32 = SlotCount::MAX.0;
+
+    /// Returns the load if a sound target can have it: no more requests in execution than it has
+    /// slots, as far as they are known, and a queue of a plausible length.
+    pub fn checked(running: u32, waiting: u32, slots: Option<SlotCount>) -> Option<Self> {
+        let slots = slots.unwrap_or(SlotCount::MAX).min(SlotCount::MAX);
+        let is_possible = running <= slots.get() && waiting <= Self::WAITING_MAX;
+        is_possible.then_some(Self { running, waiting })
+    }
+
+    /// Returns the requests in execution and in the queue.
+    pub fn total(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 impl Default for TargetStats {
     fn default() -> Self {
         Self {
@@ -87,7 +107,7 @@
 
     /// Records the load reported with a response; that request must no longer count as in flight.
     pub fn report(&mut self, load: ReportedLoad, now: Instant) {
-        let total = f64::from(load.running + load.waiting);
+        let total = f64::from(load.total());
         self.other_requests = (total - f64::from(self.in_flight)).max(0.0);
         self.reported_at = Some(now);
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Core types of celerygate: ids, sizes, rates, the clock, and the types generated from `schema/`.
 
+pub mod bounded;
 pub mod clock;
 pub mod generated;
 pub mod ids;
@@ -7,6 +8,7 @@
 mod number;
 pub mod sizes;
 
+pub use bounded::{RangeError, TimeSpan, TimeSpanError, check_range};
 pub use clock::{Clock, ManualClock};
 pub use generated::result_codes::{Outcome, ResultCode};
 pub use generated::wire;
