Wait for the owner's reply, and ask sooner for waiting requests

Requests for tokens wait for the 100 ms between two of them, cross regions, and queue behind responses of 90 kB on links of 5 Mbit/s.

Change: a request waits up to 1.2 s, and 0.3 of its time, while the owner has not replied to a request sent after it arrived, and 200 ms if it has. A VM asks 50 ms, not 100 ms, after its last request when a request has begun to wait. The averages of the demand still cover whole intervals. The log line of a refusal names what the VM knew.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -22,7 +22,7 @@
 use self::attempt::{AttemptResult, attempt};
 use crate::adapter::{Refusal, RequestMetadata};
 use crate::daemon::Daemon;
-use crate::quota;
+use crate::quota::{self, RateRefusal};
 use crate::tables::Content;
 use crate::targets::{self, Choice, Query, TargetWaitGuard};
 
@@ -216,8 +216,15 @@
         match quota::admit(daemon, organisation, limit, deadline).await {
             Ok(source) => token = Some(source),
             Err(refusal) => {
-                log_rate_exceeded(metadata, organisation, &limit, content.replicated.revision);
-                return RequestOutcome::Refused(refusal);
+                log_rate_exceeded(
+                    metadata,
+                    organisation,
+                    &limit,
+                    content.replicated.revision,
+                    &refusal,
+                );
+                let (code, retry_after) = (ResultCode::RateExceeded, Some(refusal.retry_after));
+                return RequestOutcome::Refused(Refusal { code, retry_after });
             }
         }
     }
@@ -247,9 +254,12 @@
     organisation: &OrganisationId,
     limit: &Limit,
     revision: Revision,
+    refusal: &RateRefusal,
 ) {
     log::info!(request = metadata.request.as_str(), organisation = organisation.as_str(),
-        rate_per_s = limit.rate.get(), burst = limit.burst.get(), revision = revision.0;
+        rate_per_s = limit.rate.get(), burst = limit.burst.get(), revision = revision.0,
+        token_source:% = refusal.source, answered = refusal.is_answered,
+        exhausted = refusal.is_exhausted, waiting = refusal.waiting;
         "organisation exceeded its rate limit");
 }
 
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -5,14 +5,13 @@
 use std::time::{Duration, Instant};
 
 use celerygate_steering::grants::{
-    Admission, Limit, OwnAllowance, TokenRequest, TokenSource, token_source,
+    Admission, Limit, OwnAllowance, TokenRequest, TokenSource, token_source, wait_end,
 };
 use celerygate_steering::placement::TokenBucket;
+use celerygate_types::OrganisationId;
 use celerygate_types::wire::{FleetMessage, Message};
-use celerygate_types::{OrganisationId, ResultCode};
 use tokio::time::{sleep, timeout};
 
-use crate::adapter::Refusal;
 use crate::daemon::{Daemon, quota_window};
 use crate::sync;
 
@@ -27,9 +26,6 @@
 const PARTITIONED_SHARE: f64 = 0.3;
 /// Maximum age of a control VM's reply that proves that it is reachable.
 const CONTROL_REPLY_AGE_MAX: Duration = Duration::from_millis(1_200);
-/// Maximum wait for a token. A caller that is refused at once retries sooner than one that waits
-/// and is then refused. The reply of a leader in another region takes 150 ms at most.
-const TOKEN_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which a waiting request repeats its decision.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -88,11 +84,26 @@
 enum Decision {
     Admit(TokenSource),
     Wait,
-    Refuse(Duration),
+    Refuse(RateRefusal),
 }
 
-/// Takes a token of an organisation and returns its source. Waits for up to [`TOKEN_WAIT_TIMEOUT`]
-/// if the leader is expected to grant tokens.
+/// Why a request got no token, and what this VM knew.
+#[derive(Clone, Copy, Debug)]
+pub struct RateRefusal {
+    /// Time after which the caller should retry.
+    pub retry_after: Duration,
+    /// Source that had no token.
+    pub source: TokenSource,
+    /// Whether the leader has replied to a request for tokens that was sent after this one arrived.
+    pub is_answered: bool,
+    /// Whether the leader's last reply reports the organisation as exhausted.
+    pub is_exhausted: bool,
+    /// Number of requests of the organisation that wait for tokens at this VM.
+    pub waiting: u64,
+}
+
+/// Takes a token of an organisation and returns its source. Waits if the leader is expected to grant
+/// tokens.
 ///
 /// # Errors
 ///
@@ -102,20 +113,14 @@
     organisation: &OrganisationId,
     limit: Limit,
     deadline: Instant,
-) -> Result<TokenSource, Refusal> {
+) -> Result<TokenSource, RateRefusal> {
     let arrived = daemon.now();
-    let deadline = deadline.min(arrived + TOKEN_WAIT_TIMEOUT);
     let mut waiting = None;
     loop {
         let tokens_received = daemon.tables.tokens_received.notified();
         match decide(daemon, organisation, limit, arrived, deadline, waiting.is_some()) {
             Decision::Admit(source) => return Ok(source),
-            Decision::Refuse(retry_after) => {
-                return Err(Refusal {
-                    code: ResultCode::RateExceeded,
-                    retry_after: Some(retry_after),
-                });
-            }
+            Decision::Refuse(refusal) => return Err(refusal),
             Decision::Wait => {
                 waiting.get_or_insert_with(|| TokenWaitGuard::begin(daemon, organisation));
                 // The decision is repeated after a notification and after the timeout.
@@ -157,6 +162,8 @@
 ) -> Decision {
     let now = daemon.now();
     let mut quota = daemon.tables.quota.lock();
+    let is_answered = quota.holder.has_reply_since(arrived);
+    let deadline = wait_end(arrived, deadline, is_answered);
     let token_request = TokenRequest { arrived, deadline, ahead: 0 };
     let admission = if is_waiting {
         quota.holder.recheck(organisation, &token_request, now)
@@ -164,17 +171,21 @@
         quota.holder.admit(organisation, &token_request, now)
     };
     let source = token_source(&quota.owner, now);
+    let refuse = |retry_after, is_exhausted, waiting| {
+        let refusal = RateRefusal { retry_after, source, is_answered, is_exhausted, waiting };
+        Decision::Refuse(refusal)
+    };
+    let is_exhausted = quota.holder.is_exhausted(organisation, now);
+    let requests_waiting = quota.waiting.get(organisation).copied().unwrap_or(0);
     let has_leader = source == TokenSource::Leader;
     match admission {
         Admission::Admit => Decision::Admit(TokenSource::Leader),
         // When tokens are scarce, the leader grants them to waiting requests, and it does not know
         // of this one yet.
-        Admission::Refuse { .. }
-            if has_leader && now < deadline && !quota.holder.has_reply_since(arrived) =>
-        {
-            Decision::Wait
+        Admission::Refuse { .. } if has_leader && now < deadline && !is_answered => Decision::Wait,
+        Admission::Refuse { retry_after } if has_leader => {
+            refuse(retry_after, is_exhausted, requests_waiting)
         }
-        Admission::Refuse { retry_after } if has_leader => Decision::Refuse(retry_after),
         Admission::WaitForTokens { recheck_at } if has_leader && now < recheck_at => Decision::Wait,
         Admission::Refuse { .. } | Admission::WaitForTokens { .. } => {
             let window = Duration::from_millis(daemon.settings.bounds.quota_window_ms);
@@ -189,7 +200,8 @@
             if bucket.take(allowance.rate_per_s, allowance.capacity, now) {
                 Decision::Admit(TokenSource::OwnAllowance)
             } else {
-                Decision::Refuse(Duration::from_secs_f64(1.0 / allowance.rate_per_s.max(1.0)))
+                let retry_after = Duration::from_secs_f64(1.0 / allowance.rate_per_s.max(1.0));
+                refuse(retry_after, is_exhausted, requests_waiting)
             }
         }
     }
--- a/crates/steering/src/grants.rs
+++ b/crates/steering/src/grants.rs
@@ -28,6 +28,29 @@
 /// Minimum interval between two requests of a holder.
 pub const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Minimum interval between two requests of a holder when a request has started to wait for a token.
+pub const WAITING_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum wait for a token after the owner has replied and granted none. A caller that is refused at
+/// once retries sooner than one that waits and is then refused.
+const MAX_ANSWERED_WAIT: Duration = Duration::from_millis(200);
+
+/// Maximum wait for a token without a reply of the owner: beyond [`OWNER_TIMEOUT`], after which a VM
+/// uses its own allowance.
+const MAX_UNANSWERED_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Share of its remaining time for which a request may wait for the owner's reply.
+const MAX_WAIT_SHARE: f64 = 0.3;
+
+/// Returns until when a request waits for a token. `is_answered` tells whether the owner has replied
+/// to a request that was sent after this one arrived. Without such a reply nothing is known about the
+/// organisation's use: the reply may be queued behind responses on the VM's link.
+pub fn wait_end(arrived: Instant, deadline: Instant, is_answered: bool) -> Instant {
+    let wait_max = if is_answered { MAX_ANSWERED_WAIT } else { MAX_UNANSWERED_WAIT };
+    let remaining = deadline.saturating_duration_since(arrived);
+    arrived + wait_max.min(remaining.mul_f64(MAX_WAIT_SHARE).max(MAX_ANSWERED_WAIT.min(remaining)))
+}
+
 /// Time after which a holder without a reply sends a new request. Well above the longest round trip
 /// of 20 ms, because the holder then discards the reply to the earlier request.
 pub const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
@@ -199,3 +222,6 @@
 #[cfg(test)]
 #[path = "grants/protocol_tests.rs"]
 mod protocol_tests;
+#[cfg(test)]
+#[path = "grants/sparse_demand_tests.rs"]
+mod sparse_demand_tests;
--- a/crates/steering/src/grants/holder.rs
+++ b/crates/steering/src/grants/holder.rs
@@ -7,7 +7,7 @@
 use celerygate_types::{OrganisationId, RequestCount, Term};
 use smallvec::SmallVec;
 
-use super::{HOLDER_EXPIRY, REPLY_TIMEOUT, REQUEST_INTERVAL};
+use super::{HOLDER_EXPIRY, REPLY_TIMEOUT, REQUEST_INTERVAL, WAITING_REQUEST_INTERVAL};
 
 /// Period whose expected demand a request covers: twice the request interval, so that the tokens
 /// last until the next reply.
@@ -159,21 +159,23 @@
         (expected + expected.sqrt()).ceil() as u64
     }
 
-    /// Updates the demand, drops surplus tokens, and returns this organisation's part of the next
-    /// request, if it needs one.
+    fn update_demand(&mut self, since_update: Duration) {
+        let latest = self.arrivals as f64 / since_update.as_secs_f64();
+        self.arrivals = 0;
+        let average = self.demand_per_s + EWMA_WEIGHT * (latest - self.demand_per_s);
+        self.demand_per_s = if latest > average { latest } else { average };
+    }
+
+    /// Drops surplus tokens and returns this organisation's part of the next request, if it needs
+    /// one.
     fn next_ask(
         &mut self,
         organisation: &OrganisationId,
         waiting: u64,
-        since_last: Duration,
         hold_time: Duration,
         now: Instant,
     ) -> Option<GrantAsk> {
         self.expire(now);
-        let latest = self.arrivals as f64 / since_last.max(REQUEST_INTERVAL).as_secs_f64();
-        self.arrivals = 0;
-        let average = self.demand_per_s + EWMA_WEIGHT * (latest - self.demand_per_s);
-        self.demand_per_s = if latest > average { latest } else { average };
         let desired = self.desired(hold_time, now) + waiting;
         // Twice the desired number, so that fluctuating demand does not make tokens oscillate
         // between this VM and the owner.
@@ -218,6 +220,10 @@
     /// Whether the owner's record may list tokens that this VM no longer holds.
     report_due: bool,
     hold_time: Duration,
+    /// Whether a request has started to wait for a token since the last request to the owner.
+    has_new_waiting: bool,
+    /// When the averages of the demand were last updated.
+    demand_updated_at: Option<Instant>,
     tokens: HashMap<OrganisationId, Tokens>,
 }
 
@@ -235,6 +241,8 @@
             reply_timeout: REPLY_TIMEOUT,
             report_due: true,
             hold_time: Duration::ZERO,
+            has_new_waiting: false,
+            demand_updated_at: None,
             tokens: HashMap::new(),
         }
     }
@@ -283,7 +291,9 @@
             tokens.arrivals += 1;
             tokens.arrived_at = Some(now);
         }
-        self.recheck(organisation, need, now)
+        let admission = self.recheck(organisation, need, now);
+        self.has_new_waiting |= admission != Admission::Admit;
+        admission
     }
 
     /// Returns whether the owner has reported an organisation as exhausted within the given time.
@@ -343,7 +353,7 @@
     fn expected_reply_at(&self, now: Instant) -> Instant {
         let sent_at = match (self.in_flight, self.sent_at) {
             (Some(request), _) => request.sent_at,
-            (None, Some(sent_at)) => now.max(sent_at + REQUEST_INTERVAL),
+            (None, Some(sent_at)) => now.max(sent_at + self.request_interval()),
             (None, None) => now,
         };
         sent_at + self.round_trip
@@ -354,10 +364,14 @@
     pub fn next_poll(&self) -> Option<Instant> {
         match (self.in_flight, self.sent_at) {
             (Some(request), _) => Some(request.sent_at + request.timeout),
-            (None, sent_at) => sent_at.map(|at| at + REQUEST_INTERVAL),
+            (None, sent_at) => sent_at.map(|at| at + self.request_interval()),
         }
     }
 
+    fn request_interval(&self) -> Duration {
+        if self.has_new_waiting { WAITING_REQUEST_INTERVAL } else { REQUEST_INTERVAL }
+    }
+
     /// Returns the request to send to the owner now, if one is due. Call it every
     /// [`REQUEST_INTERVAL`], and while requests wait also at [`Self::next_poll`]. `waiting` returns
     /// the number of requests of an organisation that wait for tokens at this VM.
@@ -369,13 +383,21 @@
         if self.next_poll().is_some_and(|at| now < at) {
             return None;
         }
-        let since_last =
-            self.sent_at.map_or(REQUEST_INTERVAL, |at| now.saturating_duration_since(at));
+        let since_update =
+            self.demand_updated_at.map_or(REQUEST_INTERVAL, |at| now.saturating_duration_since(at));
+        // Demand is averaged over whole intervals, however often requests to the owner are sent.
+        if since_update >= REQUEST_INTERVAL {
+            self.demand_updated_at = Some(now);
+            for tokens in self.tokens.values_mut() {
+                tokens.update_demand(since_update);
+            }
+        }
+        self.has_new_waiting = false;
         let hold_time = self.hold_time;
         let asks: Vec<GrantAsk> = self
             .tokens
             .iter_mut()
-            .filter_map(|(id, tokens)| tokens.next_ask(id, waiting(id), since_last, hold_time, now))
+            .filter_map(|(id, tokens)| tokens.next_ask(id, waiting(id), hold_time, now))
             .collect();
         if asks.is_empty() && !self.report_due {
             return None;
