Choose the VMs of a long lookup answer at random

Cause: an answer named the first 64 VMs in a fixed order. With 117 entry VMs the callers of a lost region all got the same 64 of the 78 that are left.

Test: nearest_entries_lost_region_spreads_callers.

--- a/crates/fleet/src/lookup.rs
+++ b/crates/fleet/src/lookup.rs
@@ -4,6 +4,9 @@
 use celerygate_types::{DataCentreId, RegionId};
 use smol_str::SmolStr;
 
+use rand::Rng;
+use rand::seq::SliceRandom;
+
 use crate::daemon::Daemon;
 
 /// Maximum number of addresses in one reply.
@@ -19,11 +22,13 @@
 
 /// Returns the addresses of the serving entry VMs in the nearest group (data centre, region, fleet)
 /// of which a sufficient share is serving. `known` are all recently running entry VMs, whether
-/// serving or not.
+/// serving or not. Of more than [`MAX_ADDRESSES`], each answer has others, so that the callers of a
+/// lost region load all of them.
 pub fn nearest_entries(
     known: &[DaemonRecord],
     region: &RegionId,
     data_centre: &DataCentreId,
+    random: &mut impl Rng,
 ) -> Vec<SmolStr> {
     let group = |is_near: &dyn Fn(&DaemonRecord) -> bool, share_min| -> Option<Vec<SmolStr>> {
         let near: Vec<&DaemonRecord> = known.iter().filter(|record| is_near(record)).collect();
@@ -36,7 +41,10 @@
     let nearest = group(&|record| record.data_centre == *data_centre, SERVING_SHARE_MIN)
         .or_else(|| group(&|record| record.region == *region, REGION_SERVING_SHARE_MIN));
     let mut addresses = nearest.or_else(|| group(&|_| true, 0.0)).unwrap_or_default();
-    addresses.truncate(MAX_ADDRESSES);
+    if addresses.len() > MAX_ADDRESSES {
+        let (chosen, _) = addresses.partial_shuffle(random, MAX_ADDRESSES);
+        return chosen.to_vec();
+    }
     addresses
 }
 
@@ -48,7 +56,7 @@
     if daemon.role() == DaemonRole::Entry {
         known.push(daemon.own_record());
     }
-    let addresses = nearest_entries(&known, region, data_centre);
+    let addresses = nearest_entries(&known, region, data_centre, &mut rand::rng());
     if addresses.is_empty() {
         log::info!(region = region.as_str(), data_centre = data_centre.as_str(),
             known = known.len(); "lookup found no entry VM");
--- a/crates/fleet/src/lookup_tests.rs
+++ b/crates/fleet/src/lookup_tests.rs
@@ -1,7 +1,11 @@
 //! Guards against lookups that return remote entry VMs although a near one serves, or that return a
 //! leaving one.
 
+use std::collections::HashMap;
+
 use celerygate_types::Incarnation;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::*;
 
@@ -19,7 +23,8 @@
 
 fn near(entries: &[DaemonRecord]) -> Vec<SmolStr> {
     let (region, data_centre) = ("east".parse(), "east-1".parse());
-    nearest_entries(entries, &region.expect("valid id"), &data_centre.expect("valid id"))
+    let (region, data_centre) = (region.expect("valid id"), data_centre.expect("valid id"));
+    nearest_entries(entries, &region, &data_centre, &mut SmallRng::seed_from_u64(5))
 }
 
 #[test]
@@ -51,3 +56,33 @@
     entries[1].state = VmState::Starting;
     assert_eq!(near(&entries).len(), 6);
 }
+
+/// Guards against the loss of a region whose callers all get the same first addresses: with 117 entry
+/// VMs, the 78 that are left serve a third more requests each, and not only the first 64 of them.
+#[test]
+fn nearest_entries_lost_region_spreads_callers() {
+    const LOOKUPS: usize = 5_000;
+    let regions = ["east", "west", "north"];
+    let entries: Vec<DaemonRecord> = (0..117)
+        .map(|number| {
+            let region = regions[usize::from(number) % 3];
+            let is_lost = region == "east";
+            let state = if is_lost { VmState::Leaving } else { VmState::Serving };
+            entry(number, region, &format!("{region}-{}", number % 9), state)
+        })
+        .collect();
+    let (region, data_centre) = ("east".parse().expect("an id"), "east-0".parse().expect("an id"));
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut answers: HashMap<SmolStr, usize> = HashMap::new();
+    for _ in 0..LOOKUPS {
+        let addresses = nearest_entries(&entries, &region, &data_centre, &mut random);
+        assert_eq!(addresses.len(), MAX_ADDRESSES);
+        for address in addresses {
+            *answers.entry(address).or_default() += 1;
+        }
+    }
+    assert_eq!(answers.len(), 78, "each VM that is left is named");
+    let mean = LOOKUPS * MAX_ADDRESSES / 78;
+    let most = answers.values().max().copied().unwrap_or_default();
+    assert!(most < mean * 11 / 10, "{most} of {mean} on average");
+}
