Start a background task again after a panic

Cause: a panic in the thread of the control group, or in one of the loops (sync, tokens, relay of reports, change notices, clean-up, availability), ended that part without a trace, and the daemon looked ready and did nothing. A request that panicked gave a line without its id.

Change: supervise::spawn starts a loop again; the control group's member is opened from disk again, as after a failed write. Panics are counted in celerygate_panics_total by part and logged with their place; the line of a request has its id.

--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -44,6 +44,7 @@
     request_duration: Histogram<f64>,
     target_notices: Counter<u64>,
     unavailable_targets: Gauge<u64>,
+    panics: Counter<u64>,
 }
 
 impl Metrics {
@@ -88,6 +89,10 @@
                 .u64_gauge("celerygate_unavailable_targets")
                 .with_description("Targets that get no new requests because of their notices.")
                 .build(),
+            panics: meter
+                .u64_counter("celerygate_panics")
+                .with_description("Requests and background tasks that ended with a panic, by part.")
+                .build(),
             _provider: provider,
         })
     }
@@ -120,6 +125,11 @@
         self.target_notices.add(1, &[KeyValue::new("notice", notice)]);
     }
 
+    /// Counts a request or a background task that ended with a panic.
+    pub fn count_panic(&self, part: &'static str) {
+        self.panics.add(1, &[KeyValue::new("part", part)]);
+    }
+
     /// Sets the number of targets that get no new requests because of their notices.
     pub fn set_unavailable_targets(&self, counts: UnavailableCounts) {
         let UnavailableCounts { leaving, paused } = counts;
--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -46,7 +46,7 @@
     /// Memory for the bodies of targets' responses.
     pub response_buffers: ResponseBuffers,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
 }
 
 impl Daemon {
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -135,6 +135,12 @@
     fn drop(&mut self) {
         if !self.completed {
             let elapsed = self.daemon.now().saturating_duration_since(self.arrived_at);
+            if std::thread::panicking() {
+                self.daemon.metrics.count_panic("request");
+                log::error!(request = self.request, elapsed_ms = elapsed.as_millis() as u64;
+                    "request failed because of a panic, its caller gets status 500");
+                return;
+            }
             log::info!(request = self.request, elapsed_ms = elapsed.as_millis() as u64;
                 "request ended before its response");
         }
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -4,18 +4,20 @@
 //! to the replica passes through one queue to this thread.
 
 use std::collections::BTreeMap;
+use std::panic::{self, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::node::{Node, Output};
 use celerygate_control::replica::{Input, LEASE_DURATION};
 use celerygate_control::state::{self, ApplyOutcome};
 use celerygate_control::storage::open_folder;
+use celerygate_daemon::telemetry::Metrics;
 use celerygate_steering::grants::GrantOwner;
 use celerygate_types::wire::{
     ChangeNotice, Command, Configuration, DaemonRecord, FleetContent, FleetMessage, FleetSettings,
@@ -154,6 +156,8 @@
     pub tables: Arc<Tables>,
     /// Functions of the front end.
     pub adapter: ProtocolAdapter,
+    /// Metrics of the daemon.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Returns the group and a function that starts its thread. The callbacks are passed to this
@@ -183,17 +187,18 @@
     status: &Mutex<GroupStatus>,
 ) {
     loop {
-        let ended = match ReplicaDriver::open(context, callbacks, folder) {
-            Ok(mut driver) => {
-                status.lock().store_id = Some(driver.node.store_id());
-                driver.run(queue, status)
-            }
-            Err(error) => Err(error),
-        };
+        // A panic leaves nothing behind that the next replica uses: it is opened from disk.
+        let ended = panic::catch_unwind(AssertUnwindSafe(|| {
+            run_replica(context, callbacks, folder, queue, status)
+        }));
+        let ended = ended.unwrap_or_else(|_| {
+            context.metrics.count_panic("group");
+            Err(anyhow!("the thread panicked"))
+        });
         match ended {
             Ok(()) => return,
-            // The disk is full or failed. The replica's state in memory may differ from what is
-            // stored, so the replica is reopened from disk.
+            // The disk is full or failed, or the thread panicked. The replica's state in memory may
+            // differ from what is stored, so the replica is reopened from disk.
             Err(error) => {
                 log::error!(error:% = format!("{error:#}");
                     "control group member failed, reopening the data folder");
@@ -204,6 +209,18 @@
     }
 }
 
+fn run_replica(
+    context: &GroupContext,
+    callbacks: &Callbacks,
+    folder: &Path,
+    queue: &Receiver<GroupInput>,
+    status: &Mutex<GroupStatus>,
+) -> Result<()> {
+    let mut driver = ReplicaDriver::open(context, callbacks, folder)?;
+    status.lock().store_id = Some(driver.node.store_id());
+    driver.run(queue, status)
+}
+
 struct PendingProposal {
     term: Term,
     reply: oneshot::Sender<GroupReply>,
--- a/crates/fleet/src/group_tests.rs
+++ b/crates/fleet/src/group_tests.rs
@@ -1,6 +1,8 @@
 //! Guards against a restarted control VM that has no content to serve until a leader is elected:
 //! after a power loss of all VMs every request was refused for 3 s.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use celerygate_steering::routing::RoutingTable;
 use celerygate_types::ManualClock;
 use celerygate_types::wire::{DaemonRole, DocumentCommand, FleetBounds, FleetListeners, VmState};
@@ -62,6 +64,7 @@
         clock: clock.clock(),
         tables: Arc::new(Tables::new()),
         adapter: adapter(),
+        metrics: Arc::new(Metrics::new().expect("metrics")),
     }
 }
 
@@ -264,3 +267,32 @@
     run(&mut members, None, 10);
     assert_eq!(replaced.try_recv(), Ok(GroupReply::Unknown));
 }
+
+/// Guards against a control VM that looks ready and takes no part in the group, because the thread of
+/// its member has panicked.
+#[test]
+fn run_thread_panics() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let context = GroupContext {
+        clock: Clock::system(),
+        ..context(settings(&["10.0.0.1"], true), &ManualClock::new())
+    };
+    let metrics = Arc::clone(&context.metrics);
+    let (group, start_thread) = start(context, folder.path().to_owned());
+    let calls = AtomicUsize::new(0);
+    let entry_vms = move || {
+        assert!(calls.fetch_add(1, Ordering::AcqRel) > 0, "injected fault");
+        Vec::new()
+    };
+    start_thread(Callbacks { entry_vms: Box::new(entry_vms), ..callbacks() }).expect("a thread");
+    let end = Instant::now() + Duration::from_secs(30);
+    let has_panicked =
+        || metrics.scrape().expect("metrics").contains(r#"celerygate_panics_total{"#);
+    let mut reply = None;
+    while !(has_panicked() && matches!(reply, Some(GroupReply::Applied(_)))) {
+        assert!(Instant::now() < end, "panicked: {}, last reply: {reply:?}", has_panicked());
+        thread::sleep(Duration::from_millis(50));
+        // A proposal ends without a reply when the thread fails.
+        reply = group.propose(change()).blocking_recv().ok();
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod mesh;
 pub mod quota;
 pub mod run;
+pub mod supervise;
 pub mod sync;
 pub mod tables;
 pub mod targets;
--- a/crates/fleet/src/logging.rs
+++ b/crates/fleet/src/logging.rs
@@ -120,6 +120,16 @@
         .context("start logging")
 }
 
+/// Logs each panic with its place, instead of writing it to standard error.
+pub fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let thread = thread::current().name().unwrap_or_default().to_owned();
+        let message = panic.payload_as_str().unwrap_or_default();
+        log::error!(thread = thread.as_str(), place = place.as_str(), message = message; "panic");
+    }));
+}
+
 fn write_lines(items: &Receiver<QueueItem>, dropped: &AtomicU64, output: &mut impl Write) {
     let mut batch = Vec::new();
     let mut flushes: Vec<SyncSender<()>> = Vec::new();
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of a daemon.
 
+use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use crate::group::{self, Callbacks, GroupContext};
 use crate::mesh::{Mesh, MessageHandler};
 use crate::sync::{self, SyncState};
-use crate::{callers, clock, commands, entry_count, forward, listen, quota, targets};
+use crate::{callers, clock, commands, entry_count, forward, listen, quota, supervise, targets};
 
 /// Share of the grace period during which a leaving entry VM still accepts requests, since callers
 /// hold lookup replies that name it. Of these requests it accepts those that end before the exit. A
@@ -75,6 +76,7 @@
     let clock = clock::suspend_aware();
     let incarnation = Incarnation(clock.unix_ms());
     let tables = Arc::new(crate::tables::Tables::new());
+    let metrics = Arc::new(Metrics::new()?);
     let mesh = Mesh::new(settings.vm.clone(), incarnation, settings.peer_port);
     let (group, start_group) = match &settings.data_folder {
         Some(folder) => {
@@ -83,6 +85,7 @@
                 clock: clock.clone(),
                 tables: Arc::clone(&tables),
                 adapter,
+                metrics: Arc::clone(&metrics),
             };
             let (group, start_thread) = group::start(context, PathBuf::from(folder.as_str()));
             (Some(group), Some(start_thread))
@@ -103,7 +106,7 @@
         adapter,
         pool: Arc::new(ConnectionPool::default()),
         response_buffers: forward::ResponseBuffers::default(),
-        metrics: Metrics::new()?,
+        metrics,
     });
     if let Some(start_group) = start_group {
         start_group(callbacks(&daemon))?;
@@ -175,17 +178,33 @@
             std::process::exit(1);
         }
     });
-    tokio::spawn(sync::poll_control_vms(Arc::clone(daemon), Arc::clone(sync_state)));
+    spawn_supervised("sync", daemon, sync_state, sync::poll_control_vms);
     if daemon.group.is_some() {
-        tokio::spawn(sync::relay_reports(Arc::clone(daemon), Arc::clone(sync_state)));
-        tokio::spawn(sync::send_change_notices(Arc::clone(daemon), Arc::clone(sync_state)));
+        spawn_supervised("relay-reports", daemon, sync_state, sync::relay_reports);
+        spawn_supervised("change-notices", daemon, sync_state, sync::send_change_notices);
     } else {
-        tokio::spawn(quota::poll(Arc::clone(daemon)));
-        tokio::spawn(clean_up_tables(Arc::clone(daemon)));
-        tokio::spawn(targets::watch_availability(Arc::clone(daemon)));
+        spawn_supervised("tokens", daemon, sync_state, |daemon, _| quota::poll(daemon));
+        spawn_supervised("clean-up", daemon, sync_state, |daemon, _| clean_up_tables(daemon));
+        spawn_supervised("availability", daemon, sync_state, |daemon, _| {
+            targets::watch_availability(daemon)
+        });
     }
 }
 
+fn spawn_supervised<F>(
+    part: &'static str,
+    daemon: &Arc<Daemon>,
+    sync_state: &Arc<SyncState>,
+    task: impl Fn(Arc<Daemon>, Arc<SyncState>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (shared, sync_state) = (Arc::clone(daemon), Arc::clone(sync_state));
+    supervise::spawn(part, &daemon.metrics, move || {
+        task(Arc::clone(&shared), Arc::clone(&sync_state))
+    });
+}
+
 async fn clean_up_tables(daemon: Arc<Daemon>) {
     loop {
         sleep(CLEAN_UP_INTERVAL).await;
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -127,7 +127,7 @@
             adapter: adapter(),
             pool: Arc::new(ConnectionPool::default()),
             response_buffers: ResponseBuffers::new(limits),
-            metrics: Metrics::new().expect("metrics"),
+            metrics: Arc::new(Metrics::new().expect("metrics")),
         };
         let fleet = Self { daemon: Arc::new(daemon) };
         for (number, target) in targets.iter().enumerate() {
