--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use celerygate_daemon::upstream::NetworkPath;
+use celerygate_steering::instances::believed_slots_max;
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::placement::{
     Candidate, LoadSignal, Locality, ObjectShares, Placement, PlacementReason, PlacementRequest,
@@ -160,6 +161,11 @@
             warm_at: instance.warm_at,
         });
     }
+    for targets in by_service.values_mut() {
+        let mut stated: Vec<SlotCount> = targets.iter().map(|target| target.slots).collect();
+        let slots_max = believed_slots_max(&mut stated);
+        targets.iter_mut().for_each(|target| target.slots = target.slots.min(slots_max));
+    }
     *current = Arc::new(TargetIndex { reports_version, revision, valid_until, by_service });
     Arc::clone(&current)
 }
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -28,6 +28,10 @@
 /// Time for which an instance is not used after another process has answered at its address.
 const MISDIRECTED_RETENTION: Duration = Duration::from_secs(15);
 
+/// Slots that a target is believed to have, as a multiple of the median of its service. Machines of one
+/// service differ by less.
+const MAX_SLOTS_PER_MEDIAN: u32 = 4;
+
 /// Why a report names no target that can be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ReportError {
@@ -77,6 +81,16 @@
     Ok(())
 }
 
+/// Returns the most slots that a target of a service is believed to have, from the slots that all of
+/// them state. A target's part of the objects is proportional to its slots, so that a single wrong
+/// statement would draw most of them to a target that cannot serve them.
+pub fn believed_slots_max(stated: &mut [SlotCount]) -> SlotCount {
+    stated.sort_unstable();
+    // The lower median: with two targets, the larger statement is the one in doubt.
+    let median = stated.get(stated.len().saturating_sub(1) / 2).copied().unwrap_or(SlotCount::MAX);
+    SlotCount(median.get().saturating_mul(MAX_SLOTS_PER_MEDIAN))
+}
+
 /// Effect of a report on the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportResult {
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -176,3 +176,17 @@
     assert_eq!(table.silent(heartbeat, now + Duration::from_millis(4_400)).count(), 0);
     assert_eq!(table.silent(heartbeat, now + Duration::from_millis(4_600)).count(), 1);
 }
+
+/// Guards against one statement of many slots that draws the objects of all targets.
+#[test]
+fn believed_slots_max_of_median() {
+    let slots_max = |stated: &[u32]| {
+        let mut stated: Vec<SlotCount> = stated.iter().copied().map(SlotCount).collect();
+        believed_slots_max(&mut stated).get()
+    };
+    assert_eq!(slots_max(&[6, 65_536, 6]), 24);
+    assert_eq!(slots_max(&[65_536, 6]), 24);
+    assert_eq!(slots_max(&[4, 8, 16]), 32);
+    assert_eq!(slots_max(&[65_536]), 262_144);
+    assert_eq!(slots_max(&[]), 262_144);
+}
