Reset connections to targets whose request is unanswered

Cause: an attempt that ends at its deadline, or whose caller leaves, drops its connection, which closed it in order. What the cut data centre had not acknowledged stayed in the kernel's queue and was sent after the cut; the time-out for unacknowledged data had not passed at the close. Class: work that goes on after it was given up, in a queue that the process does not see. Change: sockets to targets are reset by any close (SO_LINGER zero from the connect on), so also at the end of the process; the task that writes a long request is aborted. An idle connection is closed in order. Evidence: send_given_up_request_discarded failed on the code before ('the target received the whole request'); close_idle_connection_in_order passes before and after.

--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use super::socket::{self, IdleState, ReadCounter, TargetSocket};
@@ -45,9 +46,14 @@
 /// buffers two reads.
 pub const HEAD_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
-/// A connection to a target.
+/// A connection to a target. Dropping it while a request is unanswered resets the connection, so that
+/// the kernel discards what the target's machine has not acknowledged. After an orderly close it would
+/// send these bytes once a cut network is back, and the target would run a request that its caller and
+/// this daemon have given up.
 pub struct Connection {
     sender: SendRequest<RequestBody>,
+    /// Task that reads and writes the socket.
+    task: AbortHandle,
     stream: Weak<TcpStream>,
     reads: Arc<ReadCounter>,
     echo_rule: EchoRule,
@@ -72,20 +78,23 @@
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
+        // Holds for every way in which the socket is closed, also at the end of the process.
+        socket.set_linger(Some(Duration::ZERO))?;
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL))?;
         let socket = TargetSocket::new(stream);
         let (stream, reads) = (socket.downgrade(), socket.reads());
         let (sender, connection) = http.handshake(TokioIo::new(socket)).await?;
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             // A failed request receives the error itself; this one concerns no request.
             if let Err(error) = connection.await {
                 log::info!(target_address:% = address, error:% = error;
                     "connection to target failed");
             }
         });
-        Ok(Self { sender, stream, reads, echo_rule: EchoRule::Optional })
+        let task = task.abort_handle();
+        Ok(Self { sender, task, stream, reads, echo_rule: EchoRule::Optional })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -128,3 +137,16 @@
         if self.sender.is_ready() { socket::idle_state(&self.stream) } else { IdleState::Closed }
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if !self.sender.is_ready() {
+            // The task would go on writing a long request.
+            self.task.abort();
+        } else if let Some(stream) = self.stream.upgrade()
+            && let Err(error) = SockRef::from(&*stream).set_linger(None)
+        {
+            log::debug!(error:% = error; "failed to prepare the orderly close of an idle connection");
+        }
+    }
+}
--- a/crates/daemon/tests/target_connections.rs
+++ b/crates/daemon/tests/target_connections.rs
@@ -1,14 +1,18 @@
-//! Pooled connections to targets: bytes that have reached the kernel but not the daemon, and
-//! connections that were closed while they were idle.
+//! Connections to targets: bytes that have reached the kernel but not the daemon, connections that were
+//! closed while they were idle, and requests that are given up.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use celerygate_daemon::upstream::{ConnectionPool, ConnectionReuse, NetworkPath};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Full};
 use hyper::Request;
+use hyper::body::Bytes;
+use socket2::SockRef;
+use tokio::time::timeout;
 
 const FIRST: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
 const SECOND: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
@@ -98,7 +102,7 @@
     let pool = Arc::<ConnectionPool>::default();
     assert_eq!(send(&pool, target.address, "a").await, b"first");
     // Lets the connection become idle.
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
     target.signal.send(()).expect("the target is running");
     target.done.recv().expect("the target is running");
     let second = send(&pool, target.address, "b").await;
@@ -122,3 +126,61 @@
     assert_eq!(response, b"second");
     assert_eq!(connections, [0, 1]);
 }
+
+/// Size of a request that fits into the send buffer of the daemon's kernel.
+const REQUEST_BYTES: usize = 128 * 1_024;
+/// Receive buffer of a target whose machine acknowledges only the beginning of such a request.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1_024;
+
+/// Reads until the connection ends. Returns the number of bytes, and whether it ended in order.
+fn read_to_end(stream: &mut TcpStream) -> (usize, bool) {
+    let (mut count, mut buffer) = (0, vec![0; REQUEST_BYTES]);
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a read timeout");
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return (count, true),
+            Ok(bytes) => count += bytes,
+            Err(_) => return (count, false),
+        }
+    }
+}
+
+/// Guards against a request that reaches a target long after its caller was answered: bytes that a
+/// cut network has held up stayed in the kernel's queue when the connection was closed, and were
+/// sent once the network was back.
+#[tokio::test]
+async fn send_given_up_request_discarded() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a small buffer");
+    let address = listener.local_addr().expect("local address of the listener");
+    let pool = Arc::<ConnectionPool>::default();
+    let body = Full::new(Bytes::from(vec![b'x'; REQUEST_BYTES]));
+    let body = body.map_err(|never| match never {}).boxed_unsync();
+    let request = Request::post("/").header("host", "a").body(body).expect("a request");
+    let sent = pool.send(address, NetworkPath::WithinRegion, ConnectionReuse::New, request);
+    assert!(timeout(Duration::from_millis(300), sent).await.is_err(), "the target has answered");
+    // The runtime closes the connection.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (received, _) = read_to_end(&mut listener.accept().expect("a connection").0);
+    assert!(received < REQUEST_BYTES, "the target received the whole request");
+}
+
+/// Guards against targets that see an error for each idle connection that the daemon closes.
+#[tokio::test]
+async fn close_idle_connection_in_order() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("local address of the listener");
+    let target = std::thread::spawn(move || {
+        let mut stream = listener.accept().expect("a connection").0;
+        read_request(&mut stream);
+        stream.write_all(FIRST).expect("the response is sent");
+        read_to_end(&mut stream)
+    });
+    let pool = Arc::<ConnectionPool>::default();
+    assert_eq!(send(&pool, address, "a").await, b"first");
+    // Lets the connection become idle.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(pool);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(target.join().expect("the target ends"), (0, true));
+}
