Notice at once that a peer has closed its connection

Cause: messages to a peer are only written, and the kernel accepts a write on a connection whose other side has ended. The first message is lost, the second one fails, and the third one connects again; each is sent after the 1 s without a reply to the one before. Change: while it waits for a message, the sending task also waits for the end of its connection. Evidence: send_frames_peer_restarted failed before ('the message was lost').

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -62,7 +62,7 @@
 /// Sends the frames of a queue to a peer, connecting when there is a frame to send.
 pub async fn send_frames(address: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
     let mut connection: Option<TcpStream> = None;
-    while let Some(mut frame) = frames.recv().await {
+    while let Some(mut frame) = next_frame(address, &mut connection, &mut frames).await {
         let mut connect_timeout = INITIAL_CONNECT_TIMEOUT;
         while connection.is_none() {
             connection = connect(address, connect_timeout).await;
@@ -86,6 +86,33 @@
     }
 }
 
+/// Waits for the next frame, `None` once the queue is closed. A connection that ends meanwhile is dropped:
+/// the kernel accepts a write on it, so that the frame would be lost.
+async fn next_frame(
+    address: SocketAddr,
+    connection: &mut Option<TcpStream>,
+    frames: &mut mpsc::Receiver<Vec<u8>>,
+) -> Option<Vec<u8>> {
+    if let Some(stream) = connection {
+        tokio::select! {
+            biased;
+            () = ended(stream) => {
+                log::debug!(peer:% = address; "peer has closed the connection");
+                *connection = None;
+            }
+            frame = frames.recv() => return frame,
+        }
+    }
+    frames.recv().await
+}
+
+/// Waits until the peer closes or resets a connection. Peers send nothing on it, so any input means that
+/// it is of no use.
+async fn ended(stream: &TcpStream) {
+    // An error means that the connection has failed.
+    let _ = stream.readable().await;
+}
+
 async fn connect(address: SocketAddr, connect_timeout: Duration) -> Option<TcpStream> {
     match timeout(connect_timeout, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
--- a/crates/daemon/src/peers/tcp_tests.rs
+++ b/crates/daemon/src/peers/tcp_tests.rs
@@ -67,3 +67,28 @@
     drop(sender);
     sending.await.unwrap();
 }
+
+/// Guards against messages that are written to the connection of a process that has ended, and lost: an
+/// entry VM needed three seconds and as many requests to reach a control VM that had restarted.
+#[tokio::test]
+async fn send_frames_peer_restarted() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, frames) = mpsc::channel(4);
+    let sending = tokio::spawn(send_frames(address, frames));
+    sender.send(b"first".to_vec()).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut frame = [0; 9];
+    stream.read_exact(&mut frame).await.unwrap();
+    drop((stream, listener));
+    let listener = TcpListener::bind(address).await.unwrap();
+    // The peer's kernel closes the connection long before the next message.
+    sleep(RECONNECT_DELAY).await;
+    sender.send(b"other".to_vec()).await.unwrap();
+    let accepted = timeout(Duration::from_secs(20), listener.accept()).await;
+    let (mut stream, _) = accepted.expect("the message was lost").unwrap();
+    stream.read_exact(&mut frame).await.unwrap();
+    assert_eq!(&frame[4..], b"other");
+    drop(sender);
+    sending.await.unwrap();
+}
