Pass on deregistrations of targets that a control VM does not know

Cause: control VMs keep targets in memory. One that had just restarted acknowledged the deregistration of a target that it did not know at once and told nobody, while the entry VMs used the target. Class: absence from a table that was emptied by a restart is taken for a fact. The same path was taken for a start time other than the known one, and a control VM that restarted forgot which targets had left: a late heartbeat brought them back for entry VMs that started after it. Change: a deregistration is a record of its own (target, latest start time of the processes that ended, age), kept for 60 s with or without a record of the target, confirmed by most control VMs like a leaving one, and part of the replies to requests for changes. Each daemon tells a control VM that has restarted which departures it knows. Without a stated start time, all processes that started until its arrival are meant; a later one lifts it. The number for unknown targets is bounded, start times in the future are refused.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -14,16 +14,20 @@
 };
 use celerygate_types::{Incarnation, Revision, TargetId, VmId};
 use parking_lot::Mutex;
-use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, sleep, timeout_at};
 
+use self::changes::TargetChanges;
 use self::cursor::{AfterReply, Cursor, NextRequest, Position};
+pub use self::leaving::deregister_target;
+use self::leaving::{Confirmations, apply_departures, confirm_leaving};
 use self::source::ContentSource;
 use crate::daemon::Daemon;
 use crate::entry_count::EntryCount;
 use crate::group::{GroupInput, activate, record_leader};
 
+mod changes;
 mod cursor;
+mod leaving;
 mod source;
 
 /// Interval of sync requests to a control VM. Deployments bound the propagation of a change by 2 s
@@ -31,14 +35,8 @@
 pub const SYNC_INTERVAL: Duration = Duration::from_millis(400);
 /// Minimum interval between change notices to the entry VMs about new or changed targets.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(150);
-/// Maximum number of targets in one reply, so that a reply takes a fraction of a second on a slow
-/// link.
-const MAX_TARGETS_PER_REPLY: usize = 256;
 /// Interval at which a control VM relays the heartbeats that it has received.
 const RELAY_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout for other control VMs to confirm that they know of a leaving target; targets wait 1 s
-/// for the response.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval of full target syncs, each with another control VM. Heartbeats that change nothing are
 /// not sent to entry VMs, and a target that is not reported for [`ENDED_RETENTION`] is removed
 /// there.
@@ -58,12 +56,6 @@
     targets_changed: AtomicBool,
 }
 
-#[derive(Default)]
-struct Confirmations {
-    last_sequence: u64,
-    waiting: HashMap<u64, mpsc::UnboundedSender<VmId>>,
-}
-
 /// Polls the control VMs until the task is aborted.
 pub async fn poll_control_vms(daemon: Arc<Daemon>, sync_state: Arc<SyncState>) {
     const { assert!(FULL_SYNC_INTERVAL.as_secs() * 2 < ENDED_RETENTION.as_secs()) };
@@ -94,7 +86,8 @@
 fn send_sync_request(daemon: &Daemon, sync_state: &SyncState, vm: &VmId) {
     let action =
         sync_state.cursors.lock().entry(vm.clone()).or_default().next_request(daemon.now());
-    let NextRequest::Send(position) = action else { return };
+    let NextRequest::Send { position, informs } = action else { return };
+    let departures = if informs { changes::own_departures(daemon) } else { Vec::new() };
     let revision = daemon.tables.revision();
     let request = SyncRequest {
         daemon: daemon.own_record(),
@@ -104,6 +97,7 @@
         targets_epoch: position.targets_epoch,
         targets_change: position.targets_change,
         daemons_digest: position.daemons_digest,
+        departures,
     };
     daemon.mesh.send(vm, FleetMessage::SyncRequest(request));
 }
@@ -151,7 +145,7 @@
                 for record in plausible_records(daemon, &from, update.records) {
                     changed |= instances.report(record, now) == ReportResult::Changed;
                 }
-                changed
+                changed | (apply_departures(daemon, &mut instances, &from, &update.departures) > 0)
             };
             let ack = TargetUpdateAck { sequence: update.sequence };
             daemon.mesh.send(&from, FleetMessage::TargetUpdateAck(ack));
@@ -180,6 +174,7 @@
         group.send(GroupInput::Join { record: request.daemon.clone(), store_id });
     }
     record_daemon(daemon, request.daemon, now);
+    apply_departures(daemon, &mut daemon.tables.instances.write(), from, &request.departures);
     let running = running_daemons(daemon, now);
     let digest = daemons_digest(&running);
     let content = daemon.tables.content();
@@ -188,25 +183,20 @@
     let instances = daemon.tables.instances.read();
     let epoch = daemon.incarnation.0;
     let since = if request.targets_epoch == epoch { request.targets_change } else { 0 };
-    let mut changed: Vec<_> = instances.changed_since(since).collect();
-    changed.sort_unstable_by_key(|instance| instance.version);
-    let is_complete = changed.len() <= MAX_TARGETS_PER_REPLY;
-    changed.truncate(MAX_TARGETS_PER_REPLY);
-    let last = changed.last().map_or(since, |instance| instance.version);
-    let targets_change = if is_complete { instances.version() } else { last };
-    let targets = changed.into_iter().map(|instance| instance.current_record(now)).collect();
+    let changes = TargetChanges::since(&instances, since, now);
     let silent = instances.silent(daemon.heartbeat(), now).cloned().collect();
     let leader = daemon.tables.leader.lock().clone();
     let reply = SyncReply {
         content: content.map(|content| content.replicated.clone()),
         daemons: if digest == request.daemons_digest { Vec::new() } else { running },
         daemons_digest: digest,
+        departures: changes.departures,
         entry_vms: daemon.tables.entry_count.lock().get(),
         leader: leader.vm,
         revision,
         silent,
-        targets,
-        targets_change,
+        targets: changes.targets,
+        targets_change: changes.through,
         targets_epoch: epoch,
         term: leader.term,
     };
@@ -253,6 +243,7 @@
 
 fn handle_reply(daemon: &Daemon, sync_state: &SyncState, from: VmId, reply: SyncReply) {
     let now = daemon.now();
+    let is_truncated = changes::is_truncated(&reply);
     if daemon.role() == DaemonRole::Entry {
         // The count is updated before the content, because requests are admitted once content is
         // active. A larger count is safe: it makes this VM's share of a rate limit smaller.
@@ -285,7 +276,6 @@
             daemons.update_list(&from, others, now);
         }
     }
-    let received = reply.targets.len();
     let mut changed = 0_usize;
     {
         let mut instances = daemon.tables.instances.write();
@@ -293,6 +283,7 @@
             log_target(&record, &from);
             changed += usize::from(instances.report(record, now) == ReportResult::Changed);
         }
+        changed += apply_departures(daemon, &mut instances, &from, &reply.departures);
     }
     if changed > 0 {
         log::info!(control = from.as_str(), targets = changed, change = reply.targets_change;
@@ -305,7 +296,6 @@
         targets_change: reply.targets_change,
         daemons_digest: reply.daemons_digest,
     };
-    let is_truncated = received == MAX_TARGETS_PER_REPLY;
     let next = sync_state
         .cursors
         .lock()
@@ -385,7 +375,8 @@
             continue;
         }
         for vm in control_vms(&daemon) {
-            let update = TargetUpdate { sequence: 0, records: records.clone() };
+            let update =
+                TargetUpdate { sequence: 0, records: records.clone(), departures: Vec::new() };
             daemon.mesh.send(&vm, FleetMessage::TargetUpdate(update));
         }
     }
@@ -429,6 +420,10 @@
         let reported = instances.report(record.clone(), daemon.now());
         if reported == ReportResult::Outdated {
             instances.record_sign_of_life(&record, daemon.now());
+            if instances.has_departed(&record.instance, record.born_unix_ms) {
+                log::info!(target_id = record.instance.as_str(), born = record.born_unix_ms,
+                    sequence = record.sequence; "ignored report of a target that has deregistered");
+            }
         }
         reported
     };
@@ -444,66 +439,7 @@
         }
         return ReportOutcome::Acknowledged;
     }
-    confirm_leaving(daemon, sync_state, record).await
-}
-
-/// Handles the deregistration of a target, acknowledged like a report that it leaves. For an
-/// unknown target there is nothing to propagate, so it is acknowledged at once.
-pub async fn deregister_target(
-    daemon: &Arc<Daemon>,
-    sync_state: &SyncState,
-    instance: &TargetId,
-    born_unix_ms: Option<u64>,
-) -> ReportOutcome {
-    let ended = daemon.tables.instances.write().mark_gone(instance, born_unix_ms, daemon.now());
-    match ended {
-        Some(record) => confirm_leaving(daemon, sync_state, record).await,
-        None => {
-            log::info!(target_id = instance.as_str(), born:? = born_unix_ms;
-                "received deregistration of unknown target or incarnation");
-            ReportOutcome::Acknowledged
-        }
-    }
-}
-
-async fn confirm_leaving(
-    daemon: &Arc<Daemon>,
-    sync_state: &SyncState,
-    record: InstanceRecord,
-) -> ReportOutcome {
     let instance = record.instance.clone();
-    let (sequence, mut acks) = {
-        let mut confirmations = sync_state.confirmations.lock();
-        confirmations.last_sequence += 1;
-        let sequence = confirmations.last_sequence;
-        let (sender, receiver) = mpsc::unbounded_channel();
-        confirmations.waiting.insert(sequence, sender);
-        (sequence, receiver)
-    };
-    let members = daemon.group.as_ref().map(|group| group.voters()).unwrap_or_default();
-    let others: Vec<VmId> =
-        members.iter().filter(|vm| **vm != daemon.settings.vm).cloned().collect();
-    for vm in control_vms(daemon) {
-        let update = TargetUpdate { sequence, records: vec![record.clone()] };
-        daemon.mesh.send(&vm, FleetMessage::TargetUpdate(update));
-    }
-    notify_entries(daemon);
-    let own = usize::from(members.contains(&daemon.settings.vm));
-    let needed = members.len() / 2 + 1;
-    let mut confirmed_by = HashSet::new();
-    let deadline = TokioInstant::now() + CONFIRMATION_TIMEOUT;
-    while confirmed_by.len() + own < needed {
-        match timeout_at(deadline, acks.recv()).await {
-            Ok(Some(vm)) if others.contains(&vm) => {
-                confirmed_by.insert(vm);
-            }
-            Ok(Some(_)) => {}
-            Ok(None) | Err(_) => break,
-        }
-    }
-    sync_state.confirmations.lock().waiting.remove(&sequence);
-    let is_confirmed = !members.is_empty() && confirmed_by.len() + own >= needed;
-    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len() + own, needed = needed;
-        "target leaving");
-    if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
+    let update = TargetUpdate { sequence: 0, records: vec![record], departures: Vec::new() };
+    confirm_leaving(daemon, sync_state, &instance, update).await
 }
--- a/crates/fleet/src/sync/cursor.rs
+++ b/crates/fleet/src/sync/cursor.rs
@@ -20,8 +20,14 @@
 /// Action when a sync request is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextRequest {
-    /// Request the changes since this position.
-    Send(Position),
+    /// Send a request.
+    Send {
+        /// Request the changes since this position.
+        position: Position,
+        /// Inform the control VM of the departures that this daemon knows: it has restarted, and may
+        /// have forgotten them.
+        informs: bool,
+    },
     /// Wait for the reply to the last request.
     Wait,
 }
@@ -42,6 +48,10 @@
     sent_at: Option<Instant>,
     request_deferred: bool,
     is_full_sync_due: bool,
+    /// Whether the outstanding request informs the control VM of departures.
+    informs: bool,
+    /// Incarnation of the control VM that has been informed.
+    informed_epoch: u64,
 }
 
 impl Cursor {
@@ -58,7 +68,9 @@
         if std::mem::take(&mut self.is_full_sync_due) {
             self.position.targets_change = 0;
         }
-        NextRequest::Send(self.position)
+        let epoch = self.position.targets_epoch;
+        self.informs = epoch != 0 && epoch != self.informed_epoch;
+        NextRequest::Send { position: self.position, informs: self.informs }
     }
 
     /// Makes the next request fetch all targets.
@@ -69,7 +81,17 @@
     /// Handles a reply; `is_truncated` states that it contains only part of the changes.
     pub fn handle_reply(&mut self, position: Position, is_truncated: bool) -> AfterReply {
         let requests_again = is_truncated || self.request_deferred;
-        *self = Self { position, sent_at: None, request_deferred: false, ..*self };
+        let epoch = position.targets_epoch;
+        let is_informed = self.informs && epoch == self.position.targets_epoch;
+        let informed_epoch = if is_informed { epoch } else { self.informed_epoch };
+        *self = Self {
+            position,
+            sent_at: None,
+            request_deferred: false,
+            informs: false,
+            informed_epoch,
+            ..*self
+        };
         if requests_again { AfterReply::RequestAgain } else { AfterReply::Done }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/sync/leaving.rs
@@ -0,0 +1,126 @@
+//! Targets that leave: a target is told so only once most control VMs know it, so that every entry VM
+//! that reaches most of them learns of it.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use celerygate_steering::instances::{InstanceTable, check_start_time};
+use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate};
+use celerygate_types::{TargetId, VmId};
+use tokio::sync::mpsc;
+use tokio::time::{Instant as TokioInstant, timeout_at};
+
+use super::{ReportOutcome, SyncState, control_vms, notify_entries};
+use crate::daemon::Daemon;
+
+/// Timeout for other control VMs to confirm that they know of a leaving target; targets wait 1 s
+/// for the response.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Updates that wait for the confirmations of other control VMs.
+#[derive(Default)]
+pub(super) struct Confirmations {
+    last_sequence: u64,
+    pub(super) waiting: HashMap<u64, mpsc::UnboundedSender<VmId>>,
+}
+
+/// Handles the deregistration of a target, acknowledged like a report that it leaves. An unknown target
+/// is no exception: this VM may have restarted, and others may use the target.
+pub async fn deregister_target(
+    daemon: &Arc<Daemon>,
+    sync_state: &SyncState,
+    instance: &TargetId,
+    born_unix_ms: Option<u64>,
+) -> ReportOutcome {
+    let now_unix_ms = daemon.clock.unix_ms();
+    if let Some(born_unix_ms) = born_unix_ms
+        && let Err(error) = check_start_time(born_unix_ms, now_unix_ms)
+    {
+        log::info!(target_id = instance.as_str(), error:% = error; "refused invalid deregistration");
+        return ReportOutcome::Invalid(error);
+    }
+    let (is_known, departure) = {
+        let mut instances = daemon.tables.instances.write();
+        let is_known = instances.get(instance).is_some();
+        (is_known, instances.deregister(instance, born_unix_ms, now_unix_ms, daemon.now()))
+    };
+    let Some(departure) = departure else {
+        log::warn!(target_id = instance.as_str();
+            "too many deregistrations of unknown targets, cannot keep another one");
+        return ReportOutcome::Unconfirmed;
+    };
+    log::info!(target_id = instance.as_str(), known = is_known, born:? = born_unix_ms,
+        born_max = departure.born_max_unix_ms; "received deregistration");
+    let update = TargetUpdate { sequence: 0, records: Vec::new(), departures: vec![departure] };
+    confirm_leaving(daemon, sync_state, instance, update).await
+}
+
+/// Applies the deregistrations that another daemon has passed on. Returns how many were news.
+pub(super) fn apply_departures(
+    daemon: &Daemon,
+    instances: &mut InstanceTable,
+    from: &VmId,
+    departures: &[TargetDeparture],
+) -> usize {
+    let (now, now_unix_ms) = (daemon.now(), daemon.clock.unix_ms());
+    let mut count = 0;
+    for departure in departures {
+        if let Err(error) = check_start_time(departure.born_max_unix_ms, now_unix_ms) {
+            log::warn!(target_id = departure.instance.as_str(), from = from.as_str(), error:% = error;
+                "ignored an invalid deregistration from another daemon");
+            continue;
+        }
+        let is_known = instances.get(&departure.instance).is_some();
+        if instances.depart(departure, now) {
+            count += 1;
+            log::info!(target_id = departure.instance.as_str(), from = from.as_str(),
+                known = is_known, age_ms = departure.age_ms; "target has deregistered");
+        }
+    }
+    count
+}
+
+/// Sends an update about a leaving target to the other control VMs, and waits until most control VMs
+/// know it.
+pub(super) async fn confirm_leaving(
+    daemon: &Arc<Daemon>,
+    sync_state: &SyncState,
+    instance: &TargetId,
+    update: TargetUpdate,
+) -> ReportOutcome {
+    let (sequence, mut acks) = {
+        let mut confirmations = sync_state.confirmations.lock();
+        confirmations.last_sequence += 1;
+        let sequence = confirmations.last_sequence;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        confirmations.waiting.insert(sequence, sender);
+        (sequence, receiver)
+    };
+    let members = daemon.group.as_ref().map(|group| group.voters()).unwrap_or_default();
+    let others: Vec<VmId> =
+        members.iter().filter(|vm| **vm != daemon.settings.vm).cloned().collect();
+    for vm in control_vms(daemon) {
+        let update = TargetUpdate { sequence, ..update.clone() };
+        daemon.mesh.send(&vm, FleetMessage::TargetUpdate(update));
+    }
+    notify_entries(daemon);
+    let own = usize::from(members.contains(&daemon.settings.vm));
+    let needed = members.len() / 2 + 1;
+    let mut confirmed_by = HashSet::new();
+    let deadline = TokioInstant::now() + CONFIRMATION_TIMEOUT;
+    while confirmed_by.len() + own < needed {
+        match timeout_at(deadline, acks.recv()).await {
+            Ok(Some(vm)) if others.contains(&vm) => {
+                confirmed_by.insert(vm);
+            }
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => break,
+        }
+    }
+    sync_state.confirmations.lock().waiting.remove(&sequence);
+    let is_confirmed = !members.is_empty() && confirmed_by.len() + own >= needed;
+    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len() + own, needed = needed;
+        "target leaving");
+    if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
+}
--- a/crates/fleet/tests/notices.rs
+++ b/crates/fleet/tests/notices.rs
@@ -167,7 +167,9 @@
         tokio::time::sleep(Duration::from_millis(600)).await;
         assert!(!daemon.tables.targets.lock().availability.is_empty(), "it has not ended yet");
         if ends_by_report {
-            daemon.tables.instances.write().mark_gone(&life.target, None, daemon.now());
+            let now_unix_ms = daemon.clock.unix_ms();
+            let mut instances = daemon.tables.instances.write();
+            instances.deregister(&life.target, None, now_unix_ms, daemon.now()).expect("room");
         } else {
             fleet.report_life("target-0", target.address, 2);
         }
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -8,10 +8,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use celerygate_types::wire::{InstanceRecord, InstanceState};
+use celerygate_types::wire::{InstanceRecord, InstanceState, TargetDeparture};
 use celerygate_types::{SlotCount, TargetId};
 use smol_str::SmolStr;
 
+use self::departures::Departures;
+
+mod departures;
+
 /// How long an ended instance is remembered; longer than any report is in transit.
 pub const ENDED_RETENTION: Duration = Duration::from_secs(60);
 /// Number of missed heartbeats after which a target counts as silent; heartbeats can be seconds
@@ -73,7 +77,15 @@
     if record.slots == SlotCount::ZERO || record.slots > SlotCount::MAX {
         return Err(ReportError::InvalidSlots(record.slots));
     }
-    let born_unix_ms = record.born_unix_ms;
+    check_start_time(record.born_unix_ms, now_unix_ms)
+}
+
+/// Checks that a target can have started at a time.
+///
+/// # Errors
+///
+/// When the time is too far in the future.
+pub fn check_start_time(born_unix_ms: u64, now_unix_ms: u64) -> Result<(), ReportError> {
     let latest_start = now_unix_ms.max(CLOCK_SET_MIN_UNIX_MS) + MAX_START_AHEAD.as_millis() as u64;
     if now_unix_ms >= CLOCK_SET_MIN_UNIX_MS && born_unix_ms > latest_start {
         return Err(ReportError::StartInFuture { born_unix_ms, now_unix_ms });
@@ -138,12 +150,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
     instances: HashMap<TargetId, Instance>,
+    departures: Departures,
     version: u64,
 }
 
 impl InstanceTable {
     /// Applies a report.
     pub fn report(&mut self, record: InstanceRecord, now: Instant) -> ReportResult {
+        if self.departures.includes(&record.instance, record.born_unix_ms) {
+            return ReportResult::Outdated;
+        }
         let warm_at = now + Duration::from_millis(record.cold_ms);
         let Some(known) = self.instances.get_mut(&record.instance) else {
             self.version += 1;
@@ -232,25 +248,52 @@
         true
     }
 
-    /// Marks the current instance of a target as gone and returns its record. Returns `None` if the
-    /// target is unknown or its instance started at another time than `born_unix_ms`.
-    pub fn mark_gone(
+    /// Records the deregistration of a target, which may be unknown here, and returns what other VMs must
+    /// be told. Without a start time, it concerns all processes that started until now, at the wall time
+    /// `now_unix_ms`. Returns `None` if there is no room for another unknown target.
+    pub fn deregister(
         &mut self,
         instance: &TargetId,
         born_unix_ms: Option<u64>,
+        now_unix_ms: u64,
         now: Instant,
-    ) -> Option<InstanceRecord> {
-        let known = self.instances.get_mut(instance)?;
-        if born_unix_ms.is_some_and(|born| born != known.record.born_unix_ms) {
-            return None;
+    ) -> Option<TargetDeparture> {
+        let known_born = self.instances.get(instance).map(|known| known.record.born_unix_ms);
+        let born_max_unix_ms =
+            born_unix_ms.unwrap_or_else(|| now_unix_ms.max(known_born.unwrap_or_default()));
+        let departure = TargetDeparture { instance: instance.clone(), born_max_unix_ms, age_ms: 0 };
+        self.depart(&departure, now);
+        self.has_departed(instance, born_max_unix_ms).then_some(departure)
+    }
+
+    /// Applies a deregistration. Returns whether it was news.
+    pub fn depart(&mut self, departure: &TargetDeparture, now: Instant) -> bool {
+        let known = self.instances.get_mut(&departure.instance);
+        if !self.departures.accepts(departure, known.is_some()) {
+            return false;
         }
-        if known.record.state != InstanceState::Gone {
-            self.version += 1;
+        self.version += 1;
+        self.departures.insert(departure, self.version, now);
+        if let Some(known) = known
+            && known.record.born_unix_ms <= departure.born_max_unix_ms
+        {
             known.record.state = InstanceState::Gone;
-            known.version = self.version;
-            known.reported_at = now;
         }
-        Some(known.record.clone())
+        true
+    }
+
+    /// Returns whether the process of a target that started at a time has deregistered.
+    pub fn has_departed(&self, instance: &TargetId, born_unix_ms: u64) -> bool {
+        self.departures.includes(instance, born_unix_ms)
+    }
+
+    /// Returns the deregistrations since a version, and the version of each.
+    pub fn departures_since(
+        &self,
+        version: u64,
+        now: Instant,
+    ) -> impl Iterator<Item = (u64, TargetDeparture)> {
+        self.departures.since(version, now)
     }
 
     /// Returns the version of the table, which increases with each change.
@@ -296,8 +339,9 @@
         self.instances.values().filter(is_silent).map(|instance| &instance.record.instance)
     }
 
-    /// Removes instances that ended, or were last reported, [`ENDED_RETENTION`] ago.
+    /// Removes instances and departures that ended, or were last reported, [`ENDED_RETENTION`] ago.
     pub fn expire(&mut self, now: Instant) {
+        self.departures.expire(now);
         self.instances.retain(|_, instance| {
             now.saturating_duration_since(instance.reported_at) < ENDED_RETENTION
         });
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -48,12 +48,23 @@
     assert_eq!(table.version(), version);
 }
 
+/// Wall time of the deregistrations.
+const NOW_UNIX_MS: u64 = 50;
+
+fn id() -> TargetId {
+    "i-1".parse().expect("valid id")
+}
+
+fn departure(born_max_unix_ms: u64, age: Duration) -> TargetDeparture {
+    TargetDeparture { instance: id(), born_max_unix_ms, age_ms: age.as_millis() as u64 }
+}
+
 #[test]
-fn report_after_mark_gone_ignored() {
+fn report_after_deregistration_ignored() {
     let now = Instant::now();
     let mut table = InstanceTable::default();
     table.report(record(1, 4, InstanceState::Ready), now);
-    table.mark_gone(&"i-1".parse().expect("valid id"), None, now);
+    table.deregister(&id(), None, NOW_UNIX_MS, now).expect("room");
     assert_eq!(table.report(record(1, 9, InstanceState::Ready), now), ReportResult::Outdated);
     assert_eq!(state(&table), InstanceState::Gone);
 }
@@ -67,7 +78,7 @@
     assert_eq!(table.report(record(1, 41, InstanceState::Draining), now), ReportResult::Outdated);
     assert_eq!(state(&table), InstanceState::Ready);
     // The end of the earlier instance arrives late and contains its start time.
-    assert!(table.mark_gone(&"i-1".parse().expect("valid id"), Some(1), now).is_none());
+    table.deregister(&id(), Some(1), NOW_UNIX_MS, now).expect("room");
     assert_eq!(state(&table), InstanceState::Ready);
 }
 
@@ -190,3 +201,83 @@
     assert_eq!(slots_max(&[65_536]), 262_144);
     assert_eq!(slots_max(&[]), 262_144);
 }
+
+/// Guards against a VM that forgets the deregistration of a target which it does not know, and uses the
+/// target when its record arrives from elsewhere.
+#[test]
+fn report_after_deregistration_of_unknown() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    let told = table.deregister(&id(), None, NOW_UNIX_MS, now);
+    assert_eq!(told, Some(departure(NOW_UNIX_MS, Duration::ZERO)));
+    let late = record(NOW_UNIX_MS, 9, InstanceState::Ready);
+    assert_eq!(table.report(late, now), ReportResult::Outdated);
+    assert!(table.iter().next().is_none());
+    let restarted = record(NOW_UNIX_MS + 1, 0, InstanceState::Ready);
+    assert_eq!(table.report(restarted, now), ReportResult::Changed);
+    assert_eq!(state(&table), InstanceState::Ready);
+}
+
+/// Guards against a target that stays in use at VMs that know it as ready, when it deregisters at one
+/// that does not.
+#[test]
+fn depart_known_target() {
+    let now = Instant::now();
+    let mut elsewhere = InstanceTable::default();
+    let told = elsewhere.deregister(&id(), None, NOW_UNIX_MS, now).expect("room");
+    let mut table = InstanceTable::default();
+    table.report(record(7, 4, InstanceState::Ready), now);
+    let seen = table.version();
+    assert!(table.depart(&told, now));
+    assert_eq!(state(&table), InstanceState::Gone);
+    assert!(table.version() > seen, "the index of targets and other VMs need the change");
+    let passed_on: Vec<_> = table.departures_since(seen, now).collect();
+    assert_eq!(passed_on, [(table.version(), told.clone())]);
+    assert!(!table.depart(&told, now), "not news any more");
+}
+
+/// Guards against a deregistration that is ignored because this VM holds the record of an earlier
+/// process of the target, and against one that ends a later process.
+#[test]
+fn deregister_other_start_time() {
+    let now = Instant::now();
+    for (stated, expected) in [(9, InstanceState::Gone), (6, InstanceState::Ready)] {
+        let mut table = InstanceTable::default();
+        table.report(record(7, 4, InstanceState::Ready), now);
+        let told = table.deregister(&id(), Some(stated), NOW_UNIX_MS, now);
+        assert_eq!(told, Some(departure(stated, Duration::ZERO)));
+        assert_eq!(state(&table), expected, "{stated}");
+        let reported = table.report(record(stated, 5, InstanceState::Ready), now);
+        assert_eq!(reported, ReportResult::Outdated, "{stated}");
+    }
+}
+
+/// Guards against departures that VMs keep alive by telling each other again.
+#[test]
+fn depart_expires_by_age() {
+    let start = Instant::now();
+    let mut table = InstanceTable::default();
+    assert!(!table.depart(&departure(9, ENDED_RETENTION), start));
+    let age = ENDED_RETENTION - Duration::from_secs(2);
+    assert!(table.depart(&departure(9, age), start));
+    let (_, told) = table.departures_since(0, start).next().expect("one departure");
+    assert_eq!(told, departure(9, age));
+    table.expire(start + Duration::from_secs(1));
+    assert!(table.has_departed(&id(), 9));
+    table.expire(start + Duration::from_secs(3));
+    assert!(!table.has_departed(&id(), 9));
+}
+
+/// Guards against another writer that fills the memory with deregistrations of unknown targets.
+#[test]
+fn deregister_unknown_bounded() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), now);
+    let unknown = |number: u32| format!("other-{number}").parse().expect("valid id");
+    let kept = (0..20_000)
+        .filter(|number| table.deregister(&unknown(*number), None, NOW_UNIX_MS, now).is_some());
+    assert_eq!(kept.count(), 8_192);
+    assert!(table.deregister(&id(), None, NOW_UNIX_MS, now).is_some(), "a known target");
+    assert_eq!(state(&table), InstanceState::Gone);
+}
