Begin to serve by a configuration that most control VMs confirm

Cause: an entry VM that starts fetches the content from the first control VM that replies, the nearest one. If that one is cut off from the others, its content is old; the entry VM then served by it until its next request to another control VM, up to 0.4 s and a round trip later, while the fetch in progress kept it from asking others. Change: a VM without content holds what it has fetched until as many control VMs as form a quorum have stated their revisions and none is newer, at most 1 s. After each reply, newer content is fetched from whichever control VM has it. A running VM activates changes at once, as before.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -10,7 +10,7 @@
 use celerygate_steering::instances::{ENDED_RETENTION, ReportError, ReportResult, check_report};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
-    SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck,
+    SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck, VmState,
 };
 use celerygate_types::{Incarnation, Revision, TargetId, VmId};
 use parking_lot::Mutex;
@@ -74,6 +74,7 @@
         for vm in &vms {
             send_sync_request(&daemon, &sync_state, vm);
         }
+        activate_held_content(&daemon, &sync_state);
         let next = TokioInstant::now() + SYNC_INTERVAL;
         // A notification ends the pause early; the timeout is the usual case.
         let _ = timeout_at(next, daemon.tables.sync_requested.notified()).await;
@@ -88,7 +89,7 @@
         sync_state.cursors.lock().entry(vm.clone()).or_default().next_request(daemon.now());
     let NextRequest::Send { position, informs } = action else { return };
     let departures = if informs { changes::own_departures(daemon) } else { Vec::new() };
-    let revision = daemon.tables.revision();
+    let revision = daemon.tables.revision().max(sync_state.source.lock().held_revision());
     let request = SyncRequest {
         daemon: daemon.own_record(),
         store_id: daemon.group.as_ref().and_then(|group| group.store_id()),
@@ -252,13 +253,13 @@
             *count = EntryCount::from_stored(reply.entry_vms);
         }
     }
-    if let Some(content) = reply.content {
-        let before = daemon.tables.content();
-        if activate(&daemon.tables, &daemon.adapter, content) {
-            mark_resumed_cold(daemon, before.as_deref(), now);
-            daemon.tables.set_state(celerygate_types::wire::VmState::Serving);
-        }
+    {
+        let mut source = sync_state.source.lock();
+        source.record_revision(&from, reply.revision);
+        source.end_fetch(&from);
+        reply.content.into_iter().for_each(|content| source.hold(content, now));
     }
+    activate_held_content(daemon, sync_state);
     record_leader(&daemon.tables, reply.term, reply.leader);
     {
         let mut daemons = daemon.tables.daemons.lock();
@@ -302,15 +303,35 @@
         .entry(from.clone())
         .or_default()
         .handle_reply(position, is_truncated);
-    let fetch_next = {
-        let mut source = sync_state.source.lock();
-        source.record_revision(&from, reply.revision);
-        source.end_fetch(&from);
-        source.should_fetch(&from, daemon.tables.revision(), now)
+    let fetch_from = {
+        let source = sync_state.source.lock();
+        let own = daemon.tables.revision().max(source.held_revision());
+        source.next_fetch(&from, own, now)
     };
-    if fetch_next || next == AfterReply::RequestAgain {
+    if next == AfterReply::RequestAgain || fetch_from.as_ref() == Some(&from) {
         send_sync_request(daemon, sync_state, &from);
     }
+    if let Some(other) = fetch_from.filter(|vm| *vm != from) {
+        send_sync_request(daemon, sync_state, &other);
+    }
+}
+
+/// Activates the content that was fetched, if it is confirmed or has waited long enough.
+pub fn activate_held_content(daemon: &Daemon, sync_state: &SyncState) {
+    let now = daemon.now();
+    // A change that is acknowledged is known to most control VMs.
+    let quorum = match daemon.role() {
+        DaemonRole::Entry => daemon.settings.lost_disks_max as usize + 1,
+        DaemonRole::Control => 0,
+    };
+    let own = daemon.tables.revision();
+    let content = sync_state.source.lock().take_confirmed(own, quorum, now);
+    let Some(content) = content else { return };
+    let before = daemon.tables.content();
+    if activate(&daemon.tables, &daemon.adapter, content) {
+        mark_resumed_cold(daemon, before.as_deref(), now);
+        daemon.tables.set_state(VmState::Serving);
+    }
 }
 
 /// Drops the records that cannot be those of targets.
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -113,15 +113,26 @@
         clock: Clock,
         limits: BodyLimits,
     ) -> Self {
-        let tables = Arc::new(Tables::new());
-        assert!(tables.activate(content(repeatable)));
-        let settings = settings();
+        let fleet = Self::start_without_content(settings(), clock, limits);
+        assert!(fleet.daemon.tables.activate(content(repeatable)));
+        for (number, target) in targets.iter().enumerate() {
+            fleet.report(&format!("target-{number}"), target.address);
+        }
+        fleet
+    }
+
+    /// Starts a daemon that has received no configuration.
+    pub fn start_without_content(
+        settings: FleetSettings,
+        clock: Clock,
+        limits: BodyLimits,
+    ) -> Self {
         let vm = settings.vm.clone();
         let daemon = Daemon {
             settings,
             clock,
             incarnation: Incarnation(1),
-            tables,
+            tables: Arc::new(Tables::new()),
             mesh: Mesh::new(vm, Incarnation(1), 1),
             group: None,
             adapter: adapter(),
@@ -129,11 +140,7 @@
             response_buffers: ResponseBuffers::new(limits),
             metrics: Arc::new(Metrics::new().expect("metrics")),
         };
-        let fleet = Self { daemon: Arc::new(daemon) };
-        for (number, target) in targets.iter().enumerate() {
-            fleet.report(&format!("target-{number}"), target.address);
-        }
-        fleet
+        Self { daemon: Arc::new(daemon) }
     }
 
     /// Reports a target as ready.
@@ -369,7 +376,8 @@
     Content { replicated, routing }
 }
 
-fn settings() -> FleetSettings {
+/// Returns the settings of an entry VM.
+pub fn settings() -> FleetSettings {
     FleetSettings {
         vm: id("127.0.0.1"),
         region: id("east"),
