--- a/crates/fleet/src/sync/source.rs
+++ b/crates/fleet/src/sync/source.rs
@@ -87,8 +87,8 @@
     /// content, or else one that has the newest.
     pub fn next_fetch(&self, from: &VmId, own: Revision, now: Instant) -> Option<VmId> {
         let newest = self.revisions.iter().max_by_key(|(_, revision)| **revision);
-        let candidates = std::iter::once(from).chain(newest.map(|(vm, _)| vm));
-        candidates.cloned().find(|vm| self.should_fetch(vm, own, now))
+        let mut candidates = std::iter::once(from).chain(newest.map(|(vm, _)| vm));
+        candidates.find(|vm| self.should_fetch(vm, own, now)).cloned()
     }
 
     /// Returns whether content should be fetched from a control VM now and, if so, records the
