Test full disks, one after another, in the simulated control group

Other operators report that after disks were full in turn, changes were refused for good. The simulated disk takes a part of an append when it is full, as a file system does, and stays full when the process ends.

--- a/crates/control/src/storage/memory.rs
+++ b/crates/control/src/storage/memory.rs
@@ -56,6 +56,8 @@
     /// Whether the write at which the disk stops takes effect.
     final_write_takes_effect: bool,
     stopped: bool,
+    /// Number of bytes that still fit; without one, there is room.
+    room_bytes: Option<usize>,
     fail_next_sync: bool,
     ignore_syncs: bool,
     attempted_writes: u64,
@@ -97,6 +99,32 @@
         if succeeds { Ok(()) } else { Err(disk_stopped_error()) }
     }
 
+    /// Takes room for a write of `length` bytes, and returns how many of them fit.
+    fn take_room(&mut self, length: usize) -> usize {
+        let Some(room) = &mut self.room_bytes else { return length };
+        let fitting = length.min(*room);
+        *room -= fitting;
+        fitting
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let fitting = self.take_room(bytes.len());
+        self.write(|disk| {
+            disk.file(name)?.bytes.extend_from_slice(&bytes[..fitting]);
+            Ok(())
+        })?;
+        if fitting < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        if self.take_room(bytes.len()) < bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let file = MemoryFile { bytes: bytes.to_vec(), synced_len: bytes.len() };
+        self.set_name(name, Some(file))?;
+        self.sync_folder()
+    }
+
     fn file(&mut self, name: &str) -> io::Result<&mut MemoryFile> {
         self.files.get_mut(name).ok_or_else(|| io::ErrorKind::NotFound.into())
     }
@@ -163,24 +191,14 @@
         let [append, sync, sync_all, read, truncate, replace, remove, list] =
             std::array::from_fn(|_| Arc::clone(&self.disk));
         Storage {
-            append: Box::new(move |name, bytes| {
-                append.lock().write(|disk| {
-                    disk.file(name)?.bytes.extend_from_slice(bytes);
-                    Ok(())
-                })
-            }),
+            append: Box::new(move |name, bytes| append.lock().append(name, bytes)),
             sync: Box::new(move |name| sync.lock().sync(name)),
             sync_all: Box::new(move || sync_all.lock().sync_all()),
             read: Box::new(move |name| {
                 Ok(read.lock().files.get(name).map(|file| file.bytes.clone()))
             }),
             truncate: Box::new(move |name, length| truncate.lock().truncate(name, length)),
-            replace: Box::new(move |name, bytes| {
-                let file = MemoryFile { bytes: bytes.to_vec(), synced_len: bytes.len() };
-                let mut disk = replace.lock();
-                disk.set_name(name, Some(file))?;
-                disk.sync_folder()
-            }),
+            replace: Box::new(move |name, bytes| replace.lock().replace(name, bytes)),
             remove: Box::new(move |name| {
                 let mut disk = remove.lock();
                 disk.set_name(name, None)?;
@@ -198,6 +216,16 @@
         disk.final_write_takes_effect = takes_effect;
     }
 
+    /// Fills the disk, so that it takes only `room_bytes` more, also after the end of a process.
+    pub fn fill(&self, room_bytes: usize) {
+        self.disk.lock().room_bytes = Some(room_bytes);
+    }
+
+    /// Makes room on a full disk.
+    pub fn make_room(&self) {
+        self.disk.lock().room_bytes = None;
+    }
+
     /// Makes the next sync fail.
     pub fn fail_next_sync(&self) {
         self.disk.lock().fail_next_sync = true;
--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -10,6 +10,8 @@
 mod disk_losses;
 #[path = "agreement/drawn_losses.rs"]
 mod drawn_losses;
+#[path = "agreement/full_disks.rs"]
+mod full_disks;
 
 use celerygate_control::storage::memory::TornWrite;
 use cluster::Cluster;
--- a/crates/control/tests/support/losses.rs
+++ b/crates/control/tests/support/losses.rs
@@ -44,6 +44,11 @@
         self.vms[number].torn_write = None;
     }
 
+    /// Ends only the process at the next failed write, and keeps what it left unsynced.
+    pub fn keep_unsynced_writes(&mut self, number: usize) {
+        self.vms[number].torn_write = None;
+    }
+
     pub(super) fn crash_after_failed_write(&mut self, number: usize) {
         match self.vms[number].torn_write.replace(TornWrite::Discard) {
             Some(torn_write) => {
