Store the number of entry VMs again after a failed write

Found while looking for what full disks leave behind. Cause: the number counts as stored once it is passed to the disk; a failed write was logged and never repeated, so that after a loss of all power the VMs divided the rate limits by an earlier, smaller number. Change: the next count, a second later, stores it again. update_after_failed_write_stored_again came with the change.

--- a/crates/fleet/src/entry_count.rs
+++ b/crates/fleet/src/entry_count.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EntryCount {
     stored_count: u32,
+    /// Whether the last write has failed, so that an earlier number is on disk.
+    has_failed: bool,
     decrease_since: Option<Instant>,
 }
 
@@ -43,7 +45,7 @@
 impl EntryCount {
     /// Creates the count from the number stored by an earlier process.
     pub fn from_stored(stored_count: u32) -> Self {
-        Self { stored_count, decrease_since: None }
+        Self { stored_count, has_failed: false, decrease_since: None }
     }
 
     /// Returns the stored number.
@@ -62,12 +64,17 @@
                 return CountChange::Keep;
             }
         }
-        if running == self.stored_count {
+        if running == self.stored_count && !self.has_failed {
             return CountChange::Keep;
         }
         *self = Self::from_stored(running);
         CountChange::Store(running)
     }
+
+    /// Records that the number could not be stored. The next update stores it again.
+    pub fn record_failure(&mut self) {
+        self.has_failed = true;
+    }
 }
 
 /// Loads the stored number and starts a task that counts entry VMs and stores changes.
@@ -106,6 +113,7 @@
             Ok((returned, result)) => {
                 storage = returned;
                 if let Err(error) = result {
+                    daemon.tables.entry_count.lock().record_failure();
                     log::warn!(error:% = error;
                         "failed to store the number of entry VMs, keeping it in memory");
                 }
--- a/crates/fleet/src/entry_count_tests.rs
+++ b/crates/fleet/src/entry_count_tests.rs
@@ -31,3 +31,15 @@
     assert_eq!(count.update(8, now + Duration::from_secs(60)), CountChange::Keep);
     assert_eq!(count.update(5, now + DECREASE_DELAY), CountChange::Keep);
 }
+
+/// Guards against a number that is never stored because the disk was full when it changed: after the loss
+/// of all power, the VMs would divide the rate limits by the earlier number.
+#[test]
+fn update_after_failed_write_stored_again() {
+    let now = Instant::now();
+    let mut count = EntryCount::from_stored(3);
+    assert_eq!(count.update(32, now), CountChange::Store(32));
+    count.record_failure();
+    assert_eq!(count.update(32, now), CountChange::Store(32));
+    assert_eq!(count.update(32, now), CountChange::Keep);
+}
