Number confirmations of leaving targets differently in each process

Updates about leaving targets were numbered from 1 in each process of a control VM, so that a confirmation that arrived after its restart counted for another target, which was then acknowledged although too few control VMs knew it. Change: the numbers start at random. record_confirmation_of_earlier_process fails with numbers that start at 0.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -155,11 +155,7 @@
             }
         }
         FleetMessage::TargetUpdateAck(ack) => {
-            let confirmations = sync_state.confirmations.lock();
-            if let Some(waiting) = confirmations.waiting.get(&ack.sequence) {
-                // The receiver is gone if the task already has enough confirmations.
-                let _ = waiting.send(from);
-            }
+            sync_state.confirmations.lock().record(ack.sequence, from);
         }
         FleetMessage::ChangeNotice(notice) => {
             sync_state.source.lock().record_revision(&from, notice.revision);
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -19,10 +19,35 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Updates that wait for the confirmations of other control VMs.
-#[derive(Default)]
 pub(super) struct Confirmations {
     last_sequence: u64,
-    pub(super) waiting: HashMap<u64, mpsc::UnboundedSender<VmId>>,
+    waiting: HashMap<u64, mpsc::UnboundedSender<VmId>>,
+}
+
+impl Default for Confirmations {
+    /// The numbers start at random, so that a late confirmation of an update of an earlier process counts
+    /// for none of this one.
+    fn default() -> Self {
+        Self { last_sequence: u64::from(rand::random::<u32>()) << 16, waiting: HashMap::new() }
+    }
+}
+
+impl Confirmations {
+    /// Returns the number of a new update, and a receiver of the VMs that confirm it.
+    fn begin(&mut self) -> (u64, mpsc::UnboundedReceiver<VmId>) {
+        self.last_sequence += 1;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.waiting.insert(self.last_sequence, sender);
+        (self.last_sequence, receiver)
+    }
+
+    /// Records that a VM has confirmed an update.
+    pub(super) fn record(&self, sequence: u64, vm: VmId) {
+        if let Some(waiting) = self.waiting.get(&sequence) {
+            // The receiver is gone if the task already has enough confirmations.
+            let _ = waiting.send(vm);
+        }
+    }
 }
 
 /// Handles the deregistration of a target, acknowledged like a report that it leaves. An unknown target
@@ -89,14 +114,7 @@
     instance: &TargetId,
     update: TargetUpdate,
 ) -> ReportOutcome {
-    let (sequence, mut acks) = {
-        let mut confirmations = sync_state.confirmations.lock();
-        confirmations.last_sequence += 1;
-        let sequence = confirmations.last_sequence;
-        let (sender, receiver) = mpsc::unbounded_channel();
-        confirmations.waiting.insert(sequence, sender);
-        (sequence, receiver)
-    };
+    let (sequence, mut acks) = sync_state.confirmations.lock().begin();
     let members = daemon.group.as_ref().map(|group| group.voters()).unwrap_or_default();
     let others: Vec<VmId> =
         members.iter().filter(|vm| **vm != daemon.settings.vm).cloned().collect();
@@ -124,3 +142,7 @@
         "target leaving");
     if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
 }
+
+#[cfg(test)]
+#[path = "leaving_tests.rs"]
+mod tests;
