--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -171,7 +171,9 @@
         group.send(GroupInput::Join { record: request.daemon.clone(), store_id });
     }
     record_daemon(daemon, request.daemon, now);
-    apply_departures(daemon, &mut daemon.tables.instances.write(), from, &request.departures);
+    if !request.departures.is_empty() {
+        apply_departures(daemon, &mut daemon.tables.instances.write(), from, &request.departures);
+    }
     let running = running_daemons(daemon, now);
     let digest = daemons_digest(&running);
     let content = daemon.tables.content();
