--- a/crates/fleet/src/sync/changes_tests.rs
+++ b/crates/fleet/src/sync/changes_tests.rs
@@ -28,7 +28,7 @@
             table.report(record(number), now);
             if number % departed_in == 0 {
                 let other = format!("other-{number}").parse().expect("valid id");
-                table.deregister(&other, None, 1, now).expect("room");
+                table.record_deregistration(&other, None, 1, now).expect("room");
             }
         }
         let (mut since, mut targets, mut departures) = (0, 0, 0);
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -68,7 +68,10 @@
     let (is_known, departure) = {
         let mut instances = daemon.tables.instances.write();
         let is_known = instances.get(instance).is_some();
-        (is_known, instances.deregister(instance, born_unix_ms, now_unix_ms, daemon.now()))
+        (
+            is_known,
+            instances.record_deregistration(instance, born_unix_ms, now_unix_ms, daemon.now()),
+        )
     };
     let Some(departure) = departure else {
         log::warn!(target_id = instance.as_str();
--- a/crates/fleet/tests/notices.rs
+++ b/crates/fleet/tests/notices.rs
@@ -169,7 +169,9 @@
         if ends_by_report {
             let now_unix_ms = daemon.clock.unix_ms();
             let mut instances = daemon.tables.instances.write();
-            instances.deregister(&life.target, None, now_unix_ms, daemon.now()).expect("room");
+            instances
+                .record_deregistration(&life.target, None, now_unix_ms, daemon.now())
+                .expect("room");
         } else {
             fleet.report_life("target-0", target.address, 2);
         }
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -251,7 +251,7 @@
     /// Records the deregistration of a target, which may be unknown here, and returns what other VMs must
     /// be told. Without a start time, it concerns all processes that started until now, at the wall time
     /// `now_unix_ms`. Returns `None` if there is no room for another unknown target.
-    pub fn deregister(
+    pub fn record_deregistration(
         &mut self,
         instance: &TargetId,
         born_unix_ms: Option<u64>,
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -64,7 +64,7 @@
     let now = Instant::now();
     let mut table = InstanceTable::default();
     table.report(record(1, 4, InstanceState::Ready), now);
-    table.deregister(&id(), None, NOW_UNIX_MS, now).expect("room");
+    table.record_deregistration(&id(), None, NOW_UNIX_MS, now).expect("room");
     assert_eq!(table.report(record(1, 9, InstanceState::Ready), now), ReportResult::Outdated);
     assert_eq!(state(&table), InstanceState::Gone);
 }
@@ -78,7 +78,7 @@
     assert_eq!(table.report(record(1, 41, InstanceState::Draining), now), ReportResult::Outdated);
     assert_eq!(state(&table), InstanceState::Ready);
     // The end of the earlier instance arrives late and contains its start time.
-    table.deregister(&id(), Some(1), NOW_UNIX_MS, now).expect("room");
+    table.record_deregistration(&id(), Some(1), NOW_UNIX_MS, now).expect("room");
     assert_eq!(state(&table), InstanceState::Ready);
 }
 
@@ -208,7 +208,7 @@
 fn report_after_deregistration_of_unknown() {
     let now = Instant::now();
     let mut table = InstanceTable::default();
-    let told = table.deregister(&id(), None, NOW_UNIX_MS, now);
+    let told = table.record_deregistration(&id(), None, NOW_UNIX_MS, now);
     assert_eq!(told, Some(departure(NOW_UNIX_MS, Duration::ZERO)));
     let late = record(NOW_UNIX_MS, 9, InstanceState::Ready);
     assert_eq!(table.report(late, now), ReportResult::Outdated);
@@ -224,7 +224,7 @@
 fn depart_known_target() {
     let now = Instant::now();
     let mut elsewhere = InstanceTable::default();
-    let told = elsewhere.deregister(&id(), None, NOW_UNIX_MS, now).expect("room");
+    let told = elsewhere.record_deregistration(&id(), None, NOW_UNIX_MS, now).expect("room");
     let mut table = InstanceTable::default();
     table.report(record(7, 4, InstanceState::Ready), now);
     let seen = table.version();
@@ -239,12 +239,12 @@
 /// Guards against a deregistration that is ignored because this VM holds the record of an earlier
 /// process of the target, and against one that ends a later process.
 #[test]
-fn deregister_other_start_time() {
+fn record_deregistration_other_start_time() {
     let now = Instant::now();
     for (stated, expected) in [(9, InstanceState::Gone), (6, InstanceState::Ready)] {
         let mut table = InstanceTable::default();
         table.report(record(7, 4, InstanceState::Ready), now);
-        let told = table.deregister(&id(), Some(stated), NOW_UNIX_MS, now);
+        let told = table.record_deregistration(&id(), Some(stated), NOW_UNIX_MS, now);
         assert_eq!(told, Some(departure(stated, Duration::ZERO)));
         assert_eq!(state(&table), expected, "{stated}");
         let reported = table.report(record(stated, 5, InstanceState::Ready), now);
@@ -270,14 +270,15 @@
 
 /// Guards against another writer that fills the memory with deregistrations of unknown targets.
 #[test]
-fn deregister_unknown_bounded() {
+fn record_deregistration_unknown_bounded() {
     let now = Instant::now();
     let mut table = InstanceTable::default();
     table.report(record(1, 1, InstanceState::Ready), now);
     let unknown = |number: u32| format!("other-{number}").parse().expect("valid id");
-    let kept = (0..20_000)
-        .filter(|number| table.deregister(&unknown(*number), None, NOW_UNIX_MS, now).is_some());
+    let kept = (0..20_000).filter(|number| {
+        table.record_deregistration(&unknown(*number), None, NOW_UNIX_MS, now).is_some()
+    });
     assert_eq!(kept.count(), 8_192);
-    assert!(table.deregister(&id(), None, NOW_UNIX_MS, now).is_some(), "a known target");
+    assert!(table.record_deregistration(&id(), None, NOW_UNIX_MS, now).is_some(), "a known target");
     assert_eq!(state(&table), InstanceState::Gone);
 }
