--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Runs the case "upload"; see claim.txt.
+# Runs the case "departure"; see claim.txt.
 here=$(cd "$(dirname "$0")" && pwd)
-exec bash "$here/../run-case.sh" upload "$here"
+exec bash "$here/../run-case.sh" departure "$here"
