--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 mod founding;
 mod orphan;
+mod stray;
 
 /// Bounds of the site `punchlist-ne`.
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
@@ -28,6 +29,7 @@
         "departure" => departure::run,
         "evacuation" => evacuation::run,
         "founding" => founding::run,
+        "stray" => stray::run,
         _ => return Verdict::NotRun(format!("no case is named {case}")),
     };
     run(record, folder, has_trouble)
--- a/review/standins/src/target.rs
+++ b/review/standins/src/target.rs
@@ -87,8 +87,12 @@
 
     /// Returns the body of the next heartbeat.
     pub fn next_heartbeat(&self) -> String {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
-        let Self { address, zone, service, born, .. } = self;
+        self.heartbeat(&self.service, self.sequence.fetch_add(1, Ordering::SeqCst))
+    }
+
+    /// Returns the body of a heartbeat for this server with a service and a sequence number.
+    pub fn heartbeat(&self, service: &str, sequence: u64) -> String {
+        let Self { address, zone, born, .. } = self;
         format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":6,"state":"ready","cold_remaining_s":0,"sequence":{sequence},"born":{born}}}"#
         )
