--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -11,8 +11,9 @@
 fi
 scratch=$(mktemp -d) || exit 2
 end_processes() {
-    if [ -f "$scratch/processes" ] && [ -n "${runner:-}" ] && kill -9 "$runner" 2>/dev/null; then
-        # The runner was ended early; otherwise it has ended its processes itself.
+    [ -n "${runner:-}" ] && kill -9 "$runner" 2>/dev/null && wait "$runner" 2>/dev/null
+    # A runner that ends by itself ends its processes, and removes their list.
+    if [ -f "$scratch/processes" ]; then
         while read -r process; do
             [ -n "$process" ] && kill -9 "$process" 2>/dev/null
         done <"$scratch/processes"
@@ -20,7 +21,7 @@
     rm -rf "$scratch"
 }
 trap end_processes EXIT
-trap 'exit 2' INT TERM
+trap 'exit 2' HUP INT TERM
 "$stand_ins" "$1" "$scratch" "$folder/record.txt" &
 runner=$!
 wait "$runner"
--- a/review/standins/src/cases/evacuation.rs
+++ b/review/standins/src/cases/evacuation.rs
@@ -1,4 +1,4 @@
-//! A slow server loses its answer more than `evacuation_delay_s` after another zone was evacuated.
+//! Slow servers lose some of their answers more than `evacuation_delay_s` after a zone was evacuated.
 
 use std::path::Path;
 use std::thread::{self, sleep};
@@ -12,14 +12,16 @@
 use crate::clients::{request, wait_until_served};
 use crate::fleet::{Fleet, limits, route, service};
 use crate::record::Record;
-use crate::target::{LOST_AT_HEADER, SLOW_AT_HEADER, Target, WORK_HEADER};
+use crate::target::{TROUBLE_HEADER, Target, WORK_HEADER};
 
 /// Timeout of the route: the longest one that the pages show, on the large site.
 const TIMEOUT_S: f64 = 6.0;
 const DEADLINE_MS: u64 = 8_000;
-/// Work of the slow server.
-const WORK_MS: &str = "5400";
-const REQUESTS: usize = 5;
+/// Work of a sound server. Lists of the site take up to 828 ms.
+const WORK_MS: &str = "450";
+/// Servers that are slow and lose answers: two of six.
+const TROUBLED: &str = "i-1,i-4";
+const REQUESTS: usize = 30;
 
 pub fn run(record: &Record, folder: &Path, has_trouble: bool) -> Verdict {
     let zones = [("coastal-a", "coastal"), ("valley-a", "valley")];
@@ -27,14 +29,17 @@
     for number in 1..=5 {
         fleet.add_control(number, usize::from(number) % 2);
     }
-    let entry = fleet.add_entry(1, 0);
+    let entry = fleet.add_entry(1, 1);
     start_all(&mut fleet);
     let controls = shared_controls(&fleet);
-    let start = |instance: &str, number, zone: usize| {
-        let address = fleet.ip(number) + ":8500";
-        Target::start(record, instance, address, zones[zone].0, "lists", &controls)
-    };
-    let (_slow, evacuated) = (start("i-slow", 101, 0), start("i-evacuated", 102, 1));
+    // The first three are in the zone that is evacuated, which is also the entry VM's.
+    let targets: Vec<Target> = (1..=6)
+        .map(|number| {
+            let zone = zones[usize::from(number <= 3)].0;
+            let address = fleet.ip(100 + number) + ":8500";
+            Target::start(record, &format!("i-{number}"), address, zone, "lists", &controls)
+        })
+        .collect();
     let resources = [route("r", "safe", TIMEOUT_S, "lists"), service("lists"), limits()];
     if !fleet.configure(0, &resources, FIRST_CONFIGURATION_LIMIT)
         || !wait_until_served(&fleet, &entry, "/r/first")
@@ -47,10 +52,9 @@
         .map(|number| {
             let (record, address) = (record.clone(), address.clone());
             thread::spawn(move || {
-                let lost_at = if has_trouble { "i-slow" } else { "" };
-                let headers =
-                    [(SLOW_AT_HEADER, "i-slow"), (WORK_HEADER, WORK_MS), (LOST_AT_HEADER, lost_at)];
-                let attempt = format!("slow-{number}");
+                let troubled = if has_trouble { TROUBLED } else { "" };
+                let headers = [(WORK_HEADER, WORK_MS), (TROUBLE_HEADER, troubled)];
+                let attempt = format!("list-{number}");
                 request(&record, &address, "/r/x", &attempt, DEADLINE_MS, &headers)
             })
         })
@@ -66,7 +70,8 @@
         let _ = client.join();
     }
     let bound_s = acknowledged_s + EVACUATION_DELAY.as_secs_f64();
-    let late = evacuated.runs().iter().filter(|run| run.at_s > bound_s).count();
+    let evacuated = targets[..3].iter().flat_map(Target::runs);
+    let late = evacuated.filter(|run| run.at_s > bound_s).count();
     record.line(&format!(
         "evacuation acknowledged at {acknowledged_s:.3}: {late} of {REQUESTS} requests reached the \
          evacuated zone after {bound_s:.3}"
--- a/review/standins/src/cases/orphan.rs
+++ b/review/standins/src/cases/orphan.rs
@@ -76,11 +76,14 @@
     }
     if has_trouble {
         record.line(&format!("cut {far} from all control VMs"));
+        // The servers are in the region that is cut off.
+        controls.lock().expect("no thread panics with the lock").clear();
         link.cut();
     }
     sleep(CUT_TIME);
     if has_trouble {
         link.restore();
+        *controls.lock().expect("no thread panics with the lock") = fleet.control_addresses();
         record.line("link restored");
     }
     sleep(CONTACT_WINDOW + Duration::from_secs(2));
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -21,14 +21,15 @@
 /// All running processes by name, so that the watchdog can end them.
 static PROCESSES: Mutex<BTreeMap<String, Child>> = Mutex::new(BTreeMap::new());
 
-/// Kills all processes that were started.
-pub fn kill_all_processes() {
+/// Kills all processes that were started. While the result is held, no other one can be started.
+pub fn kill_all_processes() -> MutexGuard<'static, BTreeMap<String, Child>> {
     let mut processes = PROCESSES.lock().unwrap_or_else(|error| error.into_inner());
     for child in processes.values_mut() {
         let _ = child.kill();
         let _ = child.wait();
     }
     processes.clear();
+    processes
 }
 
 /// A VM of the fleet.
@@ -171,6 +172,7 @@
         let settings = self.write_settings(name, is_first_start);
         let log = File::options().create(true).append(true).open(folder.join("log"));
         let log = log.expect("the log can be opened");
+        let mut processes = PROCESSES.lock().expect("no thread panics with the lock");
         let child = Command::new(PROGRAM)
             .arg("run")
             .env("CELERYGATE_CONFIG", settings)
@@ -180,7 +182,6 @@
             .spawn()
             .expect("the program has been built");
         self.record.line(&format!("start {name} at {}, process {}", vm.ip, child.id()));
-        let mut processes = PROCESSES.lock().expect("no thread panics with the lock");
         processes.insert(name.to_owned(), child);
         self.write_process_ids(&processes);
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -43,7 +43,8 @@
     thread::spawn(move || {
         sleep(RUN_TIME_MAX);
         started.line("verdict: not run, the case took too long");
-        fleet::kill_all_processes();
+        // Holds the list of processes, so that the case can start no other.
+        let _ended = fleet::kill_all_processes();
         std::process::exit(2);
     });
     record.line(&format!("case {case}, trouble: {has_trouble}"));
@@ -53,7 +54,9 @@
         move || cases::run(&case, &record, Path::new(&folder), has_trouble)
     };
     let verdict = thread::spawn(run).join();
-    fleet::kill_all_processes();
+    drop(fleet::kill_all_processes());
+    // Their ids may soon be those of others.
+    let _ = std::fs::remove_file(Path::new(folder).join("processes"));
     let (text, code) = match verdict {
         Ok(Verdict::Held) => ("held".to_owned(), 0),
         Ok(Verdict::Broken) => ("broken".to_owned(), 1),
--- a/review/standins/src/target.rs
+++ b/review/standins/src/target.rs
@@ -14,12 +14,13 @@
 /// Time in which a call of a server must be acknowledged.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const USUAL_WORK_MS: u64 = 5;
-/// Headers with the id of a slow server, and its milliseconds of work. The daemon forwards them like
-/// any other header.
-pub const SLOW_AT_HEADER: &str = "x-slow-at";
+/// Headers that the daemon forwards like any other: the milliseconds of work, and, during trouble, the
+/// ids of the servers that are slow and lose answers.
 pub const WORK_HEADER: &str = "x-work-ms";
-/// Header with the id of the server that loses its answer after the work.
-pub const LOST_AT_HEADER: &str = "x-lost-at";
+pub const TROUBLE_HEADER: &str = "x-trouble-at";
+/// Dose of that trouble.
+pub const SLOW_FACTOR: u64 = 12;
+pub const LOST_EVERY: u64 = 4;
 
 /// A request that a server began to work on.
 #[derive(Clone, Debug)]
@@ -37,6 +38,7 @@
     born: u64,
     sequence: Arc<AtomicU64>,
     has_left: Arc<AtomicBool>,
+    troubled_runs: Arc<AtomicU64>,
     runs: Arc<Mutex<Vec<Run>>>,
     /// Control VMs to which it reports.
     controls: Arc<Mutex<Vec<String>>>,
@@ -62,6 +64,7 @@
             born: born as u64,
             sequence: Arc::new(AtomicU64::new(1)),
             has_left: Arc::new(AtomicBool::new(false)),
+            troubled_runs: Arc::new(AtomicU64::new(0)),
             runs: Arc::default(),
             controls: Arc::clone(controls),
             record: record.clone(),
@@ -142,11 +145,15 @@
             let run = Run { at_s: self.record.now_s() };
             self.record.line(&format!("{} runs {attempt} {}", self.instance, request.line));
             self.runs.lock().expect("no thread panics with the lock").push(run);
-            let is_slow = request.header(SLOW_AT_HEADER) == self.instance;
-            let work_ms = request.header(WORK_HEADER).parse().ok().filter(|_| is_slow);
-            let work_ms = work_ms.unwrap_or(USUAL_WORK_MS);
+            let mut work_ms = request.header(WORK_HEADER).parse().unwrap_or(USUAL_WORK_MS);
+            let mut is_lost = false;
+            if request.header(TROUBLE_HEADER).split(',').any(|id| id == self.instance) {
+                work_ms *= SLOW_FACTOR;
+                let number = self.troubled_runs.fetch_add(1, Ordering::SeqCst) + 1;
+                is_lost = number.is_multiple_of(LOST_EVERY);
+            }
             sleep(Duration::from_millis(work_ms));
-            if request.header(LOST_AT_HEADER) == self.instance {
+            if is_lost {
                 self.record.line(&format!("{} loses its answer to {attempt}", self.instance));
                 return;
             }
