Keep the addresses of silent control VMs in a long cut

Cause: daemons that were silent for 30 s were removed, control VMs too, although a VM that hears nobody learns nothing about them. Only the seeds of the settings were left, and these had been replaced. Replies leave out a list that has not changed, so that the sender was not learned of again.

A silent control VM is now removed only while most known control VMs reply and none lists it. A reply of an unknown control VM makes the next one contain the whole list.

Three of the four new tests fail with the old rule.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -41,7 +41,9 @@
 /// not sent to entry VMs, and a target that is not reported for [`ENDED_RETENTION`] is removed
 /// there.
 const FULL_SYNC_INTERVAL: Duration = Duration::from_secs(8);
-/// Time without a message after which a daemon is removed.
+/// Time without a message after which a daemon is removed, see [`Daemons::remove_expired`].
+///
+/// [`Daemons::remove_expired`]: crate::tables::Daemons::remove_expired
 const DAEMON_EXPIRY: Duration = Duration::from_secs(30);
 
 /// State of the synchronisation that only this module uses.
@@ -259,7 +261,7 @@
     }
     activate_held_content(daemon, sync_state);
     record_leader(&daemon.tables, reply.term, reply.leader);
-    {
+    let knows_sender = {
         let mut daemons = daemon.tables.daemons.lock();
         if let Some(known) = daemons.known.get_mut(&from) {
             known.last_seen_at = Some(now);
@@ -273,8 +275,11 @@
         if daemon.role() == DaemonRole::Entry {
             // Entry VMs do not exchange messages; the control VMs list the running ones.
             daemons.update_list(&from, others, now);
+        } else {
+            daemons.record_list(&from, others, now);
         }
-    }
+        daemons.known.contains_key(&from)
+    };
     let mut changed = 0_usize;
     {
         let mut instances = daemon.tables.instances.write();
@@ -293,7 +298,9 @@
     let position = Position {
         targets_epoch: reply.targets_epoch,
         targets_change: reply.targets_change,
-        daemons_digest: reply.daemons_digest,
+        // A list that has not changed is left out of replies, so that a daemon that has forgotten the
+        // sender would not learn of it again.
+        daemons_digest: if knows_sender { reply.daemons_digest } else { 0 },
     };
     let next = sync_state
         .cursors
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -88,18 +88,28 @@
         }
     }
 
-    /// Updates a control VM's list of running daemons (an empty list means that it has not changed)
-    /// and keeps the entry VMs that any control VM lists. A control VM that has just started lists
-    /// only a few.
-    pub fn update_list(&mut self, from: &VmId, list: Vec<DaemonRecord>, now: Instant) {
+    /// Records a control VM's list of running daemons; an empty list means that it has not changed.
+    pub fn record_list(&mut self, from: &VmId, list: Vec<DaemonRecord>, now: Instant) {
         let listed = self.listed.entry(from.clone()).or_insert_with(|| (Vec::new(), now));
         listed.1 = now;
         if !list.is_empty() {
             listed.0 = list;
         }
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIST_AGE_MAX;
+    }
+
+    /// Returns the latest lists of the control VMs that have replied recently.
+    fn recent_lists(&self, now: Instant) -> impl Iterator<Item = &[DaemonRecord]> {
+        let is_recent = move |at: Instant| now.saturating_duration_since(at) < LIST_AGE_MAX;
+        let recent = self.listed.values().filter(move |(_, at)| is_recent(*at));
+        recent.map(|(records, _)| records.as_slice())
+    }
+
+    /// Records a control VM's list like [`Self::record_list`], and keeps the entry VMs that any control
+    /// VM lists. A control VM that has just started lists only a few.
+    pub fn update_list(&mut self, from: &VmId, list: Vec<DaemonRecord>, now: Instant) {
+        self.record_list(from, list, now);
         let mut entries: BTreeMap<VmId, DaemonRecord> = BTreeMap::new();
-        for (records, _) in self.listed.values().filter(|(_, at)| is_recent(*at)) {
+        for records in self.recent_lists(now) {
             for record in records.iter().filter(|record| record.role == DaemonRole::Entry) {
                 let is_newer = entries.get(&record.vm).is_none_or(|known| {
                     (record.incarnation, record.state) > (known.incarnation, known.state)
@@ -154,12 +164,27 @@
         self.known.values().filter(is_running).map(|known| &known.record)
     }
 
-    /// Removes daemons whose last message, or whose departure, is at least `after` ago. A VM that
-    /// returns announces itself again.
+    /// Removes entry VMs whose last message, or whose departure, is at least `after` ago, and control
+    /// VMs that most control VMs have lost too. A VM that returns announces itself again.
+    ///
+    /// Control VMs that are silent for this VM alone are kept: after a long cut their addresses are the
+    /// only way back, since the seeds of the settings may have been replaced.
     pub fn remove_expired(&mut self, after: Duration, now: Instant) {
-        self.known.retain(|_, known| {
-            known.last_seen_at.is_none_or(|at| now.saturating_duration_since(at) < after)
+        let is_silent =
+            |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) >= after);
+        let is_control = |known: &KnownDaemon| known.record.role == DaemonRole::Control;
+        let controls = self.known.values().filter(|known| is_control(known)).count();
+        let hears_most = self.recent_lists(now).count() * 2 > controls;
+        let silent = self.known.values().filter(|known| is_silent(known.last_seen_at));
+        let lost = silent.filter(|known| {
+            let is_listed = |list: &[DaemonRecord]| list.iter().any(|it| it.vm == known.record.vm);
+            !is_control(known) || (hears_most && !self.recent_lists(now).any(is_listed))
         });
+        let lost: Vec<VmId> = lost.map(|known| known.record.vm.clone()).collect();
+        for vm in lost {
+            self.known.remove(&vm);
+            self.listed.remove(&vm);
+        }
         self.departed.retain(|_, (_, at)| now.saturating_duration_since(*at) < after);
     }
 }
--- a/crates/fleet/src/tables_tests.rs
+++ b/crates/fleet/src/tables_tests.rs
@@ -57,6 +57,85 @@
     assert_eq!((serving(&daemons, later), known.len()), (3, 4));
 }
 
+fn control_record(number: u8) -> DaemonRecord {
+    DaemonRecord {
+        vm: control(number),
+        role: DaemonRole::Control,
+        ..entry(number, VmState::Serving)
+    }
+}
+
+const EXPIRY: Duration = Duration::from_secs(30);
+
+/// Records a reply of each of the given control VMs, with the same list of control VMs.
+fn reply(daemons: &mut Daemons, from: &[u8], listed: &[u8], at: Instant) {
+    let list: Vec<_> = listed.iter().map(|number| control_record(*number)).collect();
+    for number in from {
+        daemons.update(control_record(*number), Some(at));
+        daemons.update_list(&control(*number), list.clone(), at);
+    }
+}
+
+fn known_controls(daemons: &Daemons) -> Vec<&str> {
+    daemons.known.keys().map(VmId::as_str).collect()
+}
+
+/// Guards against an entry VM that forgets all control VMs in a long cut, while the seeds of its
+/// settings have been replaced: it served by its old configuration for good.
+#[test]
+fn remove_expired_control_vms_in_long_cut() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    reply(&mut daemons, &[4, 5, 6, 7, 8], &[4, 5, 6, 7, 8], now);
+    let after_cut = now + EXPIRY + Duration::from_secs(4);
+    daemons.remove_expired(EXPIRY, after_cut);
+    assert_eq!(daemons.known.len(), 5);
+    // The first reply after the cut leaves the list out, since it has not changed.
+    daemons.update_list(&control(4), Vec::new(), after_cut);
+    daemons.remove_expired(EXPIRY, after_cut);
+    assert_eq!(daemons.known.len(), 5);
+}
+
+/// Guards against the same loss if one control VM on this side of the cut, which cannot hear the others
+/// either, goes on replying.
+#[test]
+fn remove_expired_control_vms_beyond_cut() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    reply(&mut daemons, &[4, 5, 6, 7, 8], &[4, 5, 6, 7, 8], now);
+    let later = now + EXPIRY;
+    reply(&mut daemons, &[4], &[4], later);
+    daemons.remove_expired(EXPIRY, later);
+    assert_eq!(daemons.known.len(), 5);
+}
+
+/// Guards against control VMs that were replaced and are asked for ever.
+#[test]
+fn remove_expired_replaced_control_vm() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    reply(&mut daemons, &[1, 2, 3, 4, 5], &[1, 2, 3, 4, 5], now);
+    let later = now + EXPIRY;
+    reply(&mut daemons, &[2, 3, 4, 5, 6], &[2, 3, 4, 5, 6], later);
+    daemons.remove_expired(EXPIRY, later);
+    assert_eq!(
+        known_controls(&daemons),
+        ["10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5", "10.0.1.6"]
+    );
+}
+
+/// Guards against a control VM that is forgotten although only this VM cannot reach it.
+#[test]
+fn remove_expired_control_vm_listed_by_others() {
+    let now = Instant::now();
+    let mut daemons = Daemons::default();
+    reply(&mut daemons, &[1, 2, 3, 4, 5], &[1, 2, 3, 4, 5], now);
+    let later = now + EXPIRY;
+    reply(&mut daemons, &[2, 3, 4, 5], &[1, 2, 3, 4, 5], later);
+    daemons.remove_expired(EXPIRY, later);
+    assert_eq!(daemons.known.len(), 5);
+}
+
 /// Guards against requests that a stopping VM accepts too late to complete (hurma-kapi-grown,
 /// trouble-2 with seed 1031483153138: accepted 3.2 s after SIGTERM, interrupted after 5.6 s).
 #[test]
