Store that targets leave before it is confirmed

Cause: control VMs confirmed a leaving target that they had in memory only. A heartbeat that states `draining` rests on the same memory.

Control VMs now sync the update to their disk, in files of frames in the subfolder `leaving`, and confirm it afterwards; the files are read back before the VM serves. Updates of relayed heartbeats, which nobody waits for, are no longer acknowledged.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod freshness;
 pub mod idempotency_log;
 pub mod intents;
+pub mod leaving_log;
 pub mod log;
 pub mod membership;
 pub mod node;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -19,7 +19,7 @@
 use crate::replica::Tail;
 use crate::storage::Storage;
 
-mod frame;
+pub mod frame;
 
 pub use frame::payload_bytes;
 
--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::adapter::ProtocolAdapter;
 use crate::forward::ResponseBuffers;
 use crate::group::Group;
+use crate::leaving_store::LeavingStore;
 use crate::mesh::Mesh;
 use crate::tables::Tables;
 
@@ -39,6 +40,8 @@
     pub mesh: Mesh,
     /// The member of the control group; only on a control VM.
     pub group: Option<Group>,
+    /// Storage for the targets that leave; only on a control VM.
+    pub leaving_store: Option<LeavingStore>,
     /// Functions with which the front end translates messages.
     pub adapter: ProtocolAdapter,
     /// Connection pool for targets.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod group;
 pub mod http1;
+pub mod leaving_store;
 pub mod listen;
 pub mod logging;
 pub mod lookup;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -22,6 +22,7 @@
 use crate::adapter::ProtocolAdapter;
 use crate::daemon::Daemon;
 use crate::group::{self, Callbacks, GroupContext};
+use crate::leaving_store::LeavingStore;
 use crate::mesh::{Mesh, MessageHandler};
 use crate::sync::{self, SyncState};
 use crate::{callers, clock, commands, entry_count, forward, listen, quota, supervise, targets};
@@ -96,6 +97,14 @@
         data_centre = settings.data_centre.as_str(), incarnation = incarnation.0,
         control = settings.data_folder.is_some(), founds_group = settings.found_group,
         version = env!("CARGO_PKG_VERSION"); "daemon starting");
+    let (leaving_store, leaving) = match &settings.data_folder {
+        Some(folder) => {
+            let (store, updates) = LeavingStore::open(Path::new(folder.as_str()), clock.clone())
+                .context("open the storage of leaving targets")?;
+            (Some(store), updates)
+        }
+        None => (None, Vec::new()),
+    };
     let daemon = Arc::new(Daemon {
         settings,
         clock,
@@ -103,11 +112,13 @@
         tables,
         mesh,
         group,
+        leaving_store,
         adapter,
         pool: Arc::new(ConnectionPool::default()),
         response_buffers: forward::ResponseBuffers::default(),
         metrics,
     });
+    sync::restore_leaving(&daemon, leaving);
     if let Some(start_group) = start_group {
         start_group(callbacks(&daemon))?;
         if let Some(folder) = &daemon.settings.data_folder {
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -10,7 +10,7 @@
 use celerygate_steering::instances::{ENDED_RETENTION, ReportError, ReportResult, check_report};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
-    SyncReply, SyncRequest, TargetUpdate, TargetUpdateAck, VmState,
+    SyncReply, SyncRequest, TargetUpdate, VmState,
 };
 use celerygate_types::{Incarnation, Revision, TargetId, VmId};
 use parking_lot::Mutex;
@@ -18,8 +18,8 @@
 
 use self::changes::TargetChanges;
 use self::cursor::{AfterReply, Cursor, NextRequest, Position};
-pub use self::leaving::deregister_target;
-use self::leaving::{Confirmations, apply_departures, confirm_leaving};
+use self::leaving::{Confirmations, confirm_leaving, receive_target_update};
+pub use self::leaving::{deregister_target, restore_leaving};
 use self::source::ContentSource;
 use crate::daemon::Daemon;
 use crate::entry_count::EntryCount;
@@ -140,22 +140,7 @@
         }
         FleetMessage::SyncRequest(request) => handle_request(daemon, &from, request),
         FleetMessage::SyncReply(reply) => handle_reply(daemon, sync_state, from, reply),
-        FleetMessage::TargetUpdate(update) => {
-            let now = daemon.now();
-            let changed = {
-                let mut instances = daemon.tables.instances.write();
-                let mut changed = false;
-                for record in plausible_records(daemon, &from, update.records) {
-                    changed |= instances.report(record, now) == ReportResult::Changed;
-                }
-                changed | (apply_departures(daemon, &mut instances, &from, &update.departures) > 0)
-            };
-            let ack = TargetUpdateAck { sequence: update.sequence };
-            daemon.mesh.send(&from, FleetMessage::TargetUpdateAck(ack));
-            if changed && update.sequence > 0 {
-                notify_entries(daemon);
-            }
-        }
+        FleetMessage::TargetUpdate(update) => receive_target_update(daemon, from, update),
         FleetMessage::TargetUpdateAck(ack) => {
             sync_state.confirmations.lock().record(ack.sequence, from);
         }
@@ -174,7 +159,12 @@
     }
     record_daemon(daemon, request.daemon, now);
     if !request.departures.is_empty() {
-        apply_departures(daemon, &mut daemon.tables.instances.write(), from, &request.departures);
+        leaving::apply_departures(
+            daemon,
+            &mut daemon.tables.instances.write(),
+            from,
+            &request.departures,
+        );
     }
     let running = running_daemons(daemon, now);
     let digest = daemons_digest(&running);
@@ -287,7 +277,7 @@
             log_target(&record, &from);
             changed += usize::from(instances.report(record, now) == ReportResult::Changed);
         }
-        changed += apply_departures(daemon, &mut instances, &from, &reply.departures);
+        changed += leaving::apply_departures(daemon, &mut instances, &from, &reply.departures);
     }
     if changed > 0 {
         log::info!(control = from.as_str(), targets = changed, change = reply.targets_change;
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -1,17 +1,17 @@
-//! Targets that leave: a target is told so only once most control VMs know it, so that every entry VM
-//! that reaches most of them learns of it.
+//! Targets that leave: a target is told so only once most control VMs have stored it, so that every
+//! entry VM that reaches most of them learns of it, also after a restart of all processes.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use celerygate_steering::instances::{InstanceTable, check_start_time};
-use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate};
+use celerygate_steering::instances::{InstanceTable, ReportResult, check_start_time};
+use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate, TargetUpdateAck};
 use celerygate_types::{TargetId, VmId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use super::{ReportOutcome, SyncState, control_vms, notify_entries};
+use super::{ReportOutcome, SyncState, control_vms, notify_entries, plausible_records};
 use crate::daemon::Daemon;
 
 /// Timeout for other control VMs to confirm that they know of a leaving target; targets wait 1 s
@@ -33,12 +33,12 @@
 }
 
 impl Confirmations {
-    /// Returns the number of a new update, and a receiver of the VMs that confirm it.
-    fn begin(&mut self) -> (u64, mpsc::UnboundedReceiver<VmId>) {
+    /// Returns the number of a new update, and the channel of the VMs that confirm it.
+    fn begin(&mut self) -> (u64, mpsc::UnboundedSender<VmId>, mpsc::UnboundedReceiver<VmId>) {
         self.last_sequence += 1;
         let (sender, receiver) = mpsc::unbounded_channel();
-        self.waiting.insert(self.last_sequence, sender);
-        (self.last_sequence, receiver)
+        self.waiting.insert(self.last_sequence, sender.clone());
+        (self.last_sequence, sender, receiver)
     }
 
     /// Records that a VM has confirmed an update.
@@ -109,30 +109,76 @@
     count
 }
 
-/// Sends an update about a leaving target to the other control VMs, and waits until most control VMs
-/// know it.
+/// Applies the updates about leaving targets that an earlier process of this VM has stored.
+pub fn restore_leaving(daemon: &Daemon, updates: Vec<TargetUpdate>) {
+    let own = &daemon.settings.vm;
+    let mut instances = daemon.tables.instances.write();
+    for update in updates {
+        for record in plausible_records(daemon, own, update.records) {
+            log::info!(target_id = record.instance.as_str(), born = record.born_unix_ms,
+                state:% = record.state; "restored leaving target");
+            instances.report(record, daemon.now());
+        }
+        apply_departures(daemon, &mut instances, own, &update.departures);
+    }
+}
+
+/// Handles an update of another control VM, and confirms one about a leaving target once it is stored.
+pub(super) fn receive_target_update(daemon: &Arc<Daemon>, from: VmId, update: TargetUpdate) {
+    let now = daemon.now();
+    let TargetUpdate { sequence, records, departures } = update;
+    let records = plausible_records(daemon, &from, records);
+    let changed = {
+        let mut instances = daemon.tables.instances.write();
+        let mut changed = false;
+        for record in &records {
+            changed |= instances.report(record.clone(), now) == ReportResult::Changed;
+        }
+        changed | (apply_departures(daemon, &mut instances, &from, &departures) > 0)
+    };
+    let is_relayed = sequence == 0;
+    if is_relayed {
+        return;
+    }
+    if changed {
+        notify_entries(daemon);
+    }
+    let Some(store) = &daemon.leaving_store else { return };
+    let confirming = Arc::clone(daemon);
+    store.store(TargetUpdate { sequence: 0, records, departures }, move || {
+        let ack = TargetUpdateAck { sequence };
+        confirming.mesh.send(&from, FleetMessage::TargetUpdateAck(ack));
+    });
+}
+
+/// Stores an update about a leaving target, sends it to the other control VMs, and waits until most
+/// control VMs have stored it.
 pub(super) async fn confirm_leaving(
     daemon: &Arc<Daemon>,
     sync_state: &SyncState,
     instance: &TargetId,
     update: TargetUpdate,
 ) -> ReportOutcome {
-    let (sequence, mut acks) = sync_state.confirmations.lock().begin();
+    let (sequence, sender, mut acks) = sync_state.confirmations.lock().begin();
     let members = daemon.group.as_ref().map(|group| group.voters()).unwrap_or_default();
-    let others: Vec<VmId> =
-        members.iter().filter(|vm| **vm != daemon.settings.vm).cloned().collect();
     for vm in control_vms(daemon) {
         let update = TargetUpdate { sequence, ..update.clone() };
         daemon.mesh.send(&vm, FleetMessage::TargetUpdate(update));
     }
     notify_entries(daemon);
-    let own = usize::from(members.contains(&daemon.settings.vm));
+    if let Some(store) = &daemon.leaving_store {
+        let own = daemon.settings.vm.clone();
+        store.store(update, move || {
+            // The receiver is gone if other VMs have confirmed the update first.
+            let _ = sender.send(own);
+        });
+    }
     let needed = members.len() / 2 + 1;
     let mut confirmed_by = HashSet::new();
     let deadline = TokioInstant::now() + CONFIRMATION_TIMEOUT;
-    while confirmed_by.len() + own < needed {
+    while confirmed_by.len() < needed {
         match timeout_at(deadline, acks.recv()).await {
-            Ok(Some(vm)) if others.contains(&vm) => {
+            Ok(Some(vm)) if members.contains(&vm) => {
                 confirmed_by.insert(vm);
             }
             Ok(Some(_)) => {}
@@ -140,8 +186,8 @@
         }
     }
     sync_state.confirmations.lock().waiting.remove(&sequence);
-    let is_confirmed = !members.is_empty() && confirmed_by.len() + own >= needed;
-    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len() + own, needed = needed;
+    let is_confirmed = !members.is_empty() && confirmed_by.len() >= needed;
+    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len(), needed = needed;
         "target leaving");
     if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
 }
--- a/crates/fleet/src/sync/leaving_tests.rs
+++ b/crates/fleet/src/sync/leaving_tests.rs
@@ -10,9 +10,9 @@
 /// restart, and counts for another target.
 #[test]
 fn record_confirmation_of_earlier_process() {
-    let (earlier, _receiver) = Confirmations::default().begin();
+    let (earlier, _, _receiver) = Confirmations::default().begin();
     let mut confirmations = Confirmations::default();
-    let (sequence, mut receiver) = confirmations.begin();
+    let (sequence, _, mut receiver) = confirmations.begin();
     confirmations.record(earlier, vm(1));
     assert!(receiver.try_recv().is_err());
     confirmations.record(sequence, vm(2));
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -135,6 +135,7 @@
             tables: Arc::new(Tables::new()),
             mesh: Mesh::new(vm, Incarnation(1), 1),
             group: None,
+            leaving_store: None,
             adapter: adapter(),
             pool: Arc::new(ConnectionPool::default()),
             response_buffers: ResponseBuffers::new(limits),
