Have daemons confirm each other's frames

Cause: frames go one way, and the sender took a write that succeeds for the arrival at the peer. A proxy, a tunnel or the kernel of a stopped process acknowledges bytes that nobody reads, so that no time-out of TCP passes.

Frames now ask for a confirmation of one byte, with probes on connections that are in use and send nothing. A connection that confirms nothing for 1.2 s is opened again; both directions are watched at the same time. Parts of long frames are confirmed too, so that a slow link is no silent one. Version 3 of the messages between daemons of celerygated.

Both tests of silent connections fail without the time-out.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! Sends and receives authenticated messages between daemons over UDP and TCP.
 
 pub mod codec;
+mod liveness;
 pub mod tcp;
 pub mod udp;
 
--- a/crates/daemon/src/peers/codec.rs
+++ b/crates/daemon/src/peers/codec.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Version of the message encoding. A daemon drops messages of any other version.
-pub const MESSAGE_VERSION: u16 = 2;
+pub const MESSAGE_VERSION: u16 = 3;
 /// Largest datagram; it fits an Ethernet frame with room for tunnel headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// Largest frame on a TCP connection.
--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -1,4 +1,5 @@
-//! Frames between daemons on TCP connections: a four-byte length, then the sealed envelope.
+//! Frames between daemons on TCP connections: a four-byte length, then the sealed envelope. Some frames
+//! ask the receiver for a confirmation of one byte, see [`super::liveness`].
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,11 +10,13 @@
 use celerygate_steering::buffers::{MemoryBudget, Reservation};
 use celerygate_types::ByteCount;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::codec::MAX_FRAME_BYTES;
+use super::liveness::{Ask, Liveness, NextStep, RECEIVE_TIMEOUT};
 use super::{MessageHandler, Peers};
 
 /// Maximum number of frames that wait for a connection. Further ones are dropped, which is safe
@@ -41,6 +44,13 @@
 /// Also the step in which a larger frame takes memory.
 const FRAME_STEP_BYTES: usize = 64 * 1_024;
 
+/// Bit of a frame's length that asks for a confirmation.
+const ASKS_CONFIRMATION: u32 = 1 << 31;
+/// Byte with which a receiver confirms the frame that asked for it.
+const CONFIRMED: u8 = 1;
+/// Byte that a receiver sends for each step of a long frame.
+const PROGRESS: u8 = 2;
+
 /// Limits for the frames that are received.
 #[derive(Clone, Copy, Debug)]
 pub struct FrameLimits {
@@ -59,13 +69,137 @@
     };
 }
 
+/// A connection on which frames are sent.
+struct PeerConnection {
+    stream: TcpStream,
+    liveness: Liveness,
+}
+
+/// Why a connection is closed while it waits for the next frame.
+#[derive(Debug, thiserror::Error)]
+enum ConnectionEnd {
+    #[error("the peer has closed the connection: {0}")]
+    Closed(io::Error),
+    #[error("the peer does not confirm frames")]
+    Unconfirmed,
+    #[error("no frame to send")]
+    Idle,
+}
+
+impl PeerConnection {
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, liveness: Liveness::new(Instant::now()) }
+    }
+
+    /// Writes a frame, and meanwhile receives confirmations of earlier ones.
+    async fn write_frame(&mut self, frame: &[u8]) -> Result<(), ConnectionEnd> {
+        let bytes = encode(frame, self.liveness.begin_frame(Instant::now()))
+            .map_err(ConnectionEnd::Closed)?;
+        let (mut reader, mut writer) = self.stream.split();
+        let writing = timeout(FRAME_TIMEOUT, writer.write_all(&bytes));
+        tokio::pin!(writing);
+        loop {
+            let wake_at = match self.liveness.next_step(Instant::now()) {
+                NextStep::GiveUp => return Err(ConnectionEnd::Unconfirmed),
+                NextStep::Wait(until) => until,
+                NextStep::Probe | NextStep::CloseIdle => Instant::now() + FRAME_TIMEOUT,
+            };
+            tokio::select! {
+                biased;
+                received = receive_signals(&mut reader) => self.liveness.record(received?),
+                written = &mut writing => return match written {
+                    Ok(Ok(())) => Ok(()),
+                    Ok(Err(error)) => Err(ConnectionEnd::Closed(error)),
+                    Err(_) => Err(ConnectionEnd::Closed(io::ErrorKind::TimedOut.into())),
+                },
+                () = sleep_until(wake_at) => {}
+            }
+        }
+    }
+
+    /// Receives confirmations and sends probes until the connection is of no more use. Can be dropped
+    /// at any time.
+    async fn watch(&mut self) -> ConnectionEnd {
+        loop {
+            let now = Instant::now();
+            let wake_at = match self.liveness.next_step(now) {
+                NextStep::Wait(until) => until,
+                NextStep::Probe => {
+                    if let Err(error) = self.send_probe() {
+                        return ConnectionEnd::Closed(error);
+                    }
+                    self.liveness.record_ask(now);
+                    continue;
+                }
+                NextStep::GiveUp => return ConnectionEnd::Unconfirmed,
+                NextStep::CloseIdle => return ConnectionEnd::Idle,
+            };
+            let (mut reader, _) = self.stream.split();
+            tokio::select! {
+                biased;
+                received = receive_signals(&mut reader) => match received {
+                    Ok(signals) => self.liveness.record(signals),
+                    Err(end) => return end,
+                },
+                () = sleep_until(wake_at) => {}
+            }
+        }
+    }
+
+    /// Sends an empty frame that asks for a confirmation. A probe that does not fit into the kernel's
+    /// buffer is not needed: the bytes before it are not confirmed either.
+    fn send_probe(&self) -> io::Result<()> {
+        let probe = encode(&[], Ask::Confirmation)?;
+        match self.stream.try_write(&probe) {
+            Ok(written) if written == probe.len() => Ok(()),
+            Ok(_) => Err(io::ErrorKind::WriteZero.into()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+/// Signs of life that the peer has sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Signals {
+    /// It has received a part of a long frame.
+    Progress,
+    /// It has handled the frame that asked for a confirmation.
+    Confirmation,
+}
+
+impl Liveness {
+    fn record(&mut self, signals: Signals) {
+        match signals {
+            Signals::Progress => self.record_progress(Instant::now()),
+            Signals::Confirmation => self.record_confirmation(),
+        }
+    }
+}
+
+async fn receive_signals(reader: &mut ReadHalf<'_>) -> Result<Signals, ConnectionEnd> {
+    let mut bytes = [0; 64];
+    let closed = |error: io::Error| ConnectionEnd::Closed(error);
+    let count = reader.read(&mut bytes).await.map_err(closed)?;
+    let received = &bytes[..count];
+    if received.is_empty() {
+        Err(closed(io::ErrorKind::UnexpectedEof.into()))
+    } else if received.iter().any(|byte| ![CONFIRMED, PROGRESS].contains(byte)) {
+        Err(closed(io::ErrorKind::InvalidData.into()))
+    } else if received.contains(&CONFIRMED) {
+        Ok(Signals::Confirmation)
+    } else {
+        Ok(Signals::Progress)
+    }
+}
+
 /// Sends the frames of a queue to a peer, connecting when there is a frame to send.
 pub async fn send_frames(address: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
-    let mut connection: Option<TcpStream> = None;
+    let mut connection: Option<PeerConnection> = None;
     while let Some(mut frame) = next_frame(address, &mut connection, &mut frames).await {
         let mut connect_timeout = INITIAL_CONNECT_TIMEOUT;
         while connection.is_none() {
-            connection = connect(address, connect_timeout).await;
+            connection = connect(address, connect_timeout).await.map(PeerConnection::new);
             if connection.is_none() {
                 connect_timeout = (connect_timeout * 2).min(MAX_CONNECT_TIMEOUT);
                 sleep(RECONNECT_DELAY).await;
@@ -78,9 +212,9 @@
                 }
             }
         }
-        let Some(stream) = connection.as_mut() else { continue };
-        if let Err(error) = write_frame(stream, &frame).await {
-            log::debug!(peer:% = address, error:% = error; "connection to peer lost");
+        let Some(open) = connection.as_mut() else { continue };
+        if let Err(end) = open.write_frame(&frame).await {
+            log_end(address, open, &end);
             connection = None;
         }
     }
@@ -90,14 +224,14 @@
 /// the kernel accepts a write on it, so that the frame would be lost.
 async fn next_frame(
     address: SocketAddr,
-    connection: &mut Option<TcpStream>,
+    connection: &mut Option<PeerConnection>,
     frames: &mut mpsc::Receiver<Vec<u8>>,
 ) -> Option<Vec<u8>> {
-    if let Some(stream) = connection {
+    if let Some(open) = connection {
         tokio::select! {
             biased;
-            () = ended(stream) => {
-                log::debug!(peer:% = address; "peer has closed the connection");
+            end = open.watch() => {
+                log_end(address, open, &end);
                 *connection = None;
             }
             frame = frames.recv() => return frame,
@@ -106,11 +240,27 @@
     frames.recv().await
 }
 
-/// Waits until the peer closes or resets a connection. Peers send nothing on it, so any input means that
-/// it is of no use.
-async fn ended(stream: &TcpStream) {
-    // An error means that the connection has failed.
-    let _ = stream.readable().await;
+fn log_end(address: SocketAddr, connection: &PeerConnection, end: &ConnectionEnd) {
+    // A peer that is stopped accepts connections and confirms nothing on any of them; only the first one
+    // is news.
+    if matches!(end, ConnectionEnd::Unconfirmed) && connection.liveness.has_confirmed() {
+        log::warn!(peer:% = address; "peer does not confirm messages, connecting again");
+    } else {
+        log::debug!(peer:% = address, reason:% = end; "connection to peer closed");
+    }
+}
+
+/// Returns the bytes of a frame: its length, with a flag if it asks for a confirmation, and itself.
+fn encode(frame: &[u8], ask: Ask) -> io::Result<Vec<u8>> {
+    let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
+    let header = match ask {
+        Ask::Confirmation => length | ASKS_CONFIRMATION,
+        Ask::Nothing => length,
+    };
+    let mut bytes = Vec::with_capacity(4 + frame.len());
+    bytes.extend_from_slice(&header.to_be_bytes());
+    bytes.extend_from_slice(frame);
+    Ok(bytes)
 }
 
 async fn connect(address: SocketAddr, connect_timeout: Duration) -> Option<TcpStream> {
@@ -136,17 +286,6 @@
     }
 }
 
-async fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
-    let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
-    let mut bytes = Vec::with_capacity(4 + frame.len());
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(frame);
-    match timeout(FRAME_TIMEOUT, stream.write_all(&bytes)).await {
-        Ok(written) => written,
-        Err(_) => Err(io::ErrorKind::TimedOut.into()),
-    }
-}
-
 /// Handles one frame; an error closes the connection that it came on.
 pub type FrameHandler = Arc<dyn Fn(&[u8]) -> Result<()> + Send + Sync>;
 
@@ -196,25 +335,42 @@
     memory: &Arc<MemoryBudget>,
     handle: &FrameHandler,
 ) -> Result<()> {
-    let mut length = [0; 4];
-    timeout(FRAME_TIMEOUT, stream.read_exact(&mut length))
+    let (mut reader, writer) = stream.split();
+    // A signal that does not fit into the kernel's buffer is lost, and so are the connection's signals
+    // before it: the sender does not read them.
+    let signal = |byte: u8| drop(writer.try_write(&[byte]));
+    let mut header = [0; 4];
+    timeout(FRAME_TIMEOUT, reader.read_exact(&mut header))
         .await
         .context("first frame timed out")??;
     loop {
-        let length_bytes = usize::try_from(u32::from_be_bytes(length))?;
+        let value = u32::from_be_bytes(header);
+        let length_bytes = usize::try_from(value & !ASKS_CONFIRMATION)?;
         let mut reservation = memory.reservation();
-        let frame = read_frame(&mut stream, length_bytes, limits, &mut reservation).await?;
-        handle(&frame)?;
+        let frame = read_frame(&mut reader, length_bytes, limits, &mut reservation, || {
+            signal(PROGRESS);
+        })
+        .await?;
+        if !frame.is_empty() {
+            handle(&frame)?;
+        }
         drop((frame, reservation));
-        stream.read_exact(&mut length).await?;
+        if value & ASKS_CONFIRMATION != 0 {
+            signal(CONFIRMED);
+        }
+        timeout(RECEIVE_TIMEOUT, reader.read_exact(&mut header))
+            .await
+            .context("no frame and no probe")??;
     }
 }
 
+/// Reads a frame, and calls `on_step` after each step of a long one.
 async fn read_frame(
     stream: &mut (impl AsyncRead + Unpin),
     length: usize,
     limits: FrameLimits,
     memory: &mut Reservation,
+    on_step: impl Fn(),
 ) -> Result<Vec<u8>> {
     if length as u64 > limits.frame_max.0 {
         bail!("frame of {length} bytes exceeds {}", limits.frame_max);
@@ -231,6 +387,9 @@
             if received < step {
                 bail!("frame ends after {} of {length} bytes", frame.len());
             }
+            if frame.len() < length {
+                on_step();
+            }
         }
         Ok(())
     };
--- a/crates/daemon/src/peers/tcp_tests.rs
+++ b/crates/daemon/src/peers/tcp_tests.rs
@@ -5,7 +5,7 @@
 /// Reads a frame with the default limits.
 async fn read(stream: &mut (impl AsyncRead + Unpin), length: usize) -> Result<Vec<u8>> {
     let memory = MemoryBudget::new(FrameLimits::DEFAULT.total_max);
-    read_frame(stream, length, FrameLimits::DEFAULT, &mut memory.reservation()).await
+    read_frame(stream, length, FrameLimits::DEFAULT, &mut memory.reservation(), || ()).await
 }
 
 #[tokio::test]
@@ -36,16 +36,16 @@
     let memory = MemoryBudget::new(limits.total_max);
     let bytes = vec![b'x'; 900 * 1_024];
     let (mut first, mut second) = (memory.reservation(), memory.reservation());
-    let frame = read_frame(&mut &bytes[..], bytes.len(), limits, &mut first).await.unwrap();
+    let frame = read_frame(&mut &bytes[..], bytes.len(), limits, &mut first, || ()).await.unwrap();
     assert_eq!(frame, bytes);
-    let refused = read_frame(&mut &bytes[..], bytes.len(), limits, &mut second).await;
+    let refused = read_frame(&mut &bytes[..], bytes.len(), limits, &mut second, || ()).await;
     let error = refused.map(|frame| frame.len()).unwrap_err();
     expect_test::expect!["no memory for a frame of 921600 bytes"].assert_eq(&error.to_string());
     // Small frames need no memory of the total.
     let mut small = memory.reservation();
-    read_frame(&mut &bytes[..100], 100, limits, &mut small).await.unwrap();
+    read_frame(&mut &bytes[..100], 100, limits, &mut small, || ()).await.unwrap();
     drop((first, second));
-    read_frame(&mut &bytes[..], bytes.len(), limits, &mut small).await.unwrap();
+    read_frame(&mut &bytes[..], bytes.len(), limits, &mut small, || ()).await.unwrap();
 }
 
 /// Guards against a message that is lost with the first attempt to connect and repeated only after
@@ -92,3 +92,77 @@
     drop(sender);
     sending.await.unwrap();
 }
+
+/// Accepts a connection and returns it with the first byte of its first frame.
+async fn accept_frame(listener: &TcpListener, within: Duration) -> (TcpStream, u8) {
+    let accepted = timeout(within, listener.accept()).await;
+    let (mut stream, _) = accepted.expect("the sender does not connect").unwrap();
+    let mut frame = [0; 5];
+    stream.read_exact(&mut frame).await.unwrap();
+    (stream, frame[4])
+}
+
+/// Reads and discards what arrives, like a proxy that has lost the other side.
+fn read_on(mut stream: TcpStream) {
+    tokio::spawn(async move { while matches!(stream.read(&mut [0; 64]).await, Ok(1..)) {} });
+}
+
+/// Guards against frames that are written for good to a connection whose other end acknowledges the
+/// bytes and passes nothing on: entry VMs stayed at an old configuration.
+#[tokio::test]
+async fn send_frames_silent_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (sender, frames) = mpsc::channel(4);
+    tokio::spawn(send_frames(listener.local_addr().unwrap(), frames));
+    tokio::spawn(async move {
+        for number in 0_u8.. {
+            if sender.send(vec![number]).await.is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(400)).await;
+        }
+    });
+    let (mut stream, first) = accept_frame(&listener, Duration::from_secs(3)).await;
+    stream.write_all(&[CONFIRMED]).await.unwrap();
+    read_on(stream);
+    let (_stream, next) = accept_frame(&listener, Duration::from_secs(3)).await;
+    assert!(next > first);
+}
+
+/// Guards against a silent connection that is found only by the frame that it loses: the connection
+/// for replies is idle until the one for requests works again.
+#[tokio::test]
+async fn send_frames_silent_idle_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (sender, frames) = mpsc::channel(4);
+    tokio::spawn(send_frames(listener.local_addr().unwrap(), frames));
+    sender.send(vec![1]).await.unwrap();
+    let (mut stream, _) = accept_frame(&listener, Duration::from_secs(3)).await;
+    stream.write_all(&[CONFIRMED]).await.unwrap();
+    read_on(stream);
+    sleep(Duration::from_secs(2)).await;
+    sender.send(vec![2]).await.unwrap();
+    let (_stream, next) = accept_frame(&listener, Duration::from_millis(500)).await;
+    assert_eq!(next, 2);
+}
+
+/// Guards against a connection that is closed although its receiver confirms, or that sends frames twice.
+#[tokio::test]
+async fn send_frames_confirmed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (received, mut numbers) = mpsc::unbounded_channel();
+    let handle: FrameHandler = Arc::new(move |frame| Ok(received.send(frame.to_vec())?));
+    let limits = FrameLimits { frame_max: ByteCount(4 << 20), total_max: ByteCount(16 << 20) };
+    let accepting = tokio::spawn(accept_frames(listener, limits, handle));
+    let (sender, frames) = mpsc::channel(4);
+    tokio::spawn(send_frames(address, frames));
+    for number in 0..3 {
+        let frame = vec![number; 3 << 20];
+        sender.send(frame.clone()).await.unwrap();
+        assert!(numbers.recv().await == Some(frame), "frame {number} was not received");
+        sleep(Duration::from_millis(900)).await;
+    }
+    assert!(numbers.try_recv().is_err());
+    accepting.abort();
+}
