End a response whose chunk size does not end

Cause: the HTTP library accepts any number of leading zeros, and the limit of the bytes between a request and its response ended with the head.

At most 512 KiB may now be read between two parts of a body, so that callers get 502 at once. `chunk_size_endless` fails before the change.

--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -64,6 +64,7 @@
         address: SocketAddr,
         connection: Connection,
     ) -> Self {
+        connection.begin_body_part();
         Self { body, reusable: Some((pool, address, connection)) }
     }
 
@@ -106,7 +107,11 @@
             None => self.return_to_pool(),
             Some(Err(_)) => self.reusable = None,
             Some(Ok(_)) if self.body.is_end_stream() => self.return_to_pool(),
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => {
+                if let Some((.., connection)) = &self.reusable {
+                    connection.begin_body_part();
+                }
+            }
         }
         Poll::Ready(frame)
     }
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -49,6 +49,10 @@
 /// buffers two reads.
 pub const HEAD_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
+/// Number of bytes that may be read between two parts of a body. The HTTP library reads the size of a chunk
+/// with any number of leading zeros. Chunks of a single byte take six, so that each read has a part.
+const BODY_GAP_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
+
 /// A connection to a target. Dropping it while a request is unanswered resets the connection, so that
 /// the kernel discards what the target's machine has not acknowledged. After an orderly close it would
 /// send these bytes once a cut network is back, and the target would run a request that its caller and
@@ -114,12 +118,18 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
-        self.reads.begin_head(HEAD_LIMIT_BYTES);
+        self.reads.begin(HEAD_LIMIT_BYTES);
         let response = self.sender.try_send_request(request).await;
-        self.reads.end_head();
+        self.reads.end();
         response
     }
 
+    /// Records that the head, or a part of the body, of a response was received. The next part must follow
+    /// within [`BODY_GAP_LIMIT_BYTES`].
+    pub fn begin_body_part(&self) {
+        self.reads.begin(BODY_GAP_LIMIT_BYTES);
+    }
+
     /// Returns the number of bytes received so far, also after the connection has ended.
     pub fn received_bytes(&self) -> u64 {
         self.reads.received_bytes()
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -38,12 +38,12 @@
 }
 
 /// Counts the bytes that are read from a socket, and limits those between a request and the head of
-/// its response. The HTTP library limits the size of a head, but not the number of interim responses
-/// before it.
+/// its response, and between two parts of a body. The HTTP library limits the size of a head, but not the
+/// number of interim responses before it, nor the leading zeros of a chunk's size.
 #[derive(Debug)]
 pub struct ReadCounter {
     received: AtomicU64,
-    /// Count at which reading fails, `u64::MAX` if no head is awaited.
+    /// Count at which reading fails, `u64::MAX` if nothing is awaited.
     limit: AtomicU64,
 }
 
@@ -57,13 +57,13 @@
         self.received.load(Ordering::Relaxed)
     }
 
-    /// Starts the wait for a head, in which `bytes` may be read.
-    pub fn begin_head(&self, bytes: u64) {
+    /// Starts the wait for a head or a part of a body, in which `bytes` may be read.
+    pub fn begin(&self, bytes: u64) {
         self.limit.store(self.received_bytes() + bytes, Ordering::Relaxed);
     }
 
-    /// Ends the wait for a head.
-    pub fn end_head(&self) {
+    /// Ends the wait.
+    pub fn end(&self) {
         self.limit.store(u64::MAX, Ordering::Relaxed);
     }
 
@@ -127,7 +127,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.reads.is_exhausted() {
-            let error = io::Error::new(io::ErrorKind::InvalidData, "no response head within limit");
+            let error =
+                io::Error::new(io::ErrorKind::InvalidData, "no part of a response within limit");
             return Poll::Ready(Err(error));
         }
         let size = buffer.remaining().min(read_size(self.open.0.load(Ordering::Relaxed)));
--- a/crates/fleet/tests/endless_responses.rs
+++ b/crates/fleet/tests/endless_responses.rs
@@ -57,6 +57,30 @@
     }
 }
 
+/// Guards against a chunk whose size has leading zeros without end and that is read until the deadline.
+#[tokio::test]
+async fn chunk_size_endless() {
+    let response = format!("{}transfer-encoding: chunked\r\n\r\n", head("a"));
+    let (fleet, target) =
+        start(ScriptedResponse::Endless(response.into(), vec![b'0'; 65_536])).await;
+    let started = Instant::now();
+    assert_eq!(fleet.status(Method::POST, "a").await, 502);
+    assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
+    eventually("the connection is closed", async || target.endless_closed() == 1).await;
+    assert!(fleet.is_avoided(0), "the target does not count as failing");
+}
+
+/// Guards against a sound body of many short chunks that is taken for one without end.
+#[tokio::test]
+async fn body_of_short_chunks() {
+    let chunks = "1\r\nx\r\n".repeat(20_000);
+    let response = format!("{}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n", head("a"));
+    let (fleet, _target) = start(ScriptedResponse::KeepAlive(response.into())).await;
+    let response = fleet.send(Method::GET, "a").await;
+    let body = response.into_body().collect().await.expect("a complete body").to_bytes();
+    assert_eq!(body.len(), 20_000);
+}
+
 /// Guards against a body without end that fills the memory while the caller reads nothing.
 #[tokio::test]
 async fn body_endless_unread() {
