Let the kernel take most responses as a whole

Cause: the bound of 64 KiB for unsent bytes kept a response of 300 KB in the process until its caller read it, so that the connection was not idle when the stop began.

The bound is 512 KiB.

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -75,7 +75,7 @@
     liveness: Liveness,
 }
 
-/// Why a connection is closed while it waits for the next frame.
+/// Why a connection is closed.
 #[derive(Debug, thiserror::Error)]
 enum ConnectionEnd {
     #[error("the peer has closed the connection: {0}")]
--- a/crates/fleet/src/callers.rs
+++ b/crates/fleet/src/callers.rs
@@ -36,8 +36,9 @@
 /// Maximum number of concurrent requests on one connection.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 /// Bytes of responses that the kernel takes beyond those that it has sent. Its buffer would grow to
-/// megabytes for each caller that does not read.
-const UNSENT_MAX_BYTES: u32 = 64 * 1_024;
+/// megabytes for each caller that does not read. Large enough for most responses as a whole: a connection
+/// counts as idle in a stop once the kernel has its last response.
+const UNSENT_MAX_BYTES: u32 = 512 * 1_024;
 /// Minimum free space in the buffer for each read; most requests fit.
 const READ_BUFFER_BYTES: usize = 2 * 1_024;
 /// Maximum size of a request body.
