Apply changes of targets in one place, and convert I/O errors by themselves

No change of behaviour is intended. Three functions applied records and departures of targets with a loop of their own, one of them new, and the handling of relayed heartbeats, the most frequent update, copied each record for a storage that it does not reach: records are copied now only if they are stored. The errors of a connection between daemons were wrapped by hand in five places.

--- a/crates/daemon/src/peers/tcp.rs
+++ b/crates/daemon/src/peers/tcp.rs
@@ -79,7 +79,7 @@
 #[derive(Debug, thiserror::Error)]
 enum ConnectionEnd {
     #[error("the peer has closed the connection: {0}")]
-    Closed(io::Error),
+    Closed(#[from] io::Error),
     #[error("the peer does not confirm frames")]
     Unconfirmed,
     #[error("no frame to send")]
@@ -93,8 +93,7 @@
 
     /// Writes a frame, and meanwhile receives confirmations of earlier ones.
     async fn write_frame(&mut self, frame: &[u8]) -> Result<(), ConnectionEnd> {
-        let bytes = encode(frame, self.liveness.begin_frame(Instant::now()))
-            .map_err(ConnectionEnd::Closed)?;
+        let bytes = encode(frame, self.liveness.begin_frame(Instant::now()))?;
         let (mut reader, mut writer) = self.stream.split();
         let writing = timeout(FRAME_TIMEOUT, writer.write_all(&bytes));
         tokio::pin!(writing);
@@ -106,12 +105,10 @@
             };
             tokio::select! {
                 biased;
-                received = receive_signals(&mut reader) => self.liveness.record(received?),
-                written = &mut writing => return match written {
-                    Ok(Ok(())) => Ok(()),
-                    Ok(Err(error)) => Err(ConnectionEnd::Closed(error)),
-                    Err(_) => Err(ConnectionEnd::Closed(io::ErrorKind::TimedOut.into())),
-                },
+                received = receive_signal(&mut reader) => self.liveness.record(received?),
+                written = &mut writing => {
+                    return Ok(written.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?);
+                }
                 () = sleep_until(wake_at) => {}
             }
         }
@@ -137,9 +134,9 @@
             let (mut reader, _) = self.stream.split();
             tokio::select! {
                 biased;
-                received = receive_signals(&mut reader) => match received {
-                    Ok(signals) => self.liveness.record(signals),
-                    Err(end) => return end,
+                received = receive_signal(&mut reader) => match received {
+                    Ok(signal) => self.liveness.record(signal),
+                    Err(error) => return error.into(),
                 },
                 () = sleep_until(wake_at) => {}
             }
@@ -159,9 +156,9 @@
     }
 }
 
-/// Signs of life that the peer has sent.
+/// Sign of life that the peer has sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Signals {
+enum Signal {
     /// It has received a part of a long frame.
     Progress,
     /// It has handled the frame that asked for a confirmation.
@@ -169,27 +166,26 @@
 }
 
 impl Liveness {
-    fn record(&mut self, signals: Signals) {
-        match signals {
-            Signals::Progress => self.record_progress(Instant::now()),
-            Signals::Confirmation => self.record_confirmation(),
+    fn record(&mut self, signal: Signal) {
+        match signal {
+            Signal::Progress => self.record_progress(Instant::now()),
+            Signal::Confirmation => self.record_confirmation(),
         }
     }
 }
 
-async fn receive_signals(reader: &mut ReadHalf<'_>) -> Result<Signals, ConnectionEnd> {
+async fn receive_signal(reader: &mut ReadHalf<'_>) -> io::Result<Signal> {
     let mut bytes = [0; 64];
-    let closed = |error: io::Error| ConnectionEnd::Closed(error);
-    let count = reader.read(&mut bytes).await.map_err(closed)?;
+    let count = reader.read(&mut bytes).await?;
     let received = &bytes[..count];
     if received.is_empty() {
-        Err(closed(io::ErrorKind::UnexpectedEof.into()))
+        Err(io::ErrorKind::UnexpectedEof.into())
     } else if received.iter().any(|byte| ![CONFIRMED, PROGRESS].contains(byte)) {
-        Err(closed(io::ErrorKind::InvalidData.into()))
+        Err(io::ErrorKind::InvalidData.into())
     } else if received.contains(&CONFIRMED) {
-        Ok(Signals::Confirmation)
+        Ok(Signal::Confirmation)
     } else {
-        Ok(Signals::Progress)
+        Ok(Signal::Progress)
     }
 }
 
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -10,7 +10,7 @@
 use celerygate_steering::instances::{ENDED_RETENTION, ReportError, ReportResult, check_report};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
-    SyncReply, SyncRequest, TargetUpdate, VmState,
+    SyncReply, SyncRequest, TargetDeparture, TargetUpdate, VmState,
 };
 use celerygate_types::{Incarnation, Revision, TargetId, VmId};
 use parking_lot::Mutex;
@@ -270,15 +270,9 @@
         }
         daemons.known.contains_key(&from)
     };
-    let mut changed = 0_usize;
-    {
-        let mut instances = daemon.tables.instances.write();
-        for record in plausible_records(daemon, &from, reply.targets) {
-            log_target(&record, &from);
-            changed += usize::from(instances.report(record, now) == ReportResult::Changed);
-        }
-        changed += leaving::apply_departures(daemon, &mut instances, &from, &reply.departures);
-    }
+    let records = plausible_records(daemon, &from, reply.targets);
+    records.iter().for_each(|record| log_target(record, &from));
+    let changed = apply_target_changes(daemon, &from, records, &reply.departures);
     if changed > 0 {
         log::info!(control = from.as_str(), targets = changed, change = reply.targets_change;
             "received target changes");
@@ -347,6 +341,20 @@
     records.into_iter().filter(is_plausible).collect()
 }
 
+/// Applies plausible records of targets, and departures. Returns how many were news.
+fn apply_target_changes(
+    daemon: &Daemon,
+    from: &VmId,
+    records: Vec<InstanceRecord>,
+    departures: &[TargetDeparture],
+) -> usize {
+    let now = daemon.now();
+    let mut instances = daemon.tables.instances.write();
+    let reported = records.into_iter().map(|record| instances.report(record, now));
+    let changed = reported.filter(|result| *result == ReportResult::Changed).count();
+    changed + leaving::apply_departures(daemon, &mut instances, from, departures)
+}
+
 fn log_target(record: &InstanceRecord, from: &VmId) {
     log::debug!(target_id = record.instance.as_str(), address = record.address.as_str(),
         state:% = record.state, sequence = record.sequence, control = from.as_str();
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -5,16 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use celerygate_steering::instances::{InstanceTable, ReportResult, check_start_time};
+use celerygate_steering::instances::{InstanceTable, check_start_time};
 use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate, TargetUpdateAck};
 use celerygate_types::{TargetId, VmId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use super::{ReportOutcome, SyncState, control_vms, notify_entries, plausible_records};
+use super::{
+    ReportOutcome, SyncState, apply_target_changes, control_vms, notify_entries, plausible_records,
+};
 use crate::daemon::Daemon;
 
-/// Timeout for other control VMs to confirm that they know of a leaving target; targets wait 1 s
+/// Timeout for control VMs to confirm that they have stored an update; targets wait 1 s
 /// for the response.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -112,35 +114,26 @@
 /// Applies the updates about leaving targets that an earlier process of this VM has stored.
 pub fn restore_leaving(daemon: &Daemon, updates: Vec<TargetUpdate>) {
     let own = &daemon.settings.vm;
-    let mut instances = daemon.tables.instances.write();
     for update in updates {
-        for record in plausible_records(daemon, own, update.records) {
+        let records = plausible_records(daemon, own, update.records);
+        for record in &records {
             log::info!(target_id = record.instance.as_str(), born = record.born_unix_ms,
                 state:% = record.state; "restored leaving target");
-            instances.report(record, daemon.now());
         }
-        apply_departures(daemon, &mut instances, own, &update.departures);
+        apply_target_changes(daemon, own, records, &update.departures);
     }
 }
 
 /// Handles an update of another control VM, and confirms one about a leaving target once it is stored.
 pub(super) fn receive_target_update(daemon: &Arc<Daemon>, from: VmId, update: TargetUpdate) {
-    let now = daemon.now();
     let TargetUpdate { sequence, records, departures } = update;
     let records = plausible_records(daemon, &from, records);
-    let changed = {
-        let mut instances = daemon.tables.instances.write();
-        let mut changed = false;
-        for record in &records {
-            changed |= instances.report(record.clone(), now) == ReportResult::Changed;
-        }
-        changed | (apply_departures(daemon, &mut instances, &from, &departures) > 0)
-    };
     let is_relayed = sequence == 0;
     if is_relayed {
+        apply_target_changes(daemon, &from, records, &departures);
         return;
     }
-    if changed {
+    if apply_target_changes(daemon, &from, records.clone(), &departures) > 0 {
         notify_entries(daemon);
     }
     let Some(store) = &daemon.leaving_store else { return };
