--- a/crates/fleet/tests/endless_responses.rs
+++ b/crates/fleet/tests/endless_responses.rs
@@ -39,6 +39,15 @@
     (Fleet::start(&[&target], Repeatable::OnlyIfNotRun), target)
 }
 
+/// Sends a request, which must get a status long before its deadline, while the target goes on sending.
+async fn assert_ended_at_once(fleet: &Fleet, target: &RawTarget, status: u16) {
+    let started = Instant::now();
+    assert_eq!(fleet.status(Method::POST, "a").await, status);
+    assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
+    eventually("the connection is closed", async || target.endless_closed() == 1).await;
+    assert!(fleet.is_avoided(0), "the target does not count as failing");
+}
+
 /// Guards against a body without end that is held in memory, or passed on after the deadline, or
 /// that looks complete to the caller, or does not count against the target.
 #[tokio::test]
@@ -63,11 +72,7 @@
     let response = format!("{}transfer-encoding: chunked\r\n\r\n", head("a"));
     let (fleet, target) =
         start(ScriptedResponse::Endless(response.into(), vec![b'0'; 65_536])).await;
-    let started = Instant::now();
-    assert_eq!(fleet.status(Method::POST, "a").await, 502);
-    assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
-    eventually("the connection is closed", async || target.endless_closed() == 1).await;
-    assert!(fleet.is_avoided(0), "the target does not count as failing");
+    assert_ended_at_once(&fleet, &target, 502).await;
 }
 
 /// Guards against a sound body of many short chunks that is taken for one without end.
@@ -133,11 +138,7 @@
     for (framing, repeated) in framings {
         let (fleet, target) =
             start(ScriptedResponse::Endless(format!("{refusal}{framing}").into(), repeated)).await;
-        let started = Instant::now();
-        assert_eq!(fleet.status(Method::POST, "a").await, 503);
-        assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
-        eventually("the connection is closed", async || target.endless_closed() == 1).await;
-        assert!(fleet.is_avoided(0), "the target does not count as failing");
+        assert_ended_at_once(&fleet, &target, 503).await;
     }
 }
 
@@ -202,11 +203,7 @@
     let informational = "HTTP/1.1 100 Continue\r\n\r\n";
     let endless = ScriptedResponse::Endless(Vec::new(), informational.repeat(10).into());
     let (fleet, target) = start(endless).await;
-    let started = Instant::now();
-    assert_eq!(fleet.status(Method::POST, "a").await, 502);
-    assert!(started.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", started.elapsed());
-    eventually("the connection is closed", async || target.endless_closed() == 1).await;
-    assert!(fleet.is_avoided(0), "the target does not count as failing");
+    assert_ended_at_once(&fleet, &target, 502).await;
 
     let few = format!("{}{}", informational.repeat(3), answer("a", "ok"));
     let (fleet, _target) = start(ScriptedResponse::KeepAlive(few.into())).await;
