--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -74,6 +74,12 @@
         self.reusable = None;
     }
 
+    /// Returns the number of this response's request on its connection, from 1; 0 if the connection is
+    /// not kept.
+    pub fn number_on_connection(&self) -> u32 {
+        self.reusable.as_ref().map_or(0, |(.., connection)| connection.requests())
+    }
+
     /// Returns whether this response must name its request: the target has done so earlier on the
     /// connection.
     pub fn echo_rule(&self) -> EchoRule {
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -64,6 +64,7 @@
     stream: Weak<TcpStream>,
     reads: Arc<ReadCounter>,
     echo_rule: EchoRule,
+    requests: u32,
 }
 
 impl Connection {
@@ -106,7 +107,7 @@
             }
         });
         let task = task.abort_handle();
-        Ok(Self { sender, task, stream, reads, echo_rule: EchoRule::Optional })
+        Ok(Self { sender, task, stream, reads, echo_rule: EchoRule::Optional, requests: 0 })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -118,6 +119,7 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        self.requests = self.requests.saturating_add(1);
         self.reads.begin(HEAD_LIMIT_BYTES);
         let response = self.sender.try_send_request(request).await;
         self.reads.end();
@@ -135,6 +137,11 @@
         self.reads.received_bytes()
     }
 
+    /// Returns the number of requests that were sent, or were about to be, on the connection.
+    pub fn requests(&self) -> u32 {
+        self.requests
+    }
+
     /// Returns whether the next response must name its request.
     pub fn echo_rule(&self) -> EchoRule {
         self.echo_rule
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -92,7 +92,7 @@
             log::info!(request = admitted.metadata.request.as_str(), reason = reason.as_str(),
                 target_id = chosen.instance.as_str(); "failed to reach target");
             attempt_guard.end_unreachable();
-            log_attempt(daemon, admitted, chosen, arrived_at, "not-reached");
+            log_attempt(daemon, admitted, chosen, arrived_at, "not-reached", None);
             return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
         Ok(Err(SendError::NoResponse { reason, detail, .. })) => {
@@ -100,10 +100,11 @@
                 error = detail.as_str(),
                 target_id = chosen.instance.as_str(); "no response from the target");
             attempt_guard.end(AttemptEnd::Failed, None);
-            log_attempt(daemon, admitted, chosen, arrived_at, "no-response");
+            log_attempt(daemon, admitted, chosen, arrived_at, "no-response", None);
             return AttemptResult::Failed(ResultCode::TargetFailed);
         }
         Ok(Ok(response)) => {
+            let number = response.body().number_on_connection();
             let read = read_response(daemon, admitted, chosen, response, deadline);
             match timeout_at(deadline, read).await {
                 Err(_) => (AttemptResult::Failed(ResultCode::DeadlinePassed), "deadline-passed"),
@@ -120,14 +121,14 @@
                         );
                     }
                     attempt_guard.end(end, load);
-                    log_attempt(daemon, admitted, chosen, arrived_at, outcome);
+                    log_attempt(daemon, admitted, chosen, arrived_at, outcome, Some(number));
                     return result_of(attempt);
                 }
             }
         }
     };
     attempt_guard.end(AttemptEnd::Expired, None);
-    log_attempt(daemon, admitted, chosen, arrived_at, end);
+    log_attempt(daemon, admitted, chosen, arrived_at, end, None);
     attempt
 }
 
@@ -137,13 +138,16 @@
     chosen: &ChosenTarget,
     arrived_at: Instant,
     outcome: &'static str,
+    number_on_connection: Option<u32>,
 ) {
     let elapsed = daemon.now().saturating_duration_since(arrived_at);
     log::info!(request = admitted.metadata.request.as_str(), route = admitted.route.name.as_str(),
         organisation = organisation_text(admitted.organisation), object = admitted.object,
         token = admitted.token.map(|token| token.to_string()),
         sent_ms = chosen.chosen_at.saturating_duration_since(arrived_at).as_millis() as u64,
-        target_id = chosen.instance.as_str(), reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
+        target_id = chosen.instance.as_str(), born = chosen.incarnation.0, address = chosen.address.as_str(),
+        number_on_connection = number_on_connection,
+        reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
         considered = chosen.target_count, knows_object = chosen.knows_object, elapsed_ms = elapsed.as_millis() as u64, outcome = outcome;
         "attempt ended");
     let code = if outcome == "answered" { 0 } else { ResultCode::TargetFailed.number() };
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -180,8 +180,9 @@
     }
     sync_state.confirmations.lock().waiting.remove(&sequence);
     let is_confirmed = !members.is_empty() && confirmed_by.len() >= needed;
-    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len(), needed = needed;
-        "target leaving");
+    let ready_born = daemon.tables.instances.read().ready_born_unix_ms(instance);
+    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len(), needed = needed,
+        ready_born = ready_born; "target leaving");
     if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
 }
 
--- a/crates/fleet/src/targets/attempts.rs
+++ b/crates/fleet/src/targets/attempts.rs
@@ -136,7 +136,7 @@
             .flatten();
         drop(local);
         if let Some(change) = resumed {
-            log_change(&self.instance, "", change, now);
+            log_change(&self.instance, Some(self.incarnation), "", change, now);
         }
         self.daemon.tables.attempt_ended.notify_waiters();
     }
--- a/crates/fleet/src/targets/availability.rs
+++ b/crates/fleet/src/targets/availability.rs
@@ -106,7 +106,7 @@
     daemon.metrics.set_unavailable_targets(unavailable);
     for change in changes {
         daemon.metrics.count_notice(change);
-        log_change(&chosen.instance, request, change, now);
+        log_change(&chosen.instance, Some(chosen.incarnation), request, change, now);
     }
     daemon.tables.attempt_ended.notify_waiters();
 }
@@ -115,28 +115,29 @@
 /// it, empty if there is none.
 pub(super) fn log_change(
     target: &TargetId,
+    incarnation: Option<Incarnation>,
     request: &str,
     change: AvailabilityChange,
     now: Instant,
 ) {
-    let target = target.as_str();
+    let (target, born) = (target.as_str(), incarnation.map(|incarnation| incarnation.0));
     match change {
         AvailabilityChange::LeavingBegan => {
-            log::info!(target_id = target, request = request;
+            log::info!(target_id = target, born = born, request = request;
                 "target states that it leaves, no new requests for it");
         }
         AvailabilityChange::LeavingEnded => {
-            log::info!(target_id = target, request = request;
+            log::info!(target_id = target, born = born, request = request;
                 "process of a leaving target has ended");
         }
         AvailabilityChange::PauseBegan { until } => {
             let pause = until.saturating_duration_since(now);
-            log::info!(target_id = target, request = request,
+            log::info!(target_id = target, born = born, request = request,
                 pause_ms = pause.as_millis() as u64;
                 "target asks for a pause, no new requests for it");
         }
         AvailabilityChange::PauseEnded => {
-            log::info!(target_id = target, request = request; "pause of a target has ended");
+            log::info!(target_id = target, born = born, request = request; "pause of a target has ended");
         }
     }
 }
@@ -195,7 +196,7 @@
         drop(instances);
         daemon.metrics.set_unavailable_targets(unavailable);
         for (target, change) in &changes {
-            log_change(target, "", *change, now);
+            log_change(target, None, "", *change, now);
         }
         if !changes.is_empty() {
             daemon.tables.attempt_ended.notify_waiters();
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -287,6 +287,13 @@
         self.departures.includes(instance, born_unix_ms)
     }
 
+    /// Returns the start time of the latest process of a target if requests may be sent to it.
+    pub fn ready_born_unix_ms(&self, instance: &TargetId) -> Option<u64> {
+        let known = self.instances.get(instance);
+        let ready = known.filter(|known| known.record.state == InstanceState::Ready);
+        ready.map(|known| known.record.born_unix_ms)
+    }
+
     /// Returns the deregistrations since a version, and the version of each.
     pub fn departures_since(
         &self,
