Do not send a request again on a connection that refused it

Cause: a target starts again at its address as another instance and refuses a request for the earlier one. The request goes to the new instance at the same address, and the pool, which keeps connections by address, uses the connection that has just carried the refusal. If the target sends that refusal twice, the copy comes where the response to the second attempt is due, and the id in it is that of the request. The copy of a 421 also took the new, sound instance out of use for 15 s.

Nothing in a response tells two attempts of one request apart, and a copy can come at any time. So a connection remembers the requests that got an unsuccessful response on it, and the pool uses another connection for them. It holds for every later attempt with that id, also one of another caller.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -288,7 +288,8 @@
         Distance::Remote => NetworkPath::CrossRegion,
         Distance::DataCentre | Distance::Region => NetworkPath::WithinRegion,
     };
-    let sent = daemon.connection_pool.send(assigned.address, path, ConnectionReuse::Any, request);
+    let (pool, id) = (&daemon.connection_pool, exchange.id.as_str());
+    let sent = pool.send(assigned.address, path, ConnectionReuse::Any, id, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
         Ok(Ok(mut response)) => {
             let notice = read_notice(response.status(), response.headers());
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod informational;
 mod socket;
+mod unsuccessful;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -131,8 +132,10 @@
     /// Sends a request and returns the response head. The connection returns to the pool only after
     /// the response has been read to its end.
     ///
-    /// The pool cannot tell whether bytes that arrive after the
-    /// request was sent are the response to it: this takes an id that the target returns.
+    /// The pool cannot tell whether bytes that arrive after the request was sent are the response to it:
+    /// this takes an id that the target returns. The id does not tell the responses to two attempts of
+    /// one request apart, so a connection with an unsuccessful response to the request `id` is not used
+    /// for it, see [`TargetBody::record_unsuccessful`].
     ///
     /// # Errors
     ///
@@ -143,13 +146,14 @@
         address: SocketAddr,
         path: NetworkPath,
         reuse: ConnectionReuse,
+        id: &str,
         request: Request<RequestBody>,
     ) -> Result<Response<TargetBody>, SendError> {
         let mut request = request;
         // The target may have closed an idle connection; the next one is tried as long as no byte
         // of the request was sent.
         while reuse != ConnectionReuse::New
-            && let Some(idle) = self.take(address, reuse)
+            && let Some(idle) = self.take(address, reuse, id)
         {
             let IdleConnection { connection, idle_since } = idle;
             match self.send_on(address, connection, Some(idle_since), request).await {
@@ -214,8 +218,13 @@
         self.idle_limit.lock().record_close(idle, after, now.into_std())
     }
 
-    /// Takes the latest usable idle connection of a target.
-    fn take(&self, address: SocketAddr, reuse: ConnectionReuse) -> Option<IdleConnection> {
+    /// Takes the latest idle connection of a target that is usable for a request.
+    fn take(
+        &self,
+        address: SocketAddr,
+        reuse: ConnectionReuse,
+        id: &str,
+    ) -> Option<IdleConnection> {
         let now = Instant::now();
         let limit = match reuse {
             ConnectionReuse::Recent => *self.idle_limit.lock(),
@@ -223,7 +232,9 @@
         };
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(candidate) = connections.pop() {
+        let is_usable = |idle: &IdleConnection| !idle.connection.may_repeat_response_to(id);
+        while let Some(position) = connections.iter().rposition(is_usable) {
+            let candidate = connections.remove(position);
             match candidate.connection.idle_state() {
                 IdleState::Empty if limit.allows(now - candidate.idle_since, now.into_std()) => {
                     return Some(candidate);
@@ -235,7 +246,9 @@
                 }
             }
         }
-        idle.remove(&address);
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
         None
     }
 
@@ -243,7 +256,7 @@
         let mut idle = self.idle.lock();
         let connections = idle.entry(address).or_default();
         connections.retain(|idle| !idle.connection.is_closed());
-        if connections.len() < MAX_IDLE_PER_TARGET && !connection.is_closed() {
+        if connections.len() < MAX_IDLE_PER_TARGET && connection.is_reusable() {
             connections.push(IdleConnection { connection, idle_since: Instant::now() });
         }
     }
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -74,6 +74,14 @@
         self.reusable = None;
     }
 
+    /// Records that this response is no success. Its connection is not used for the same request again: a
+    /// target that sends the response twice would answer the next attempt with the copy.
+    pub fn record_unsuccessful(&mut self, request: &str) {
+        if let Some((.., connection)) = &mut self.reusable {
+            connection.record_unsuccessful(request);
+        }
+    }
+
     /// Returns the number of this response's request on its connection, from 1; 0 if the connection is
     /// not kept.
     pub fn number_on_connection(&self) -> u32 {
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::socket::{self, IdleState, OpenSockets, ReadCounter, TargetSocket};
+use super::unsuccessful::UnsuccessfulRequests;
 use super::{NetworkPath, RequestBody};
 
 /// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
@@ -65,6 +66,7 @@
     reads: Arc<ReadCounter>,
     echo_rule: EchoRule,
     requests: u32,
+    unsuccessful: UnsuccessfulRequests,
 }
 
 impl Connection {
@@ -107,7 +109,15 @@
             }
         });
         let task = task.abort_handle();
-        Ok(Self { sender, task, stream, reads, echo_rule: EchoRule::Optional, requests: 0 })
+        Ok(Self {
+            sender,
+            task,
+            stream,
+            reads,
+            echo_rule: EchoRule::Optional,
+            requests: 0,
+            unsuccessful: UnsuccessfulRequests::default(),
+        })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -142,6 +152,22 @@
         self.requests
     }
 
+    /// Records that the response to a request was no success, so that the request may be sent again.
+    pub fn record_unsuccessful(&mut self, request: &str) {
+        self.unsuccessful.record(request);
+    }
+
+    /// Returns whether the target can send a response to this request that belongs to an earlier attempt:
+    /// the copy of an unsuccessful response has the id of its request.
+    pub fn may_repeat_response_to(&self, request: &str) -> bool {
+        self.unsuccessful.contains(request)
+    }
+
+    /// Returns whether the connection may be used for other requests.
+    pub fn is_reusable(&self) -> bool {
+        !self.is_closed() && !self.unsuccessful.is_full()
+    }
+
     /// Returns whether the next response must name its request.
     pub fn echo_rule(&self) -> EchoRule {
         self.echo_rule
--- a/crates/daemon/tests/interim_responses.rs
+++ b/crates/daemon/tests/interim_responses.rs
@@ -45,7 +45,7 @@
     let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
     let request = Request::builder().uri("/").header("host", "a").body(body).expect("a request");
     let pool = Arc::<ConnectionPool>::default();
-    let sent = pool.send(address, NetworkPath::WithinRegion, ConnectionReuse::New, request);
+    let sent = pool.send(address, NetworkPath::WithinRegion, ConnectionReuse::New, "", request);
     let response = tokio::time::timeout(WAIT_TIMEOUT, sent).await.expect("the request ends")?;
     Ok(response.into_body().collect().await.expect("a complete body").to_bytes().to_vec())
 }
--- a/crates/daemon/tests/target_connections.rs
+++ b/crates/daemon/tests/target_connections.rs
@@ -7,10 +7,10 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
-use celerygate_daemon::upstream::{ConnectionPool, ConnectionReuse, NetworkPath};
+use celerygate_daemon::upstream::{ConnectionPool, ConnectionReuse, NetworkPath, TargetBody};
 use http_body_util::{BodyExt, Empty, Full};
-use hyper::Request;
 use hyper::body::Bytes;
+use hyper::{Request, Response};
 use socket2::SockRef;
 use tokio::time::timeout;
 
@@ -87,12 +87,23 @@
 }
 
 async fn send(pool: &Arc<ConnectionPool>, address: SocketAddr, id: &str) -> Vec<u8> {
+    read_body(send_request(pool, address, id).await).await
+}
+
+async fn read_body(response: Response<TargetBody>) -> Vec<u8> {
+    response.into_body().collect().await.expect("a complete body").to_bytes().to_vec()
+}
+
+async fn send_request(
+    pool: &Arc<ConnectionPool>,
+    address: SocketAddr,
+    id: &str,
+) -> Response<TargetBody> {
     let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
     let request = Request::builder().uri("/").header("host", "a").body(body).expect("a request");
     let reuse = ConnectionReuse::Recent;
-    let sent = pool.send(address, NetworkPath::WithinRegion, reuse, request);
-    let response = sent.await.unwrap_or_else(|error| panic!("{id}: {error}"));
-    response.into_body().collect().await.expect("a complete body").to_bytes().to_vec()
+    let sent = pool.send(address, NetworkPath::WithinRegion, reuse, id, request);
+    sent.await.unwrap_or_else(|error| panic!("{id}: {error}"))
 }
 
 /// Sends two requests. Between them, the target acts and the runtime does not run, so that the
@@ -127,6 +138,39 @@
     assert_eq!(connections, [0, 1]);
 }
 
+/// Starts a target that answers each request with the number of its connection.
+fn start_numbering_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("local address of the listener");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a connection");
+            std::thread::spawn(move || {
+                let response = format!("HTTP/1.1 503 Full\r\ncontent-length: 1\r\n\r\n{number}");
+                while read_request(&mut stream) && stream.write_all(response.as_bytes()).is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+/// Guards against the copy of a refusal that is taken for the response to the next attempt of the same
+/// request: it has the id of that request, and nothing else tells the two apart.
+#[tokio::test]
+async fn send_again_after_unsuccessful_response() {
+    let address = start_numbering_target();
+    let pool = Arc::<ConnectionPool>::default();
+    let mut response = send_request(&pool, address, "a").await;
+    response.body_mut().record_unsuccessful("a");
+    assert_eq!(read_body(response).await, b"0");
+    // Lets the connection become idle.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let again = send_request(&pool, address, "a").await;
+    let other = send_request(&pool, address, "b").await;
+    assert_eq!(read_body(again).await, b"1");
+    assert_eq!(read_body(other).await, b"0");
+}
+
 /// Size of a request that fits into the send buffer of the daemon's kernel.
 const REQUEST_BYTES: usize = 128 * 1_024;
 /// Receive buffer of a target whose machine acknowledges only the beginning of such a request.
@@ -157,7 +201,7 @@
     let body = Full::new(Bytes::from(vec![b'x'; REQUEST_BYTES]));
     let body = body.map_err(|never| match never {}).boxed_unsync();
     let request = Request::post("/").header("host", "a").body(body).expect("a request");
-    let sent = pool.send(address, NetworkPath::WithinRegion, ConnectionReuse::New, request);
+    let sent = pool.send(address, NetworkPath::WithinRegion, ConnectionReuse::New, "", request);
     assert!(timeout(Duration::from_millis(300), sent).await.is_err(), "the target has answered");
     // The runtime closes the connection.
     tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/daemon/tests/target_failures.rs
+++ b/crates/daemon/tests/target_failures.rs
@@ -17,7 +17,8 @@
     let pool = Arc::<ConnectionPool>::default();
     let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
     let request = Request::builder().uri("/").header("host", "a").body(body).expect("a request");
-    let sent = pool.send(target.address, NetworkPath::WithinRegion, ConnectionReuse::New, request);
+    let sent =
+        pool.send(target.address, NetworkPath::WithinRegion, ConnectionReuse::New, "", request);
     match sent.await {
         Ok(response) => match response.into_body().collect().await {
             Ok(_) => "complete".into(),
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -68,7 +68,8 @@
     let send = |connection| {
         let instance = &chosen.instance;
         let request = forwarded_request(daemon, parts, body, admitted, instance, daemon.now());
-        daemon.pool.send(address, chosen.network_path, connection, request)
+        let id = admitted.metadata.request.as_str();
+        daemon.pool.send(address, chosen.network_path, connection, id, request)
     };
     let deadline = TokioInstant::now() + admitted.deadline.saturating_duration_since(started);
     let is_repeatable = admitted.route.repeatable == Repeatable::Always;
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -36,7 +36,7 @@
     response: Response<TargetBody>,
     deadline: Instant,
 ) -> ResponseResult {
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let metadata = (daemon.adapter.read_response)(&parts);
     // A whole head proves what its target states, whatever becomes of the body.
     record_notice(daemon, &admitted.metadata.request, chosen, metadata.notice);
@@ -59,6 +59,7 @@
         if metadata.is_other_instance {
             record_misdirected(daemon, &admitted.metadata.request, chosen);
         }
+        body.record_unsuccessful(&admitted.metadata.request);
         let body_end = read_refusal(&daemon.response_buffers.limits, body).await;
         let reported = Rejection { load, is_paused, body_end };
         return rejected(admitted, chosen, &reported);
@@ -66,6 +67,7 @@
     let is_failure = !metadata.is_signed || parts.status.is_server_error();
     let failure_end = if is_paused { AttemptEnd::Paused } else { AttemptEnd::Failed };
     if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
+        body.record_unsuccessful(&admitted.metadata.request);
         drop(body);
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
         let outcome = if metadata.is_signed { "target-error" } else { "unsigned-response" };
