Do not begin a pause again because of a response to another request

A target that had asked for a pause and sends that 503 once more, where the response to a later request is due, was kept from requests for another pause.

Cause: what a response states about its target was recorded before its id was checked. A copy states what held when the original was sent. That a target leaves holds for its whole life and is still believed; a pause is believed only in a response that names its request.

pause_in_response_to_other_request_ignored (celerygated, real connections) fails with the mechanism off: 503 instead of 200. Both products take the decision from Notice::believed_in, which has a unit test.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -9,7 +9,7 @@
 
 use celerygate_steering::headers::{self, HeaderFilter};
 use celerygate_steering::outcome::{Failure, NextAttempt, Stage};
-use celerygate_steering::responses::{RejectReason, ResponseHead, ResponseKind, response_kind};
+use celerygate_steering::responses::{ResponseHead, ResponseKind, response_kind};
 use celerygate_steering::targets::{Distance, Observation, SelectedTarget};
 use celerygate_types::{OrganisationId, RequestId, ResultCode, ServiceId, TargetId};
 use http_body_util::{BodyExt, Empty};
@@ -292,12 +292,18 @@
     let sent = pool.send(assigned.address, path, ConnectionReuse::Any, id, request);
     let end = match timeout_at(exchange.ends_at().into(), sent).await {
         Ok(Ok(mut response)) => {
-            let notice = read_notice(response.status(), response.headers());
+            let kind = kind_of(&exchange.id, &response);
+            let notice = read_notice(response.status(), response.headers()).believed_in(kind);
             let selected = &assigned.selected;
             record_notice(daemon, &exchange.id, &exchange.service, selected, notice);
-            match reject_reason(&exchange.id, &mut response) {
-                None => return AttemptEnd::Response(Box::new(response)),
-                Some(reason) => {
+            match kind {
+                ResponseKind::Answer | ResponseKind::NotRun => {
+                    if response.headers().contains_key(REQUEST_ID_HEADER) {
+                        response.body_mut().require_echo();
+                    }
+                    return AttemptEnd::Response(Box::new(response));
+                }
+                ResponseKind::Rejected(reason) => {
                     // The response to this request may still follow on the connection.
                     response.into_body().discard();
                     AttemptEnd::failed(Stage::BytesSent, Failure::TargetFailed, reason)
@@ -330,9 +336,9 @@
     end
 }
 
-/// Returns why a response is not believed to be the one to a request, or `None` if it is. A target
-/// need not name the request, but one that does so once on a connection must go on.
-fn reject_reason(sent: &RequestId, response: &mut Response<TargetBody>) -> Option<RejectReason> {
+/// Returns what a response is believed to be. A target need not name the request, but one that does so
+/// once on a connection must go on.
+fn kind_of(sent: &RequestId, response: &Response<TargetBody>) -> ResponseKind {
     let headers = response.headers();
     let text = |id| std::str::from_utf8(id).unwrap_or_default();
     let head = ResponseHead {
@@ -341,14 +347,7 @@
         is_not_run: false,
         has_other_coding: has_other_coding(headers),
     };
-    match response_kind(sent.as_str(), response.body().echo_rule(), &head) {
-        ResponseKind::Rejected(reason) => return Some(reason),
-        ResponseKind::Answer | ResponseKind::NotRun => {}
-    }
-    if !head.request_ids.is_empty() {
-        response.body_mut().require_echo();
-    }
-    None
+    response_kind(sent.as_str(), response.body().echo_rule(), &head)
 }
 
 /// A request body that records whether any of it was read from the caller.
--- a/crates/daemon/tests/notices.rs
+++ b/crates/daemon/tests/notices.rs
@@ -126,6 +126,17 @@
     }
 }
 
+/// Guards against a copy of an earlier refusal that begins its pause anew: the target takes requests and
+/// gets none.
+#[tokio::test]
+async fn pause_in_response_to_other_request_ignored() {
+    let headers = "celerygate-request: another\r\nretry-after: 60\r\n";
+    let first = ScriptedResponse::KeepAlive(response("503 Service Unavailable", headers));
+    let (daemon, _target, _announcement) = start_with_first_response(first, 3).await;
+    assert_eq!(send(&daemon).await.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(send(&daemon).await.status, StatusCode::OK);
+}
+
 /// Guards against a request that waits for a slot until its deadline although all targets are paused.
 #[tokio::test]
 async fn pause_waiting_request_refused() {
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -38,10 +38,11 @@
 ) -> ResponseResult {
     let (parts, mut body) = response.into_parts();
     let metadata = (daemon.adapter.read_response)(&parts);
-    // A whole head proves what its target states, whatever becomes of the body.
-    record_notice(daemon, &admitted.metadata.request, chosen, metadata.notice);
-    let is_paused = metadata.notice.asks_for_pause();
     let kind = kind_of(admitted, &parts, &metadata);
+    // A whole head proves what its target states, whatever becomes of the body.
+    let notice = metadata.notice.believed_in(kind);
+    record_notice(daemon, &admitted.metadata.request, chosen, notice);
+    let is_paused = notice.asks_for_pause();
     if let ResponseKind::Rejected(reason) = kind {
         log::warn!(request = admitted.metadata.request.as_str(), reason:% = reason,
             target_id = chosen.instance.as_str(), status = parts.status.as_u16(),
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -14,6 +14,8 @@
 use celerygate_types::{Incarnation, SlotCount, TargetId};
 use smallvec::SmallVec;
 
+use crate::responses::ResponseKind;
+
 /// Longest pause that is believed; a longer one ends after this time. When it ends, a single request
 /// finds out whether the target still wants none, so a faulty value does not remove a target for
 /// good.
@@ -39,6 +41,18 @@
         self.pause.filter(|pause| !pause.is_zero()).map(|pause| pause.min(MAX_PAUSE))
     }
 
+    /// Returns what is believed of the notice in a response. A target that leaves goes on leaving,
+    /// whichever of its responses states it, but the copy of an earlier one would begin its pause anew.
+    #[must_use]
+    pub fn believed_in(self, response: ResponseKind) -> Self {
+        match response {
+            ResponseKind::Rejected(reason) if reason.concerns_request_ids() => {
+                Self { pause: None, ..self }
+            }
+            ResponseKind::Rejected(_) | ResponseKind::Answer | ResponseKind::NotRun => self,
+        }
+    }
+
     /// Returns whether the target asks for a pause.
     pub fn asks_for_pause(&self) -> bool {
         self.believed_pause().is_some()
--- a/crates/steering/src/availability_tests.rs
+++ b/crates/steering/src/availability_tests.rs
@@ -1,7 +1,10 @@
 //! Tests of targets' notices: a wrong decision sends requests to a target that leaves or wants none,
 //! keeps them from a target that takes them, or sends them all at once when a pause ends.
 
+use strum::IntoEnumIterator;
+
 use super::*;
+use crate::responses::RejectReason;
 
 const LEAVING: Notice = Notice { is_leaving: true, pause: None };
 const NOTHING: Notice = Notice { is_leaving: false, pause: None };
@@ -57,6 +60,21 @@
     }
 }
 
+/// Guards against the copy of an earlier refusal that begins its pause anew, and against the pause of a
+/// refusal that names its request and is not believed for another reason.
+#[test]
+fn believed_in_response_of_other_request() {
+    let notice = Notice { is_leaving: true, pause: Some(ms(3_000)) };
+    for reason in RejectReason::iter() {
+        let believed = notice.believed_in(ResponseKind::Rejected(reason));
+        let expected = if reason.concerns_request_ids() { LEAVING } else { notice };
+        assert_eq!(believed, expected, "{reason}");
+    }
+    for kind in [ResponseKind::Answer, ResponseKind::NotRun] {
+        assert_eq!(notice.believed_in(kind), notice);
+    }
+}
+
 /// Guards against requests within a pause, up to its last millisecond, and a pause that does not end.
 #[test]
 fn record_pause_begin_and_end() {
--- a/crates/steering/src/responses.rs
+++ b/crates/steering/src/responses.rs
@@ -40,7 +40,9 @@
 }
 
 /// Why a response is not believed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RejectReason {
     /// The response names no request, or the request has no id.
@@ -58,6 +60,13 @@
     UnknownTransferCoding,
 }
 
+impl RejectReason {
+    /// Returns whether the response may be that of another request.
+    pub fn concerns_request_ids(self) -> bool {
+        matches!(self, Self::NoRequestId | Self::OtherRequestId | Self::SeveralRequestIds)
+    }
+}
+
 /// Decides what the head of a response to the request with the id `sent` is believed to be.
 pub fn response_kind<I: AsRef<str>>(
     sent: &str,
