Confirm that a target leaves only if that has an effect

Cause: a control VM that receives the report, and those that confirm it, took no notice of whether the report changed anything. It changes nothing if the table holds a later start time of the target. Another writer can have reported one. Class: an acknowledgement of something that was not applied.

The report is now refused with 503 while a process of the target that started later is ready, by the VM that receives it and by each VM that is asked to confirm it; also if a VM ignores the report as implausible.

That the users' cases are of this kind is not known.

--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use celerygate_steering::instances::{InstanceTable, check_start_time};
-use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate, TargetUpdateAck};
+use celerygate_types::wire::{
+    FleetMessage, InstanceRecord, TargetDeparture, TargetUpdate, TargetUpdateAck,
+};
 use celerygate_types::{TargetId, VmId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, timeout_at};
@@ -127,6 +129,8 @@
 /// Handles an update of another control VM, and confirms one about a leaving target once it is stored.
 pub(super) fn receive_target_update(daemon: &Arc<Daemon>, from: VmId, update: TargetUpdate) {
     let TargetUpdate { sequence, records, departures } = update;
+    let leaving: Vec<TargetId> = instances_of(&records, &departures).collect();
+    let received = records.len();
     let records = plausible_records(daemon, &from, records);
     let is_relayed = sequence == 0;
     if is_relayed {
@@ -136,6 +140,10 @@
     if apply_target_changes(daemon, &from, records.clone(), &departures) > 0 {
         notify_entries(daemon);
     }
+    let is_ignored = records.len() < received;
+    if is_ignored || leaving.iter().any(|instance| is_still_used(daemon, instance)) {
+        return;
+    }
     let Some(store) = &daemon.leaving_store else { return };
     let confirming = Arc::clone(daemon);
     store.store(TargetUpdate { sequence: 0, records, departures }, move || {
@@ -144,6 +152,27 @@
     });
 }
 
+/// Returns the targets that an update is about.
+fn instances_of(
+    records: &[InstanceRecord],
+    departures: &[TargetDeparture],
+) -> impl Iterator<Item = TargetId> {
+    let reported = records.iter().map(|record| record.instance.clone());
+    reported.chain(departures.iter().map(|departure| departure.instance.clone()))
+}
+
+/// Returns whether requests are sent to a target although one of its processes has stated that it
+/// leaves: a process with a later start time is known. Such a report is not confirmed, because a
+/// confirmed one must have an effect, and the later process may be that of another writer.
+fn is_still_used(daemon: &Daemon, instance: &TargetId) -> bool {
+    let ready_born = daemon.tables.instances.read().ready_born_unix_ms(instance);
+    if let Some(born) = ready_born {
+        log::warn!(target_id = instance.as_str(), ready_born = born;
+            "target leaves, but a process of it that started later is ready, not confirming");
+    }
+    ready_born.is_some()
+}
+
 /// Stores an update about a leaving target, sends it to the other control VMs, and waits until most
 /// control VMs have stored it.
 pub(super) async fn confirm_leaving(
@@ -152,6 +181,9 @@
     instance: &TargetId,
     update: TargetUpdate,
 ) -> ReportOutcome {
+    if is_still_used(daemon, instance) {
+        return ReportOutcome::Unconfirmed;
+    }
     let (sequence, sender, mut acks) = sync_state.confirmations.lock().begin();
     let members = daemon.group.as_ref().map(|group| group.voters()).unwrap_or_default();
     for vm in control_vms(daemon) {
@@ -180,9 +212,8 @@
     }
     sync_state.confirmations.lock().waiting.remove(&sequence);
     let is_confirmed = !members.is_empty() && confirmed_by.len() >= needed;
-    let ready_born = daemon.tables.instances.read().ready_born_unix_ms(instance);
-    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len(), needed = needed,
-        ready_born = ready_born; "target leaving");
+    log::info!(target_id = instance.as_str(), confirmed = confirmed_by.len(), needed = needed;
+        "target leaving");
     if is_confirmed { ReportOutcome::Acknowledged } else { ReportOutcome::Unconfirmed }
 }
 
