Keep targets in use while a stopping VM takes no announcements

Cause: in the closing phase the targets' listener is closed, so no announcement is renewed, but the last requests of open connections can run for longer than a lease (5 s). A request behind such a response was refused with 503 no-capacity although its target was sound.

Change: when the listeners are closed, the target table keeps the targets that are live then (`TargetTable::hold_leases`), until they depart or start again. Failed connections still eject them, and their records are relayed with their true age, so that other VMs do not take them for renewed.

The failure no longer depends on the load: a request that is sent 6 s after the start of the closing phase, behind one that still runs.

Failed before: - targets::tests::hold_leases_without_renewals, with a hold_leases that holds none: "after 5s, left: [false, false, false, false], right: [false, false, true, false]" - shutdown::terminate_request_after_lease: the second response was "HTTP/1.1 503 Service Unavailable ... no-capacity ... not-run" hold_leases_new_incarnation guards the end of the hold and held in both.

--- a/crates/daemon/src/commands/run.rs
+++ b/crates/daemon/src/commands/run.rs
@@ -119,6 +119,8 @@
         crate::lookup::rebuild(&leaving_daemon);
     };
     tokio::join!(daemon.shutdown.run(signals), announce_leaving);
+    // The targets' listener is closed from here on, and requests in progress can outlast the leases.
+    daemon.tables.targets.lock().hold_leases(daemon.clock.now());
     let finish = async {
         callers.await.context("the callers' listener failed")?;
         targets.await.context("the targets' listener failed")?;
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use blake3::Hasher;
+use celerygate_steering::targets::LEASE;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use rustix::process::Signal;
@@ -215,6 +216,13 @@
     received
 }
 
+/// Reads until the daemon closes the connection.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.expect("the connection is not reset");
+    String::from_utf8_lossy(&received).into_owned()
+}
+
 /// Time after which the daemon has surely read what a caller sent.
 const READ_DELAY: Duration = Duration::from_millis(200);
 
@@ -263,6 +271,26 @@
     daemon.wait_for_exit().await;
 }
 
+/// Guards against a target that a VM in its closing phase takes for lost: the phase takes no
+/// announcements, so that the last renewal is older than the lease once a long response has ended.
+#[tokio::test]
+async fn terminate_request_after_lease() {
+    let (mut daemon, target) = (Daemon::start().await, Target::start().await);
+    let _announcement = daemon.announce("target-1", target.address, 3).await;
+    let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+    let post = String::from_utf8(request_bytes("/echo")).unwrap().replacen("GET", "POST", 1);
+    let post = post.replace("\r\n\r\n", "\r\ncontent-length: 2\r\n\r\n");
+    stream.write_all(post.as_bytes()).await.unwrap();
+    // Its head does not announce the close, because the daemon is not stopping yet.
+    read_until(&mut stream, b"\r\n\r\n").await;
+    daemon.terminate_twice().await;
+    tokio::time::sleep(LEASE + Duration::from_secs(1)).await;
+    stream.write_all(&[b"ab", &request_bytes("/behind")[..]].concat()).await.unwrap();
+    let responses = read_to_end(&mut stream).await;
+    assert!(responses.ends_with("\r\n\r\n/behind"), "{responses}");
+    daemon.wait_for_exit().await;
+}
+
 /// Guards against connections that are reset in the kernel's accept queue when the listener is
 /// closed.
 #[tokio::test]
--- a/crates/steering/src/targets.rs
+++ b/crates/steering/src/targets.rs
@@ -70,6 +70,8 @@
     pub availability: Availability,
     /// When the target last announced itself to this daemon.
     announced_at: Option<Instant>,
+    /// Whether the announcement stays valid without renewals, see [`TargetTable::hold_leases`].
+    is_lease_held: bool,
     pub(crate) hash: u64,
 }
 
@@ -88,11 +90,13 @@
 
     /// Returns whether the target's announcement is valid and the target is not leaving.
     pub fn is_live(&self, now: Instant) -> bool {
-        !self.leaving && now.saturating_duration_since(self.renewed_at) < LEASE
+        let is_recent = now.saturating_duration_since(self.renewed_at) < LEASE;
+        !self.leaving && (self.is_lease_held || is_recent)
     }
 
     fn is_past_retention(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.renewed_at) >= TOMBSTONE_TTL
+        let is_held = self.is_lease_held && !self.leaving;
+        !is_held && now.saturating_duration_since(self.renewed_at) >= TOMBSTONE_TTL
     }
 
     fn is_relayed(&self, now: Instant) -> bool {
@@ -271,6 +275,16 @@
         RecordUpdate::Renewed
     }
 
+    /// Stops counting missing renewals: a target that is live now stays live until it departs or
+    /// starts again. For a daemon that takes no more announcements, because it cannot tell a lost
+    /// target from one that is not heard; failed connections still eject the target. Its records are
+    /// relayed with their true age.
+    pub fn hold_leases(&mut self, now: Instant) {
+        for target in self.services.values_mut().flatten() {
+            target.is_lease_held = target.is_live(now);
+        }
+    }
+
     /// Returns the records of targets that announce themselves to this daemon or are leaving. The
     /// daemons of a small deployment send these records to each other.
     pub fn own_records(&self, now: Instant) -> Vec<TargetRecord> {
@@ -368,6 +382,7 @@
         health: Health::new(now),
         availability: Availability::default(),
         announced_at: None,
+        is_lease_held: false,
         hash: id_hash(record.target.as_str()),
     }
 }
--- a/crates/steering/src/targets_tests.rs
+++ b/crates/steering/src/targets_tests.rs
@@ -255,6 +255,41 @@
     assert_eq!((known.slots, known.renewed_at, known.leaving), (SlotCount(5), now, false));
 }
 
+/// Guards against targets that a VM without a listener for announcements takes for lost, and against
+/// ones that it uses although they have departed or were lost before, or that it reports as live.
+#[test]
+fn hold_leases_without_renewals() {
+    let start = Instant::now() + Duration::from_secs(10);
+    let mut table = table(2, ("r1", "r1a"), start);
+    let now = start + LEASE;
+    table.announce(&announcement(2, 1, ("r1", "r1a"), 3), now);
+    table.announce(&announcement(3, 1, ("r1", "r1a"), 3), now);
+    table.hold_leases(now);
+    table.depart(&departure(3, 1), now);
+    for after in [LEASE, TOMBSTONE_TTL] {
+        let later = now + after;
+        table.expire(later);
+        let live = |target| table.get(&service(), &id(target)).is_some_and(|t| t.is_live(later));
+        assert_eq!([0, 1, 2, 3].map(live), [false, false, true, false], "after {after:?}");
+        assert!(table.records(later).iter().all(|record| record.leaving));
+    }
+    assert!(table.get(&service(), &id(3)).is_none(), "the departure is kept");
+}
+
+/// Guards against a held lease that outlives the process of its target.
+#[test]
+fn hold_leases_new_incarnation() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut holder = table(1, ("r1", "r1a"), now);
+    holder.hold_leases(now);
+    let mut other = TargetTable::new();
+    other.announce(&announcement(0, 2, ("r1", "r1a"), 3), now + ms(100));
+    merge_all(&mut holder, &other.records(now + ms(100)), now + ms(100));
+    let is_live = |at| holder.get(&service(), &id(0)).is_some_and(|known| known.is_live(at));
+    assert!(is_live(now + ms(200)));
+    assert!(!is_live(now + ms(100) + LEASE));
+}
+
 /// Guards against a cold target that gets its full share at once, or none.
 #[test]
 fn choose_slow_start_share() {
