Choose each target by the configuration in force

Cause: a request took the configuration at its arrival and used it for every choice of a target, so that a repeat followed the evacuations, keys, routes and homes of seconds ago.

Change: before each choice, also after a wait for a token or a target, the request compares the revision of its configuration with that in force. If it has changed, RoutingTable::recheck decides: choose by the new route (with the service of the earlier choice while it has weight), refuse as not run, or end with the last failure of a request that may have run. A request whose key has moved to an organisation with a limit has no token of it and is refused with configuration-stale. The repeat on a lost idle connection needs an unchanged configuration too. A repeat takes from the budget of its present service, also if this VM has had no request for that service. Without a change, an attempt costs one clone of an Arc.

celerygated (read, not run): assign_target uses the tables as they are at each attempt, and identity::recheck checks the key after the wait. No change there.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use celerygate_steering::grants::{Limit, TokenSource};
+use celerygate_steering::grants::Limit;
 use celerygate_steering::headers::path_contains_key;
-use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::outcome::{RetryBudget, RetryLimits};
-use celerygate_steering::routing::{Repeatable, Route, select_service};
+use celerygate_steering::routing::Repeatable;
 use celerygate_types::wire::{Outcome, VmState};
-use celerygate_types::{OrganisationId, RegionId, ResultCode, Revision, ServiceId, TargetId};
+use celerygate_types::{OrganisationId, ResultCode, Revision, ServiceId, TargetId};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
@@ -19,16 +18,17 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use self::admission::{AdmittedRequest, NextStep};
 use self::attempt::{AttemptResult, attempt};
 use crate::adapter::{Refusal, RequestMetadata};
 use crate::daemon::Daemon;
 use crate::quota::{self, RateRefusal};
-use crate::tables::Content;
 use crate::targets::{self, Choice, Query, TargetWaitGuard};
 
 pub use self::body::ResponseBuffers;
 pub use celerygate_daemon::body::ResponseBody;
 
+mod admission;
 mod attempt;
 mod body;
 mod response;
@@ -52,33 +52,12 @@
 /// entry VMs may be added at any time.
 const SPARE_VMS: usize = 2;
 
-/// A request that passed authentication and rate limiting.
-struct AdmittedRequest<'a> {
-    metadata: &'a RequestMetadata,
-    route: &'a Route,
-    service: &'a ServiceId,
-    organisation: Option<&'a OrganisationId>,
-    organisation_homes: &'a [RegionId],
-    object: Option<u64>,
-    /// Source of its token; none if the organisation has no rate limit.
-    token: Option<TokenSource>,
-    deadline: Instant,
-    /// Time until which the caller waits. It may be later than `deadline`, which the operator limits
-    /// for each route.
-    caller_deadline: Instant,
-}
-
 /// Outcome of a request.
 enum RequestOutcome {
     Response(Response<ResponseBody>),
     Refused(Refusal),
 }
 
-/// Returns the organisation's id for logs, empty for public routes.
-fn organisation_text(organisation: Option<&OrganisationId>) -> &str {
-    organisation.map_or("", OrganisationId::as_str)
-}
-
 /// Serves one request of a caller, from admission to the response or refusal.
 pub async fn serve(
     daemon: Arc<Daemon>,
@@ -198,7 +177,8 @@
     let Some(route) = content.routing.route(&metadata.host, parts.uri.path()) else {
         return refusal(ResultCode::UnknownPath);
     };
-    let organisation = match authenticate(&content, route, metadata) {
+    let key = metadata.key.as_ref().map(|key| key.as_bytes());
+    let organisation = match content.routing.authenticate(route, key) {
         Ok(organisation) => organisation,
         Err(code) => return refusal(code),
     };
@@ -234,25 +214,22 @@
             }
         }
     }
-    let service = if route.weighted_services.len() > 1 {
-        select_service(route, daemon.tables.next_split_number(&route.name))
-    } else {
-        &route.weighted_services[0].service
-    };
-    let object = metadata.object.as_ref().filter(|_| route.has_affinity);
     let admitted = AdmittedRequest {
         metadata,
-        route,
-        service,
-        organisation,
-        organisation_homes: rule.map_or(&[], |rule| &rule.home_regions),
-        object: object.map(|object| rendezvous::id_hash(object)),
+        path: parts.uri.path(),
+        route: Arc::clone(route),
+        service: admission::select_service(daemon, route),
+        organisation: organisation.cloned(),
+        organisation_homes: rule.map_or_else(SmallVec::new, |rule| rule.home_regions.clone()),
+        object: admission::object_hash(metadata, route),
         token,
+        arrived_at,
         deadline,
         caller_deadline,
+        content: Arc::clone(&content),
     };
-    count_request(daemon, service);
-    forward_with_retries(daemon, &content, parts, body, &admitted, arrived_at).await
+    count_request(daemon, &admitted.service);
+    forward_with_retries(daemon, parts, body, admitted).await
 }
 
 fn log_rate_exceeded(
@@ -269,33 +246,23 @@
         "organisation exceeded its rate limit");
 }
 
-fn authenticate<'a>(
-    content: &'a Content,
-    route: &Route,
-    metadata: &RequestMetadata,
-) -> Result<Option<&'a OrganisationId>, ResultCode> {
-    if route.is_public || !content.routing.needs_keys() {
-        return Ok(None);
-    }
-    let key = metadata.key.as_ref().ok_or(ResultCode::KeyMissing)?;
-    content.routing.organisation_of_key(key.as_bytes()).map(Some).ok_or(ResultCode::KeyRefused)
-}
-
 async fn forward_with_retries(
     daemon: &Arc<Daemon>,
-    content: &Content,
     parts: &request::Parts,
     body: &Bytes,
-    admitted: &AdmittedRequest<'_>,
-    arrived_at: Instant,
+    mut admitted: AdmittedRequest<'_>,
 ) -> RequestOutcome {
-    let route = admitted.route;
     let mut tried: SmallVec<[TargetId; 4]> = SmallVec::new();
     let mut may_have_run = false;
     let mut rejected_with_free_slot = false;
     let mut last_code = ResultCode::NoCapacity;
     loop {
         let now = daemon.now();
+        match admitted.apply_configuration(daemon, may_have_run) {
+            NextStep::Choose => {}
+            NextStep::Refuse(code) => return refusal(code),
+            NextStep::EndWithFailure => break,
+        }
         if now >= admitted.deadline {
             let code = if may_have_run {
                 ResultCode::DeadlinePassed
@@ -311,13 +278,13 @@
         }
         let is_retry = !tried.is_empty();
         if is_retry
-            && (tried.len() >= route.attempts_max.max(1) as usize
-                || !take_retry(daemon, admitted.service, now))
+            && (tried.len() >= admitted.route.attempts_max.max(1) as usize
+                || !take_retry(daemon, &admitted.service, now))
         {
             break;
         }
-        let query = query_of(admitted, &tried, now);
-        let chosen = match targets::choose(daemon, content, &query, now) {
+        let query = query_of(&admitted, &tried, now);
+        let chosen = match targets::choose(daemon, &admitted.content, &query, now) {
             Choice::Use(chosen) => chosen,
             Choice::Wait(instance) => {
                 let _wait_guard = TargetWaitGuard::begin(daemon, instance);
@@ -328,7 +295,7 @@
             Choice::Full | Choice::NoTarget => break,
         };
         tried.push(chosen.instance.clone());
-        match attempt(daemon, parts, body, admitted, &chosen, arrived_at).await {
+        match attempt(daemon, parts, body, &admitted, &chosen).await {
             AttemptResult::Response(response) => return RequestOutcome::Response(response),
             AttemptResult::NotRun(code) => last_code = code,
             AttemptResult::Rejected { had_free_slot } => {
@@ -338,7 +305,7 @@
             AttemptResult::Failed(code) => {
                 may_have_run = true;
                 last_code = code;
-                if route.repeatable == Repeatable::OnlyIfNotRun {
+                if admitted.route.repeatable == Repeatable::OnlyIfNotRun {
                     break;
                 }
             }
@@ -349,8 +316,8 @@
         return refusal(if unknown { last_code } else { ResultCode::TargetFailed });
     }
     let now = daemon.now();
-    let pause_end =
-        targets::earliest_resume(daemon, content, &query_of(admitted, &tried, now), now);
+    let query = query_of(&admitted, &tried, now);
+    let pause_end = targets::earliest_resume(daemon, &admitted.content, &query, now);
     let range = match pause_end {
         Some(_) => RETRY_AFTER_RANGE_PAUSED,
         None if rejected_with_free_slot => RETRY_AFTER_RANGE_REJECTED,
@@ -358,16 +325,20 @@
     };
     let pause = pause_end.map_or(Duration::ZERO, |end| end.saturating_duration_since(now));
     let share = rand::random_range(range);
-    let retry_after = Some(pause + route.target_latency.mul_f64(share));
+    let retry_after = Some(pause + admitted.route.target_latency.mul_f64(share));
     RequestOutcome::Refused(Refusal { code: ResultCode::NoCapacity, retry_after })
 }
 
-fn query_of<'a>(admitted: &AdmittedRequest<'a>, tried: &'a [TargetId], now: Instant) -> Query<'a> {
+fn query_of<'a>(
+    admitted: &'a AdmittedRequest<'_>,
+    tried: &'a [TargetId],
+    now: Instant,
+) -> Query<'a> {
     Query {
         request: &admitted.metadata.request,
-        service: admitted.service,
-        route: admitted.route,
-        organisation_homes: admitted.organisation_homes,
+        service: &admitted.service,
+        route: &admitted.route,
+        organisation_homes: &admitted.organisation_homes,
         object: admitted.object,
         remaining: admitted.deadline.saturating_duration_since(now),
         tried,
@@ -376,15 +347,26 @@
 
 fn count_request(daemon: &Daemon, service: &ServiceId) {
     let now = daemon.now();
+    with_retry_budget(daemon, service, now, |budget| budget.count_request(now));
+}
+
+/// Takes a repeat from the budget of a service. The service may have become that of the request only
+/// after its arrival, and have no requests of its own at this VM.
+fn take_retry(daemon: &Daemon, service: &ServiceId, now: Instant) -> bool {
+    with_retry_budget(daemon, service, now, |budget| budget.take_retry(now))
+}
+
+fn with_retry_budget<T>(
+    daemon: &Daemon,
+    service: &ServiceId,
+    now: Instant,
+    action: impl FnOnce(&mut RetryBudget) -> T,
+) -> T {
     let limits = retry_limits(daemon);
     let mut retries = daemon.tables.retries.lock();
     let budget =
         retries.entry(service.clone()).or_insert_with(|| RetryBudget::with_limits(limits, now));
-    budget.count_request(now);
-}
-
-fn take_retry(daemon: &Daemon, service: &ServiceId, now: Instant) -> bool {
-    daemon.tables.retries.lock().get_mut(service).is_some_and(|budget| budget.take_retry(now))
+    action(budget)
 }
 
 /// Returns this VM's share of the fleet's retry budget.
--- a/crates/fleet/src/forward/attempt.rs
+++ b/crates/fleet/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use celerygate_steering::headers::HeaderFilter;
 use celerygate_steering::placement::AttemptEnd;
 use celerygate_steering::routing::Repeatable;
-use celerygate_types::{ResultCode, TargetId};
+use celerygate_types::{OrganisationId, ResultCode, TargetId};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::header::HeaderMap;
@@ -16,8 +16,9 @@
 use hyper::{Request, Response};
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
+use super::ResponseBody;
+use super::admission::AdmittedRequest;
 use super::response::{ResponseResult, read_response};
-use super::{AdmittedRequest, ResponseBody, organisation_text};
 use crate::adapter::ForwardMetadata;
 use crate::daemon::Daemon;
 use crate::targets::{AttemptGuard, ChosenTarget, CompletedAttempt, may_resend};
@@ -55,7 +56,6 @@
     body: &Bytes,
     admitted: &AdmittedRequest<'_>,
     chosen: &ChosenTarget,
-    arrived_at: Instant,
 ) -> AttemptResult {
     let attempt_guard = AttemptGuard::new(daemon, chosen);
     let started = daemon.now();
@@ -78,6 +78,7 @@
     let mut is_resent = false;
     if let Ok(Err(SendError::NoResponse { lost_while_idle: true, detail, .. })) = &outcome
         && is_repeatable
+        && admitted.is_current(daemon)
         && may_resend(daemon, chosen)
     {
         log::info!(request = admitted.metadata.request.as_str(), error = detail.as_str(),
@@ -93,7 +94,7 @@
             log::info!(request = admitted.metadata.request.as_str(), reason = reason.as_str(),
                 target_id = chosen.instance.as_str(); "failed to reach target");
             attempt_guard.end_unreachable();
-            log_attempt(daemon, admitted, chosen, arrived_at, "not-reached", None);
+            log_attempt(daemon, admitted, chosen, "not-reached", None);
             return result_of(AttemptResult::NotRun(ResultCode::TargetUnreachable));
         }
         Ok(Err(SendError::NoResponse { reason, detail, .. })) => {
@@ -101,7 +102,7 @@
                 error = detail.as_str(),
                 target_id = chosen.instance.as_str(); "no response from the target");
             attempt_guard.end(AttemptEnd::Failed, None);
-            log_attempt(daemon, admitted, chosen, arrived_at, "no-response", None);
+            log_attempt(daemon, admitted, chosen, "no-response", None);
             return AttemptResult::Failed(ResultCode::TargetFailed);
         }
         Ok(Ok(response)) => {
@@ -114,7 +115,7 @@
                         attempt_guard.record_time(
                             chosen,
                             &CompletedAttempt {
-                                service: admitted.service,
+                                service: &admitted.service,
                                 object: admitted.object,
                                 target_latency: admitted.route.target_latency,
                                 time: daemon.now().saturating_duration_since(started),
@@ -122,14 +123,14 @@
                         );
                     }
                     attempt_guard.end(end, load);
-                    log_attempt(daemon, admitted, chosen, arrived_at, outcome, Some(number));
+                    log_attempt(daemon, admitted, chosen, outcome, Some(number));
                     return result_of(attempt);
                 }
             }
         }
     };
     attempt_guard.end(AttemptEnd::Expired, None);
-    log_attempt(daemon, admitted, chosen, arrived_at, end, None);
+    log_attempt(daemon, admitted, chosen, end, None);
     attempt
 }
 
@@ -137,15 +138,14 @@
     daemon: &Daemon,
     admitted: &AdmittedRequest<'_>,
     chosen: &ChosenTarget,
-    arrived_at: Instant,
     outcome: &'static str,
     number_on_connection: Option<u32>,
 ) {
-    let elapsed = daemon.now().saturating_duration_since(arrived_at);
+    let elapsed = daemon.now().saturating_duration_since(admitted.arrived_at);
     log::info!(request = admitted.metadata.request.as_str(), route = admitted.route.name.as_str(),
-        organisation = organisation_text(admitted.organisation), object = admitted.object,
+        organisation = admitted.organisation.as_ref().map_or("", OrganisationId::as_str), object = admitted.object,
         token = admitted.token.map(|token| token.to_string()),
-        sent_ms = chosen.chosen_at.saturating_duration_since(arrived_at).as_millis() as u64,
+        sent_ms = chosen.chosen_at.saturating_duration_since(admitted.arrived_at).as_millis() as u64,
         target_id = chosen.instance.as_str(), born = chosen.incarnation.0, address = chosen.address.as_str(),
         number_on_connection = number_on_connection,
         reason:% = chosen.reason, distance:% = chosen.distance, load = chosen.load,
@@ -176,7 +176,7 @@
     let forward = ForwardMetadata {
         remaining: admitted.deadline.saturating_duration_since(now),
         instance,
-        organisation: admitted.organisation,
+        organisation: admitted.organisation.as_ref(),
     };
     (daemon.adapter.write_request)(admitted.metadata, &forward, &mut headers);
     let body = Full::new(body.clone()).map_err(|never| match never {}).boxed_unsync();
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -14,7 +14,7 @@
 use hyper::http::response;
 use tokio::time::Instant;
 
-use super::AdmittedRequest;
+use super::admission::AdmittedRequest;
 use super::attempt::AttemptResult;
 use super::body::{AnsweredRequest, ForwardedBody, RefusalBodyEnd, read_refusal, read_start};
 use crate::adapter::ResponseMetadata;
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -23,13 +23,13 @@
 use celerygate_steering::availability::Notice;
 use celerygate_steering::buffers::{BodyLimits, MemoryBudget};
 use celerygate_steering::routing::{
-    Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
+    OrganisationEntry, Repeatable, Route, RoutingTable, ServicePolicy, WeightedService,
 };
 use celerygate_types::wire::{
     DataCentrePlace, Document, FleetBounds, FleetContent, FleetListeners, FleetSettings,
     InstanceRecord, InstanceState,
 };
-use celerygate_types::{Clock, Incarnation, Outcome, Revision, SlotCount};
+use celerygate_types::{Clock, DataCentreId, Incarnation, Outcome, Revision, ServiceId, SlotCount};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
@@ -47,12 +47,16 @@
 
 const HOST: &str = "service.example";
 const SERVICE: &str = "service";
+/// A service that no route names at first.
+pub const OTHER_SERVICE: &str = "other-service";
 /// Request and response header with the id of an attempt.
 const ID: &str = "attempt";
 /// Header in which a caller states how long it waits, in milliseconds.
 const DEADLINE: &str = "deadline-ms";
 /// Request header with the object that a request concerns.
 const OBJECT: &str = "object";
+/// Request header with the caller's API key.
+pub const KEY: &str = "key";
 /// Header of a target's own responses.
 const SIGNED: &str = "signed";
 /// Header of a target's refusals.
@@ -114,7 +118,7 @@
         limits: BodyLimits,
     ) -> Self {
         let fleet = Self::start_without_content(settings(), clock, limits);
-        assert!(fleet.daemon.tables.activate(content(repeatable)));
+        assert!(fleet.daemon.tables.activate(Configuration::new(repeatable).into_content()));
         for (number, target) in targets.iter().enumerate() {
             fleet.report(&format!("target-{number}"), target.address);
         }
@@ -155,6 +159,13 @@
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
+    /// Reports a target of the other service as ready.
+    pub fn report_other_service(&self, instance: &str, address: SocketAddr) {
+        let service = id(OTHER_SERVICE);
+        let record = InstanceRecord { service, ..ready_record(instance, address, 1) };
+        self.daemon.tables.instances.write().report(record, self.daemon.now());
+    }
+
     /// Reports a target as ready that states a number of slots.
     pub fn report_slots(&self, instance: &str, address: SocketAddr, slots: SlotCount) {
         let record = InstanceRecord { slots, ..ready_record(instance, address, 1) };
@@ -209,7 +220,8 @@
         self.send_with_headers(method, attempt, &headers).await.status().as_u16()
     }
 
-    async fn send_with_headers(
+    /// Sends a request with further headers.
+    pub async fn send_with_headers(
         &self,
         method: Method,
         attempt: &str,
@@ -300,7 +312,7 @@
     }
 }
 
-fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+pub fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
     text.parse().expect("a valid id")
 }
 
@@ -313,7 +325,7 @@
                 host: text("host").unwrap_or_default().into(),
                 deadline: header_ms(&parts.headers, DEADLINE),
                 object: text(OBJECT).map(Into::into),
-                key: None,
+                key: text(KEY).map(Into::into),
             })
         },
         write_request: |_, forward, headers| {
@@ -351,30 +363,54 @@
     value.to_str().unwrap_or_default().into()
 }
 
-fn content(repeatable: Repeatable) -> Content {
-    let route = Route {
-        name: "route".into(),
-        host: HOST.into(),
-        path_prefix: "/a/".into(),
-        repeatable,
-        timeout: ROUTE_TIMEOUT,
-        target_latency: Duration::from_millis(500),
-        priority: 0,
-        weighted_services: [WeightedService { service: id(SERVICE), weight: 1.0 }]
-            .into_iter()
-            .collect(),
-        attempts_max: 2,
-        is_public: true,
-        has_affinity: true,
-        has_large_responses: false,
-        home_regions: Default::default(),
-    };
-    let policy = ServicePolicy { connections: 100, cold_requests_per_s: 100.0 };
-    let services = HashMap::from([(id(SERVICE), policy)]);
-    let routing = RoutingTable::build(vec![route], services, Vec::new()).expect("valid routes");
-    let document = Document { accepted: Vec::new(), items: Vec::new(), version: 1 };
-    let replicated = FleetContent { document, evacuated: Vec::new(), revision: Revision(1) };
-    Content { replicated, routing }
+/// What a test changes in the configuration of the daemon.
+pub struct Configuration {
+    pub revision: Revision,
+    pub routes: Vec<Route>,
+    pub organisations: Vec<OrganisationEntry>,
+    pub evacuated: Vec<DataCentreId>,
+}
+
+impl Configuration {
+    /// Returns the first configuration, with one public route.
+    pub fn new(repeatable: Repeatable) -> Self {
+        let route = Route {
+            name: "route".into(),
+            host: HOST.into(),
+            path_prefix: "/a/".into(),
+            repeatable,
+            timeout: ROUTE_TIMEOUT,
+            target_latency: Duration::from_millis(500),
+            priority: 0,
+            weighted_services: [WeightedService { service: id(SERVICE), weight: 1.0 }]
+                .into_iter()
+                .collect(),
+            attempts_max: 2,
+            is_public: true,
+            has_affinity: true,
+            has_large_responses: false,
+            home_regions: Default::default(),
+        };
+        Self {
+            revision: Revision(1),
+            routes: vec![route],
+            organisations: Vec::new(),
+            evacuated: Vec::new(),
+        }
+    }
+
+    /// Returns the content of a daemon with this configuration.
+    pub fn into_content(self) -> Content {
+        let policy = ServicePolicy { connections: 100, cold_requests_per_s: 100.0 };
+        let services =
+            [SERVICE, OTHER_SERVICE].map(|service| (id::<ServiceId>(service), policy.clone()));
+        let services = HashMap::from(services);
+        let routing = RoutingTable::build(self.routes, services, self.organisations);
+        let routing = routing.expect("valid routes");
+        let document = Document { accepted: Vec::new(), items: Vec::new(), version: 1 };
+        let (evacuated, revision) = (self.evacuated, self.revision);
+        Content { replicated: FleetContent { document, evacuated, revision }, routing }
+    }
 }
 
 /// Returns the settings of an entry VM.
--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -1,6 +1,7 @@
 //! Routing table of a deployment: routes, services and organisations.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use celerygate_types::{OrganisationId, RegionId, ServiceId};
@@ -9,6 +10,10 @@
 
 use crate::grants::Limit;
 
+pub use self::recheck::{EarlierAdmission, Recheck, RequestSubject};
+
+mod recheck;
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -80,7 +85,7 @@
 /// The routes, services and organisations of one revision.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingTable {
-    routes_by_host: HashMap<SmolStr, Vec<Route>>,
+    routes_by_host: HashMap<SmolStr, Vec<Arc<Route>>>,
     services: HashMap<ServiceId, ServicePolicy>,
     organisations: HashMap<OrganisationId, OrganisationPolicy>,
     organisations_by_key: HashMap<blake3::Hash, OrganisationId>,
@@ -168,7 +173,7 @@
                     second: route.name,
                 });
             }
-            routes_of_host.push(route);
+            routes_of_host.push(Arc::new(route));
         }
         for routes_of_host in table.routes_by_host.values_mut() {
             routes_of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -229,7 +234,7 @@
 
     /// Returns the route of a request: of the routes of its host the one with the longest prefix of
     /// the path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes_by_host.get(host)?;
         routes.iter().find(|route| path.starts_with(route.path_prefix.as_str()))
     }
--- a/crates/steering/src/routing_tests.rs
+++ b/crates/steering/src/routing_tests.rs
@@ -9,11 +9,11 @@
 
 use super::*;
 
-fn service(name: &str) -> ServiceId {
+pub(super) fn service(name: &str) -> ServiceId {
     name.parse().expect("valid id")
 }
 
-fn route(name: &str, prefix: &str, weighted_services: &[(&str, f64)]) -> Route {
+pub(super) fn route(name: &str, prefix: &str, weighted_services: &[(&str, f64)]) -> Route {
     let weighted_service =
         |(name, weight): &(&str, f64)| WeightedService { service: service(name), weight: *weight };
     Route {
@@ -33,12 +33,12 @@
     }
 }
 
-fn services() -> HashMap<ServiceId, ServicePolicy> {
+pub(super) fn services() -> HashMap<ServiceId, ServicePolicy> {
     let policy = ServicePolicy { connections: 10, cold_requests_per_s: 4.0 };
     ["old", "new"].into_iter().map(|name| (service(name), policy.clone())).collect()
 }
 
-fn organisation(name: &str, key: &str) -> OrganisationEntry {
+pub(super) fn organisation(name: &str, key: &str) -> OrganisationEntry {
     OrganisationEntry {
         organisation: name.parse().expect("valid id"),
         keys: vec![blake3::hash(key.as_bytes())],
