Do not reuse a connection to a target after a long request body

Cause: a target may respond before it has read a long body, keep the connection and read on later. The kernel has taken the body, so the connection counts as idle, and the next request is written behind the unread body. The target meets it when it has read on, whatever it has said meanwhile. Class: bytes that the kernel accepts are taken for bytes that the target has read, as in docs/incidents/2026-12-silent-connections.md.

Nothing on the socket shows what a target has read, so a connection is not reused after a body of more than 8 KiB, nor after one of unknown length. The hash of a request's id is computed once for each search of the pool.

send_after_long_body_answered_early fails with a limit of 8 MB: the second request is answered on the first connection, as a part of the body.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -22,6 +22,7 @@
 use self::connection::{Connection, HEAD_LIMIT_BYTES};
 use self::informational::{InformationalCount, MAX_INFORMATIONAL_RESPONSES};
 use self::socket::{IdleState, OpenSockets};
+use self::unsuccessful::RequestHash;
 
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
 const MAX_IDLE_PER_TARGET: usize = 16;
@@ -232,7 +233,8 @@
         };
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
-        let is_usable = |idle: &IdleConnection| !idle.connection.may_repeat_response_to(id);
+        let request = RequestHash::of(id);
+        let is_usable = |idle: &IdleConnection| !idle.connection.may_repeat_response_to(request);
         while let Some(position) = connections.iter().rposition(is_usable) {
             let candidate = connections.remove(position);
             match candidate.connection.idle_state() {
--- a/crates/daemon/src/upstream/body.rs
+++ b/crates/daemon/src/upstream/body.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Closes the connection after this response instead of reusing it.
+    pub fn prevent_reuse(&mut self) {
+        if let Some((.., connection)) = &mut self.reusable {
+            connection.prevent_reuse();
+        }
+    }
+
     /// Returns the number of this response's request on its connection, from 1; 0 if the connection is
     /// not kept.
     pub fn number_on_connection(&self) -> u32 {
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celerygate_steering::responses::EchoRule;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use super::socket::{self, IdleState, OpenSockets, ReadCounter, TargetSocket};
-use super::unsuccessful::UnsuccessfulRequests;
+use super::unsuccessful::{RequestHash, UnsuccessfulRequests};
 use super::{NetworkPath, RequestBody};
 
 /// Maximum time for connecting to a target. A round trip between regions takes 40 ms; the rest
@@ -54,6 +54,10 @@
 /// with any number of leading zeros. Chunks of a single byte take six, so that each read has a part.
 const BODY_GAP_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
+/// Size of a body from which a target may respond before it has read all of it, and read on later. What is
+/// sent next waits behind the rest. The limit leaves a request within the first segments of its connection.
+const LONG_BODY_BYTES: u64 = 8 * 1_024;
+
 /// A connection to a target. Dropping it while a request is unanswered resets the connection, so that
 /// the kernel discards what the target's machine has not acknowledged. After an orderly close it would
 /// send these bytes once a cut network is back, and the target would run a request that its caller and
@@ -67,6 +71,8 @@
     echo_rule: EchoRule,
     requests: u32,
     unsuccessful: UnsuccessfulRequests,
+    /// Whether other requests must not follow.
+    is_last_request: bool,
 }
 
 impl Connection {
@@ -117,6 +123,7 @@
             echo_rule: EchoRule::Optional,
             requests: 0,
             unsuccessful: UnsuccessfulRequests::default(),
+            is_last_request: false,
         })
     }
 
@@ -130,6 +137,8 @@
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
         self.requests = self.requests.saturating_add(1);
+        let body_bytes = request.body().size_hint().exact();
+        self.is_last_request |= body_bytes.is_none_or(|bytes| bytes > LONG_BODY_BYTES);
         self.reads.begin(HEAD_LIMIT_BYTES);
         let response = self.sender.try_send_request(request).await;
         self.reads.end();
@@ -152,6 +161,11 @@
         self.requests
     }
 
+    /// Has the connection closed after the response.
+    pub fn prevent_reuse(&mut self) {
+        self.is_last_request = true;
+    }
+
     /// Records that the response to a request was no success, so that the request may be sent again.
     pub fn record_unsuccessful(&mut self, request: &str) {
         self.unsuccessful.record(request);
@@ -159,13 +173,13 @@
 
     /// Returns whether the target can send a response to this request that belongs to an earlier attempt:
     /// the copy of an unsuccessful response has the id of its request.
-    pub fn may_repeat_response_to(&self, request: &str) -> bool {
+    pub fn may_repeat_response_to(&self, request: RequestHash) -> bool {
         self.unsuccessful.contains(request)
     }
 
     /// Returns whether the connection may be used for other requests.
     pub fn is_reusable(&self) -> bool {
-        !self.is_closed() && !self.unsuccessful.is_full()
+        !self.is_closed() && !self.is_last_request && !self.unsuccessful.is_full()
     }
 
     /// Returns whether the next response must name its request.
--- a/crates/daemon/src/upstream/unsuccessful.rs
+++ b/crates/daemon/src/upstream/unsuccessful.rs
@@ -12,10 +12,11 @@
 /// Id of a request as a hash, of the same size however long the id is. Two requests with the same hash
 /// only do not share a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct RequestHash(u64);
+pub struct RequestHash(u64);
 
 impl RequestHash {
-    fn of(request: &str) -> Self {
+    /// Returns the hash of an id.
+    pub fn of(request: &str) -> Self {
         let mut hasher = DefaultHasher::new();
         request.hash(&mut hasher);
         Self(hasher.finish())
@@ -35,8 +36,8 @@
     }
 
     /// Returns whether a request was added.
-    pub fn contains(&self, request: &str) -> bool {
-        self.hashes.contains(&RequestHash::of(request))
+    pub fn contains(&self, request: RequestHash) -> bool {
+        self.hashes.contains(&request)
     }
 
     /// Returns whether there is no room for another request.
--- a/crates/daemon/src/upstream/unsuccessful_tests.rs
+++ b/crates/daemon/src/upstream/unsuccessful_tests.rs
@@ -5,8 +5,8 @@
 fn contains_each_recorded() {
     let mut requests = UnsuccessfulRequests::default();
     ["a", "b", "c"].into_iter().for_each(|request| requests.record(request));
-    assert!(["a", "b", "c"].into_iter().all(|request| requests.contains(request)));
-    assert!(!requests.contains("d"));
+    assert!(["a", "b", "c"].into_iter().all(|request| requests.contains(RequestHash::of(request))));
+    assert!(!requests.contains(RequestHash::of("d")));
 }
 
 /// Guards against memory that grows with each refusal of a target that is full, and against connections
--- a/crates/daemon/tests/target_connections.rs
+++ b/crates/daemon/tests/target_connections.rs
@@ -171,6 +171,39 @@
     assert_eq!(read_body(other).await, b"0");
 }
 
+/// Guards against a request that waits at its target behind the unread body of an earlier one. It was read
+/// seconds after it was sent, when the target had been told that no more requests would come.
+#[tokio::test]
+async fn send_after_long_body_answered_early() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("local address of the listener");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a connection");
+            // Answers a request once a part of it has come, and reads on later.
+            std::thread::spawn(move || {
+                let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+                let mut buffer = [0; 1_024];
+                while stream.read(&mut buffer).is_ok_and(|bytes| bytes > 0)
+                    && stream.write_all(response.as_bytes()).is_ok()
+                {
+                    std::thread::sleep(Duration::from_secs(1));
+                }
+            });
+        }
+    });
+    let pool = Arc::<ConnectionPool>::default();
+    let body = Full::new(Bytes::from(vec![b'x'; 20_000])).map_err(|never| match never {});
+    let request = Request::builder().method("POST").uri("/").header("host", "a");
+    let request = request.body(body.boxed_unsync()).expect("a request");
+    let (path, reuse) = (NetworkPath::WithinRegion, ConnectionReuse::Any);
+    let response = pool.send(address, path, reuse, "a", request).await.expect("a response");
+    assert_eq!(read_body(response).await, b"0");
+    // Lets the connection become idle.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(send(&pool, address, "b").await, b"1");
+}
+
 /// Size of a request that fits into the send buffer of the daemon's kernel.
 const REQUEST_BYTES: usize = 128 * 1_024;
 /// Receive buffer of a target whose machine acknowledges only the beginning of such a request.
