Close connections on which another instance has answered

Such refusals come only around restarts of targets, and their connections are now closed, which costs one new connection each.

--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -58,6 +58,8 @@
     let load = metadata.load;
     if kind == ResponseKind::NotRun {
         if metadata.is_other_instance {
+            // The target has started again. A copy of its refusal would fail the next request here.
+            body.prevent_reuse();
             record_misdirected(daemon, &admitted.metadata.request, chosen);
         }
         body.record_unsuccessful(&admitted.metadata.request);
