Confirm that a target leaves by its state in the table

A report is confirmed now if the table says afterwards that the target leaves or has departed, which also covers the case of a later start time. The warning names the target and whether a process of it is ready.

--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use celerygate_steering::instances::{InstanceTable, check_start_time};
-use celerygate_types::wire::{
-    FleetMessage, InstanceRecord, TargetDeparture, TargetUpdate, TargetUpdateAck,
-};
+use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate, TargetUpdateAck};
 use celerygate_types::{TargetId, VmId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, timeout_at};
@@ -128,49 +126,42 @@
 
 /// Handles an update of another control VM, and confirms one about a leaving target once it is stored.
 pub(super) fn receive_target_update(daemon: &Arc<Daemon>, from: VmId, update: TargetUpdate) {
-    let TargetUpdate { sequence, records, departures } = update;
-    let leaving: Vec<TargetId> = instances_of(&records, &departures).collect();
-    let received = records.len();
-    let records = plausible_records(daemon, &from, records);
-    let is_relayed = sequence == 0;
+    let is_relayed = update.sequence == 0;
     if is_relayed {
-        apply_target_changes(daemon, &from, records, &departures);
+        let records = plausible_records(daemon, &from, update.records);
+        apply_target_changes(daemon, &from, records, &update.departures);
         return;
     }
-    if apply_target_changes(daemon, &from, records.clone(), &departures) > 0 {
+    let records = plausible_records(daemon, &from, update.records.clone());
+    if apply_target_changes(daemon, &from, records, &update.departures) > 0 {
         notify_entries(daemon);
     }
-    let is_ignored = records.len() < received;
-    if is_ignored || leaving.iter().any(|instance| is_still_used(daemon, instance)) {
+    if !is_applied(daemon, &update) {
         return;
     }
     let Some(store) = &daemon.leaving_store else { return };
     let confirming = Arc::clone(daemon);
-    store.store(TargetUpdate { sequence: 0, records, departures }, move || {
-        let ack = TargetUpdateAck { sequence };
+    let ack = TargetUpdateAck { sequence: update.sequence };
+    store.store(TargetUpdate { sequence: 0, ..update }, move || {
         confirming.mesh.send(&from, FleetMessage::TargetUpdateAck(ack));
     });
 }
 
-/// Returns the targets that an update is about.
-fn instances_of(
-    records: &[InstanceRecord],
-    departures: &[TargetDeparture],
-) -> impl Iterator<Item = TargetId> {
-    let reported = records.iter().map(|record| record.instance.clone());
-    reported.chain(departures.iter().map(|departure| departure.instance.clone()))
-}
-
-/// Returns whether requests are sent to a target although one of its processes has stated that it
-/// leaves: a process with a later start time is known. Such a report is not confirmed, because a
-/// confirmed one must have an effect, and the later process may be that of another writer.
-fn is_still_used(daemon: &Daemon, instance: &TargetId) -> bool {
-    let ready_born = daemon.tables.instances.read().ready_born_unix_ms(instance);
-    if let Some(born) = ready_born {
-        log::warn!(target_id = instance.as_str(), ready_born = born;
-            "target leaves, but a process of it that started later is ready, not confirming");
+/// Returns whether all targets of an update are known to leave. One that is not may have a process with a
+/// later start time, which may be that of another writer, or the update may be implausible. A report
+/// without an effect is not confirmed.
+fn is_applied(daemon: &Daemon, update: &TargetUpdate) -> bool {
+    let instances = daemon.tables.instances.read();
+    let mut left = update.records.iter().filter(|record| !instances.is_known_to_leave(record));
+    let mut departed =
+        update.departures.iter().filter(|gone| !instances.is_known_to_have_departed(gone));
+    let ignored = left.next().map(|record| &record.instance);
+    let ignored = ignored.or_else(|| departed.next().map(|departure| &departure.instance));
+    if let Some(target) = ignored {
+        log::warn!(target_id = target.as_str(), is_ready = instances.is_ready(target);
+            "report that a target leaves has no effect, not confirming it");
     }
-    ready_born.is_some()
+    ignored.is_none()
 }
 
 /// Stores an update about a leaving target, sends it to the other control VMs, and waits until most
@@ -181,7 +172,7 @@
     instance: &TargetId,
     update: TargetUpdate,
 ) -> ReportOutcome {
-    if is_still_used(daemon, instance) {
+    if !is_applied(daemon, &update) {
         return ReportOutcome::Unconfirmed;
     }
     let (sequence, sender, mut acks) = sync_state.confirmations.lock().begin();
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -287,11 +287,22 @@
         self.departures.includes(instance, born_unix_ms)
     }
 
-    /// Returns the start time of the latest process of a target if requests may be sent to it.
-    pub fn ready_born_unix_ms(&self, instance: &TargetId) -> Option<u64> {
-        let known = self.instances.get(instance);
-        let ready = known.filter(|known| known.record.state == InstanceState::Ready);
-        ready.map(|known| known.record.born_unix_ms)
+    /// Returns whether the latest process of a target states that it is ready.
+    pub fn is_ready(&self, instance: &TargetId) -> bool {
+        self.instances.get(instance).is_some_and(|known| known.record.state == InstanceState::Ready)
+    }
+
+    /// Returns whether a report that a target leaves has had its effect: the target is known to leave.
+    pub fn is_known_to_leave(&self, record: &InstanceRecord) -> bool {
+        let is_known = self.instances.contains_key(&record.instance);
+        let has_departed = self.has_departed(&record.instance, record.born_unix_ms);
+        !self.is_ready(&record.instance) && (is_known || has_departed)
+    }
+
+    /// Returns whether a deregistration has had its effect.
+    pub fn is_known_to_have_departed(&self, departure: &TargetDeparture) -> bool {
+        !self.is_ready(&departure.instance)
+            && self.has_departed(&departure.instance, departure.born_max_unix_ms)
     }
 
     /// Returns the deregistrations since a version, and the version of each.
