Keep targets in their service when another writer names an unknown one

Cause: InstanceTable::report took any higher sequence or later start time under the id of a target as the target's newer report, also if it named a service of no configuration.

Change: the table knows the services of the configuration in force. A report of another service than these does not displace a record of one of them: it is held, without being a sign of life, and applied when a configuration names its service. A report of a named service displaces a record whose service was never named, whatever the numbers. A held report that a target leaves is not acknowledged.

Measured: 7 new tests in instances_tests.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -456,6 +456,16 @@
             service = record.service.as_str(), state:% = record.state, born = record.born_unix_ms,
             sequence = record.sequence, cold_ms = record.cold_ms; "received target report");
     }
+    if reported == ReportResult::Held {
+        log::info!(target_id = record.instance.as_str(), service = record.service.as_str(),
+            born = record.born_unix_ms, sequence = record.sequence;
+            "holding target report, no configuration names its service");
+        // A target that leaves is not told that this is known, because its earlier record is still in use.
+        return match record.state {
+            InstanceState::Ready => ReportOutcome::Acknowledged,
+            InstanceState::Draining | InstanceState::Gone => ReportOutcome::Unconfirmed,
+        };
+    }
     if record.state == InstanceState::Ready {
         sync_state.relay_queue.lock().insert(record.instance.clone(), record);
         if reported == ReportResult::Changed {
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -324,7 +324,9 @@
         if current.as_ref().is_some_and(|own| own.replicated.revision >= revision) {
             return false;
         }
+        let services = content.routing.service_ids().cloned().collect();
         *current = Some(Arc::new(content));
+        self.instances.write().set_named_services(services);
         true
     }
 
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -3,13 +3,17 @@
 //! Reports can arrive late and through several VMs. An instance is one run of a target's process,
 //! identified by the target's id and its start time; its reports are ordered by sequence number. An
 //! instance that has ended is remembered for a time, so that a late report cannot bring it back.
+//!
+//! Other writers send reports too, under the ids of targets. A report that names a service of no
+//! configuration does not take a target out of a service that the configuration in force names: it is
+//! held until its service is named, or the target is no longer known.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use celerygate_types::wire::{InstanceRecord, InstanceState, TargetDeparture};
-use celerygate_types::{SlotCount, TargetId};
+use celerygate_types::{ServiceId, SlotCount, TargetId};
 use smol_str::SmolStr;
 
 use self::departures::Departures;
@@ -112,6 +116,9 @@
     Renewed,
     /// The report was ignored, because a later report or instance is known.
     Outdated,
+    /// The report is held and has no effect yet: it names a service of no configuration, and the target
+    /// is known for one that the configuration in force names.
+    Held,
 }
 
 /// The latest known instance of a target.
@@ -129,9 +136,41 @@
     pub version: u64,
     /// Time until which the instance is not used, because another process answered at its address.
     misdirected_until: Option<Instant>,
+    /// Whether a configuration in force has named the service of the record.
+    was_named: bool,
+    /// Report of a service that no configuration has named.
+    held: Option<HeldReport>,
+}
+
+/// A report that waits until a configuration names its service.
+#[derive(Clone, Debug)]
+struct HeldReport {
+    record: InstanceRecord,
+    reported_at: Instant,
 }
 
 impl Instance {
+    fn new(record: InstanceRecord, is_named: bool, version: u64, now: Instant) -> Self {
+        Self {
+            warm_at: now + Duration::from_millis(record.cold_ms),
+            record,
+            reported_at: now,
+            known_since: now,
+            version,
+            misdirected_until: None,
+            was_named: is_named,
+            held: None,
+        }
+    }
+
+    /// Holds a report until its service is named.
+    fn hold(&mut self, record: InstanceRecord, reported_at: Instant) {
+        let order = |record: &InstanceRecord| (record.born_unix_ms, record.sequence);
+        if self.held.as_ref().is_none_or(|held| order(&held.record) < order(&record)) {
+            self.held = Some(HeldReport { record, reported_at });
+        }
+    }
+
     /// Returns the record with the remaining warm-up time.
     pub fn current_record(&self, now: Instant) -> InstanceRecord {
         let cold = self.warm_at.saturating_duration_since(now);
@@ -151,6 +190,8 @@
 pub struct InstanceTable {
     instances: HashMap<TargetId, Instance>,
     departures: Departures,
+    /// Services of the configuration in force.
+    named_services: HashSet<ServiceId>,
     version: u64,
 }
 
@@ -161,22 +202,29 @@
             return ReportResult::Outdated;
         }
         let warm_at = now + Duration::from_millis(record.cold_ms);
+        let is_named = self.named_services.contains(&record.service);
         let Some(known) = self.instances.get_mut(&record.instance) else {
             self.version += 1;
-            self.instances.insert(
-                record.instance.clone(),
-                Instance {
-                    record,
-                    warm_at,
-                    reported_at: now,
-                    known_since: now,
-                    version: self.version,
-                    misdirected_until: None,
-                },
-            );
+            let instance = Instance::new(record, is_named, self.version, now);
+            self.instances.insert(instance.record.instance.clone(), instance);
             return ReportResult::Changed;
         };
         let current = &known.record;
+        if !is_named
+            && record.service != current.service
+            && self.named_services.contains(&current.service)
+        {
+            known.hold(record, now);
+            return ReportResult::Held;
+        }
+        if is_named && !known.was_named {
+            // The numbers of a report whose service was never named prove nothing about the target.
+            self.version += 1;
+            let unnamed =
+                std::mem::replace(known, Instance::new(record, is_named, self.version, now));
+            known.hold(unnamed.record, unnamed.reported_at);
+            return ReportResult::Changed;
+        }
         let is_new_instance = record.born_unix_ms > current.born_unix_ms;
         let is_newer = record.born_unix_ms == current.born_unix_ms
             && (record.sequence > current.sequence
@@ -203,11 +251,12 @@
             || record.service != current.service
             || record.slots != current.slots
             || is_colder;
+        known.was_named = is_named || (known.was_named && record.service == current.service);
         known.record = InstanceRecord { state, ..record };
         if is_new_instance || is_colder || warm_at < known.warm_at {
             known.warm_at = warm_at;
         }
-        known.reported_at = now;
+        known.reported_at = known.reported_at.max(now);
         if is_new_instance {
             known.known_since = now;
             known.misdirected_until = None;
@@ -220,6 +269,21 @@
         ReportResult::Changed
     }
 
+    /// Sets the services of the configuration in force, and applies the reports that were held for one
+    /// of them.
+    pub fn set_named_services(&mut self, services: HashSet<ServiceId>) {
+        let mut released = Vec::new();
+        for instance in self.instances.values_mut() {
+            instance.was_named |= services.contains(&instance.record.service);
+            let is_named = |held: &mut HeldReport| services.contains(&held.record.service);
+            released.extend(instance.held.take_if(is_named));
+        }
+        self.named_services = services;
+        for HeldReport { record, reported_at } in released {
+            self.report(record, reported_at);
+        }
+    }
+
     /// Records that a target itself has just sent a report, whatever its sequence number. A report
     /// that another writer sent with a high one would otherwise make the target silent.
     pub fn record_sign_of_life(&mut self, record: &InstanceRecord, now: Instant) {
@@ -360,8 +424,10 @@
     /// Removes instances and departures that ended, or were last reported, [`ENDED_RETENTION`] ago.
     pub fn expire(&mut self, now: Instant) {
         self.departures.expire(now);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ENDED_RETENTION;
         self.instances.retain(|_, instance| {
-            now.saturating_duration_since(instance.reported_at) < ENDED_RETENTION
+            instance.held.take_if(|held| !is_recent(held.reported_at));
+            is_recent(instance.reported_at)
         });
     }
 }
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -282,3 +282,149 @@
     assert!(table.record_deregistration(&id(), None, NOW_UNIX_MS, now).is_some(), "a known target");
     assert_eq!(state(&table), InstanceState::Gone);
 }
+
+fn services(names: &[&str]) -> HashSet<ServiceId> {
+    names.iter().map(|name| name.parse().expect("valid id")).collect()
+}
+
+fn record_of(service: &str, born: u64, sequence: u64, state: InstanceState) -> InstanceRecord {
+    let service = service.parse().expect("valid id");
+    InstanceRecord { service, ..record(born, sequence, state) }
+}
+
+fn service(table: &InstanceTable) -> &str {
+    table.get(&id()).expect("the target is known").record.service.as_str()
+}
+
+/// Guards against another writer's report that takes a target out of its service: with one heartbeat
+/// for each target, 0 of 200 requests were served.
+#[test]
+fn report_unnamed_service_of_other_writer() {
+    let start = Instant::now();
+    for (born, sequence) in [(1, 1_000), (1, u64::MAX), (9, 0)] {
+        for odd_state in [InstanceState::Ready, InstanceState::Draining] {
+            let mut table = InstanceTable::default();
+            table.set_named_services(services(&["lists"]));
+            table.report(record(1, 4, InstanceState::Ready), start);
+            let version = table.version();
+            let odd = record_of("nowhere", born, sequence, odd_state);
+            assert_eq!(table.report(odd, start), ReportResult::Held);
+            let later = start + Duration::from_secs(3);
+            let own = table.report(record(1, 5, InstanceState::Ready), later);
+            assert_eq!(own, ReportResult::Renewed);
+            assert_eq!((service(&table), state(&table)), ("lists", InstanceState::Ready));
+            assert_eq!(table.version(), version, "nothing to tell other VMs");
+            let leaving = table.report(record(1, 6, InstanceState::Draining), later);
+            assert_eq!(leaving, ReportResult::Changed);
+        }
+    }
+}
+
+/// Guards against another writer's report that arrives first, at a VM that has just started, and
+/// against one that arrives before the VM has a configuration.
+#[test]
+fn report_named_after_unnamed() {
+    let now = Instant::now();
+    for born in [1, 9] {
+        let mut started = InstanceTable::default();
+        started.set_named_services(services(&["lists"]));
+        started.report(record_of("nowhere", born, 1_000, InstanceState::Draining), now);
+        let mut unconfigured = InstanceTable::default();
+        unconfigured.report(record(1, 4, InstanceState::Ready), now);
+        unconfigured.report(record_of("nowhere", born, 1_000, InstanceState::Draining), now);
+        unconfigured.set_named_services(services(&["lists"]));
+        for mut table in [started, unconfigured] {
+            let own = table.report(record(1, 5, InstanceState::Ready), now);
+            assert_eq!(own, ReportResult::Changed);
+            assert_eq!((service(&table), state(&table)), ("lists", InstanceState::Ready));
+            let odd = record_of("nowhere", born, 1_001, InstanceState::Ready);
+            assert_eq!(table.report(odd, now), ReportResult::Held);
+        }
+    }
+}
+
+/// Guards against a release that has no effect: it changes the service and the address of a target, with
+/// or without a new process.
+#[test]
+fn report_release_changes_service() {
+    let now = Instant::now();
+    for (born, sequence) in [(1, 5), (2, 0)] {
+        let mut table = InstanceTable::default();
+        table.set_named_services(services(&["lists", "plans"]));
+        table.report(record(1, 4, InstanceState::Ready), now);
+        let released = record_of("plans", born, sequence, InstanceState::Ready);
+        let released = InstanceRecord { address: "10.0.0.8:80".into(), ..released };
+        assert_eq!(table.report(released, now), ReportResult::Changed);
+        assert_eq!(service(&table), "plans");
+        assert_eq!(table.report(record(1, 4, InstanceState::Ready), now), ReportResult::Outdated);
+    }
+}
+
+/// Guards against a target that stays out of use, or in its earlier service, because it reported its
+/// service before the configuration named it.
+#[test]
+fn set_named_services_releases_held_report() {
+    let start = Instant::now();
+    let mut table = InstanceTable::default();
+    table.set_named_services(services(&["lists"]));
+    table.report(record(1, 4, InstanceState::Ready), start);
+    let cold = record_of("plans", 2, 0, InstanceState::Ready);
+    let cold = InstanceRecord { cold_ms: 3_000, ..cold };
+    assert_eq!(table.report(cold, start), ReportResult::Held);
+    let version = table.version();
+    table.set_named_services(services(&["lists", "plans"]));
+    assert_eq!(service(&table), "plans");
+    assert!(table.version() > version, "other VMs and the index of targets need the change");
+    let warm_at = table.get(&id()).expect("known").warm_at;
+    assert_eq!(warm_at, start + Duration::from_secs(3));
+    let late = table.report(record(1, 9, InstanceState::Ready), start);
+    assert_eq!(late, ReportResult::Outdated, "a late report of the process before");
+}
+
+/// Guards against a held report that brings back a target that has left meanwhile.
+#[test]
+fn set_named_services_after_departure() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.set_named_services(services(&["lists"]));
+    table.report(record(1, 4, InstanceState::Ready), now);
+    table.report(record_of("plans", 2, 0, InstanceState::Ready), now);
+    table.record_deregistration(&id(), Some(2), NOW_UNIX_MS, now).expect("room");
+    table.set_named_services(services(&["lists", "plans"]));
+    assert_eq!(state(&table), InstanceState::Gone);
+}
+
+/// Guards against a target that is taken for one of a removed service for good, and against one whose
+/// reports do not count because its service was removed.
+#[test]
+fn report_after_service_removed() {
+    let start = Instant::now();
+    let mut table = InstanceTable::default();
+    table.set_named_services(services(&["lists"]));
+    table.report(record(1, 4, InstanceState::Ready), start);
+    table.set_named_services(services(&["plans"]));
+    assert_eq!(table.report(record(1, 5, InstanceState::Ready), start), ReportResult::Renewed);
+    let leaving = table.report(record(1, 6, InstanceState::Draining), start);
+    assert_eq!(leaving, ReportResult::Changed);
+    // A report of an earlier service that arrives late does not bring the target back.
+    let late = table.report(record_of("plans", 1, 3, InstanceState::Ready), start);
+    assert_eq!(late, ReportResult::Outdated);
+    assert_eq!(state(&table), InstanceState::Draining);
+}
+
+/// Guards against a target that counts as running because another writer's reports are held, and
+/// against a target that never leaves its earlier service although it reports another one.
+#[test]
+fn report_held_is_no_sign_of_life() {
+    let start = Instant::now();
+    let mut table = InstanceTable::default();
+    table.set_named_services(services(&["lists"]));
+    table.report(record(1, 4, InstanceState::Ready), start);
+    let later = start + ENDED_RETENTION;
+    let unnamed = record_of("plans", 1, 5, InstanceState::Ready);
+    assert_eq!(table.report(unnamed.clone(), later), ReportResult::Held);
+    assert_eq!(table.silent(Duration::from_millis(1_500), later).count(), 1);
+    table.expire(later);
+    assert_eq!(table.report(unnamed, later), ReportResult::Changed);
+    assert_eq!(service(&table), "plans");
+}
--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -244,6 +244,11 @@
         self.services.get(service)
     }
 
+    /// Returns the ids of all services.
+    pub fn service_ids(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
     /// Returns the policy of an organisation.
     pub fn organisation(&self, organisation: &OrganisationId) -> Option<&OrganisationPolicy> {
         self.organisations.get(organisation)
