Create a fleet's control group by a majority of the seeds

Cause: only the seed with the lowest id created the group, and only after all other seeds had answered that they are empty. A seed that was lost before, or the lowest one itself, kept the system from ever starting.

Change: the seeds are the voters of the first configuration and elect a leader by the usual rules. A seed's data folder gets a store id on the first start that follows from its id and the list of seeds, so all seeds know the first configuration, and a folder that comes back empty has no vote. The group exists once a majority of the seeds has synced the first entry. A replica that has stored neither a term nor an entry votes at once after its start, since no leader relies on it.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! distribution of the configuration to the daemons.
 
 pub mod distribution;
+pub mod founding;
 pub mod freshness;
 pub mod idempotency_log;
 pub mod intents;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -20,6 +20,7 @@
 mod bootstrap;
 mod election;
 mod follower;
+mod founding;
 mod leader;
 mod limits;
 mod tail;
@@ -54,6 +55,9 @@
         /// The first configuration, with the other control VMs as learners.
         configuration: Box<Configuration>,
     },
+    /// Create the group together with the other voters of the first configuration. Expected before
+    /// any other input.
+    Found(Box<Configuration>),
 }
 
 /// An operation that the caller must perform.
@@ -155,6 +159,8 @@
     role: Role,
     leader: Option<VmId>,
     tail: Tail,
+    /// First configuration of a group that this VM founds with others.
+    founding: Option<Box<Configuration>>,
     commit: LogIndex,
     /// Members as of the commit index; changes after it can still be replaced.
     committed_members: Vec<Member>,
@@ -192,20 +198,12 @@
 #[derive(Clone, Debug)]
 enum Role {
     Follower,
-    Bootstrapping(Bootstrap),
+    Bootstrapping(bootstrap::Progress),
     PreCandidate(BTreeSet<VmId>),
     Candidate(BTreeSet<VmId>),
     Leader(Leadership),
 }
 
-/// Progress of creating the group: replies of the other control VMs with empty data folders.
-#[derive(Clone, Debug)]
-struct Bootstrap {
-    configuration: Box<Configuration>,
-    empty_store_ids: BTreeMap<VmId, u64>,
-    probed_at: Option<Instant>,
-}
-
 #[derive(Clone, Debug)]
 struct Leadership {
     /// Index of this leader's first entry in its term.
@@ -250,6 +248,7 @@
             role: Role::Follower,
             leader: None,
             tail: initial.tail,
+            founding: None,
             commit,
             committed_members: initial.members,
             members,
@@ -464,6 +463,7 @@
             leader::advance_commit(replica, now, &mut actions);
         }
         Input::Bootstrap { configuration } => bootstrap::start(replica, configuration),
+        Input::Found(first) => founding::start(replica, first),
         Input::Message { from, message } => match message {
             Message::VoteRequest(request) => {
                 election::vote_request(replica, from, &request, now, &mut actions);
--- a/crates/control/src/replica/bootstrap.rs
+++ b/crates/control/src/replica/bootstrap.rs
@@ -6,14 +6,23 @@
 //! confirmed it. It becomes the only voter; the others join as learners with the store ids from
 //! their replies.
 
-use super::{Action, Bootstrap, HEARTBEAT_INTERVAL, LogEntry, Replica, Role, send};
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use celerygate_types::wire::{Command, Configuration, Member, MemberRole, VoteReply, VoteRequest};
 use celerygate_types::{LogIndex, Term, VmId};
 
+use super::{Action, HEARTBEAT_INTERVAL, LogEntry, Replica, Role, send};
 use crate::membership;
 
+/// Progress of creating the group: replies of the other control VMs with empty data folders.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    configuration: Box<Configuration>,
+    empty_store_ids: BTreeMap<VmId, u64>,
+    probed_at: Option<Instant>,
+}
+
 const EMPTY_FOLDER_PROBE: VoteRequest = VoteRequest {
     term: Term::ZERO,
     last_index: LogIndex::ZERO,
@@ -26,7 +35,7 @@
     if replica.tail.is_pristine() && matches!(replica.role, Role::Follower) {
         let empty_store_ids = Default::default();
         replica.role =
-            Role::Bootstrapping(Bootstrap { configuration, empty_store_ids, probed_at: None });
+            Role::Bootstrapping(Progress { configuration, empty_store_ids, probed_at: None });
     }
 }
 
@@ -37,9 +46,11 @@
 
 /// Returns whether this VM confirms that its data folder is empty.
 ///
-/// Only the control VM with the lowest id may create the group, so that no two VMs create one.
+/// Only the control VM with the lowest id may create the group, so that no two VMs create one. A
+/// founder has promised to create the group with the other founders only.
 pub(super) fn confirms_empty(replica: &Replica, from: &VmId) -> bool {
-    replica.tail.is_pristine() && replica.term == Term::ZERO && *from < replica.vm
+    let is_empty = replica.tail.is_pristine() && replica.term == Term::ZERO;
+    is_empty && replica.founding.is_none() && *from < replica.vm
 }
 
 /// Returns whether a vote reply answers a probe for an empty data folder.
--- a/crates/control/src/replica/election.rs
+++ b/crates/control/src/replica/election.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Action, ELECTION_RETRY_MAX, ELECTION_RETRY_MIN, ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN,
-    Replica, Role, VOTE_REFUSAL_PERIOD, bootstrap, leader, send,
+    Replica, Role, VOTE_REFUSAL_PERIOD, bootstrap, founding, leader, send,
 };
 use crate::membership;
 
@@ -46,15 +46,16 @@
 /// Returns whether this VM must refuse votes because a leader may still rely on it for its lease.
 ///
 /// A VM that has just started refuses votes too: it does not know which leader it acknowledged
-/// before the restart.
+/// before the restart. One that has never known a leader does not, since no leader relies on it.
 fn is_within_vote_refusal_period(replica: &Replica, now: Instant) -> bool {
     let recently = |since: Instant| now < since + VOTE_REFUSAL_PERIOD;
     let has_recent_quorum = match &replica.role {
         Role::Leader(state) => recently(state.lease_start.unwrap_or(state.elected_at)),
         _ => false,
     };
+    let may_forget_leader = !founding::has_known_no_leader(replica);
     has_recent_quorum
-        || recently(replica.started_at)
+        || (may_forget_leader && recently(replica.started_at))
         || replica.leader_contact.as_ref().is_some_and(|(_, heard_at)| recently(*heard_at))
 }
 
--- a/crates/control/src/replica/leader.rs
+++ b/crates/control/src/replica/leader.rs
@@ -11,7 +11,7 @@
 use super::{
     APPEND_BYTES_MAX, APPEND_ENTRIES_MAX, Action, HEARTBEAT_INTERVAL, LEASE_DURATION, Leadership,
     Progress, ProposeError, QUORUM_TIMEOUT, REACHABILITY_TIMEOUT, RESENDS_PER_ROUND_MAX, Replica,
-    Role, SNAPSHOT_RETRY_INTERVAL, send,
+    Role, SNAPSHOT_RETRY_INTERVAL, founding, send,
 };
 use crate::membership::{self, MemberProgress, MembershipError};
 
@@ -31,7 +31,7 @@
     replica.pending_acknowledgement = None;
     actions.push(Action::BecomeLeader(replica.term));
     // Entries of earlier terms are committed only through an entry of the current term.
-    append_as_leader(replica, Command::Noop(replica.term), now, actions);
+    append_as_leader(replica, founding::first_command(replica), now, actions);
 }
 
 pub(super) fn propose(
--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -10,6 +10,8 @@
 mod disk_losses;
 #[path = "agreement/drawn_losses.rs"]
 mod drawn_losses;
+#[path = "agreement/founding.rs"]
+mod founding;
 #[path = "agreement/full_disks.rs"]
 mod full_disks;
 
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use celerygate_control::founding;
 use celerygate_control::log::Log;
 use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::node::{Node, Output};
@@ -19,8 +20,8 @@
 #[path = "state.rs"]
 mod state;
 
-pub use state::vm_id;
-use state::{apply, command_name, configuration, count_applied, id, member};
+use state::{apply, command_name, count_applied, id};
+pub use state::{configuration, member, vm_id};
 
 const TIME_STEP: Duration = Duration::from_millis(10);
 /// Number of applied entries after which a VM takes a snapshot.
@@ -40,6 +41,8 @@
     applied_index: u64,
     snapshot_index: u64,
     store_id: Option<u64>,
+    /// Whether the next start is the first one, as the settings of a VM tell it.
+    is_first_start: bool,
     /// The members as of the last entry of the VM's log.
     members: Vec<Member>,
     restart_at: Option<Duration>,
@@ -70,6 +73,8 @@
     pub leaving_vms: BTreeSet<VmId>,
     /// Size at which the group is kept as a driver does; without one, all VMs become voters.
     pub group_size: Option<GroupSize>,
+    /// VMs that create the group together; without them, the first VM creates it.
+    pub founders: Vec<VmId>,
     random: u64,
     /// All entries that any VM applied, in order.
     pub applied_entries: Vec<LogEntry>,
@@ -93,6 +98,7 @@
             applied_index: 0,
             snapshot_index: 0,
             store_id: None,
+            is_first_start: true,
             members: vec![],
             restart_at: Some(Duration::ZERO),
             paused_until: Duration::ZERO,
@@ -111,6 +117,7 @@
             excluded_vms: BTreeSet::new(),
             leaving_vms: BTreeSet::new(),
             group_size: None,
+            founders: vec![],
             random: seed,
             applied_entries: vec![],
             accepted: BTreeMap::new(),
@@ -138,6 +145,10 @@
         let (store_id, random) = (self.random_below(u64::MAX), self.random_below(u64::MAX));
         let now = self.local_now(number);
         let vm = &mut self.vms[number];
+        let founding_store_id = founding::store_id(&vm.id, &self.founders);
+        let is_first_start = std::mem::take(&mut vm.is_first_start);
+        let is_founder = self.founders.contains(&vm.id);
+        let store_id = if is_first_start && is_founder { founding_store_id } else { store_id };
         let opened_log =
             Log::open_with_segment_bytes(vm.disk.storage(), &vm.id, store_id, SEGMENT_BYTES);
         let Ok(opened_log) = opened_log else { return self.crash(number, TornWrite::Discard, 50) };
@@ -147,7 +158,17 @@
         vm.snapshot_index = vm.applied_index;
         vm.state = opened.snapshot.map_or_else(|| configuration(vec![]), |s| s.configuration);
         vm.node = Some(opened.node);
-        if number == 0 && vm.applied_index == 0 {
+        if is_founder && vm.store_id == Some(founding_store_id) {
+            let founders = self.founders.iter().cloned();
+            let members = founders.map(|id| member(id, MemberRole::Voter, None)).collect();
+            let mut first = founding::first_configuration(configuration(members));
+            // Tells the proposals of different founders apart.
+            first
+                .members
+                .iter_mut()
+                .for_each(|m| m.callers_address = vm_id(number).as_str().into());
+            self.handle(number, Input::Found(Box::new(first)));
+        } else if number == 0 && vm.applied_index == 0 && self.founders.is_empty() {
             let control =
                 (0..self.vms.len()).map(vm_id).filter(|id| !self.excluded_vms.contains(id));
             let members = control.map(|id| member(id, MemberRole::Learner, None)).collect();
--- a/crates/control/tests/support/losses.rs
+++ b/crates/control/tests/support/losses.rs
@@ -81,6 +81,7 @@
         let old = if reuses_previous { vm.previous_disks.pop() } else { None };
         let lost = std::mem::replace(&mut vm.disk, old.unwrap_or_default());
         vm.previous_disks.push(lost);
+        vm.is_first_start = false;
         vm.store_id = None;
         vm.members.clear();
         true
@@ -103,6 +104,11 @@
         self.vms[number].restart_at = Some(self.clock.elapsed());
     }
 
+    /// Moves the first start of a VM; expected before the cluster runs.
+    pub fn start_after(&mut self, number: usize, ms: u64) {
+        self.vms[number].restart_at = Some(Duration::from_millis(ms));
+    }
+
     pub fn pause(&mut self, number: usize, ms: u64) {
         self.vms[number].paused_until = self.clock.elapsed() + Duration::from_millis(ms);
     }
@@ -118,6 +124,7 @@
         self.crash(number, TornWrite::Discard, down_ms);
         let vm = &mut self.vms[number];
         vm.disk = MemoryDisk::new();
+        vm.is_first_start = false;
         vm.store_id = None;
         vm.members.clear();
     }
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -27,10 +27,10 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use self::members::bootstrap_configuration;
 use crate::adapter::ProtocolAdapter;
 use crate::tables::{Content, Leader, Tables};
 
+mod founding;
 mod grants;
 mod members;
 
@@ -252,7 +252,8 @@
         let storage = open_folder(folder)
             .with_context(|| format!("open the data folder {}", folder.display()))?;
         let (settings, now) = (&context.settings, context.clock.now());
-        let opened = Node::open(storage, &settings.vm, rand::random(), rand::random(), now)?;
+        let new_store_id = founding::new_store_id(settings);
+        let opened = Node::open(storage, &settings.vm, new_store_id, rand::random(), now)?;
         let snapshot = opened.snapshot.map(|record| record.configuration);
         let mut driver = Self {
             context,
@@ -269,9 +270,8 @@
         driver.publish_content();
         log::info!(store = driver.node.store_id(), commit = driver.node.replica().commit_index().0;
             "data folder opened");
-        if settings.found_group && settings.seeds.iter().min() == Some(&settings.vm) {
-            let configuration = Box::new(bootstrap_configuration(settings));
-            driver.handle(Input::Bootstrap { configuration })?;
+        if let Some(first) = founding::first_configuration(settings, driver.node.store_id()) {
+            driver.handle(Input::Found(first))?;
         }
         Ok(driver)
     }
--- a/crates/fleet/src/group/members.rs
+++ b/crates/fleet/src/group/members.rs
@@ -1,13 +1,11 @@
-//! Membership of the control group: its bootstrap and the replacement of lost VMs.
+//! Membership of the control group: VMs that join and the replacement of lost VMs.
 
 use anyhow::Result;
 use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::replica::Input;
-use celerygate_control::state;
 use celerygate_types::VmId;
 use celerygate_types::wire::{
-    Command, Configuration, DaemonRecord, FleetSettings, Member, MemberRole, MembershipChange,
-    VmState,
+    Command, DaemonRecord, Member, MemberRole, MembershipChange, VmState,
 };
 
 use super::ReplicaDriver;
@@ -62,24 +60,6 @@
     }
 }
 
-/// Returns the configuration with which the seeds bootstrap the group.
-pub(super) fn bootstrap_configuration(settings: &FleetSettings) -> Configuration {
-    let mut configuration = state::empty_configuration();
-    for seed in &settings.seeds {
-        configuration.members.push(Member {
-            vm: seed.clone(),
-            region: settings.region.clone(),
-            data_centre: settings.data_centre.clone(),
-            role: MemberRole::Learner,
-            store_id: None,
-            callers_address: Default::default(),
-            operators_address: Default::default(),
-            peer_address: Default::default(),
-        });
-    }
-    configuration
-}
-
 fn member(record: &DaemonRecord, store_id: u64) -> Member {
     Member {
         vm: record.vm.clone(),
--- a/crates/fleet/src/group_tests.rs
+++ b/crates/fleet/src/group_tests.rs
@@ -296,3 +296,55 @@
         reply = group.propose(change()).blocking_recv().ok();
     }
 }
+
+/// Guards against a group that is never created because the seed with the lowest id, or another one,
+/// is lost before, and against a founder that ends before the group exists and then takes no part: a
+/// later start is not told that it is the first one.
+#[test]
+fn open_one_seed_lost() {
+    let seeds = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+    for lost in seeds {
+        let vms: Vec<&str> = seeds.into_iter().filter(|vm| *vm != lost).collect();
+        let (clock, sent) = (ManualClock::new(), SentMessages::default());
+        let folders = [(); 2].map(|()| tempfile::tempdir().expect("a temporary folder"));
+        let contexts: Vec<[GroupContext; 2]> = vms
+            .iter()
+            .map(|vm| {
+                [true, false].map(|found_group| {
+                    let vm = vm.parse().expect("valid id");
+                    let settings = FleetSettings { vm, ..settings(&seeds, found_group) };
+                    context(settings, &clock)
+                })
+            })
+            .collect();
+        let callbacks: [Callbacks; 2] = std::array::from_fn(|from| {
+            let sent = Arc::clone(&sent);
+            let send: SendMessage = Box::new(move |to, message| {
+                if let FleetMessage::Agreement(message) = message {
+                    sent.lock().insert(0, (from, to.clone(), message));
+                }
+            });
+            Callbacks { send, ..self::callbacks() }
+        });
+        let open = |vm: usize, start: usize| {
+            let (context, folder) = (&contexts[vm][start], folders[vm].path());
+            ReplicaDriver::open(context, &callbacks[vm], folder).expect("the folder opens")
+        };
+        drop(open(0, 0));
+        let mut members = [open(0, 1), open(1, 0)];
+        run_members(&mut members, &clock, &sent, None, Duration::from_secs(4));
+        let leaders = members.iter().filter(|member| member.node.replica().is_leader()).count();
+        assert_eq!(leaders, 1, "without {lost}");
+        assert!(members.iter().all(|member| member.node.replica().commit_index() > LogIndex::ZERO));
+    }
+}
+
+/// Guards against two groups: a seed whose disk came back empty must not vote on the creation.
+#[test]
+fn open_seed_with_empty_disk() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let context = context(settings(&["10.0.0.1"], false), &ManualClock::new());
+    let callbacks = callbacks();
+    let driver = ReplicaDriver::open(&context, &callbacks, folder.path()).expect("a folder");
+    assert!(driver.node.replica().members().is_empty());
+}
