Do not pass on a refusal that the target has not stated

Cause: a signed response without the target's statement that it has not run the request was passed on unchanged, whatever its status promises the caller. The adapter now says which statuses are such promises, and the caller gets 502 for them if the route allows one run only. The users' servers state it in all such responses, so this concerns faulty servers.

--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -50,6 +50,8 @@
     pub requests: SmallVec<[SmolStr; 1]>,
     /// Whether the target states that it has not run the request.
     pub is_not_run: bool,
+    /// Whether callers take the status as a promise that the request has not run.
+    pub has_refusal_status: bool,
     /// Whether the process at the address states that it is not the instance that the request was
     /// sent to.
     pub is_other_instance: bool,
--- a/crates/fleet/src/forward/response.rs
+++ b/crates/fleet/src/forward/response.rs
@@ -67,9 +67,12 @@
         let reported = Rejection { load, is_paused, body_end };
         return rejected(admitted, chosen, &reported);
     }
-    let is_failure = !metadata.is_signed || parts.status.is_server_error();
+    let is_repeatable = admitted.route.repeatable == Repeatable::Always;
+    // Passed on, it would promise the caller what the target has not stated.
+    let is_unproven_refusal = metadata.has_refusal_status && !is_repeatable;
+    let is_failure = !metadata.is_signed || parts.status.is_server_error() || is_unproven_refusal;
     let failure_end = if is_paused { AttemptEnd::Paused } else { AttemptEnd::Failed };
-    if is_failure && (!metadata.is_signed || admitted.route.repeatable == Repeatable::Always) {
+    if is_failure && (!metadata.is_signed || is_repeatable || is_unproven_refusal) {
         body.record_unsuccessful(&admitted.metadata.request);
         drop(body);
         let attempt = AttemptResult::Failed(ResultCode::TargetFailed);
--- a/crates/fleet/tests/responses.rs
+++ b/crates/fleet/tests/responses.rs
@@ -48,6 +48,19 @@
     }
 }
 
+/// Guards against a request that has run and whose caller is told by the status that it has not: the
+/// target answered with that status and did not state that it had not run the request.
+#[tokio::test]
+async fn refusal_status_without_statement() {
+    for status in ["429 Too Many Requests", "503 Service Unavailable"] {
+        let response = answer("a", "full").replacen("200 OK", status, 1);
+        let (fleet, target) =
+            start_with_response(keep_alive(response), Repeatable::OnlyIfNotRun).await;
+        assert_eq!(fleet.status(Method::POST, "a").await, 502, "{status}");
+        assert_eq!(target.requests().len(), 1);
+    }
+}
+
 /// Guards against a refusal of an earlier request, sent once more on a kept connection, that is
 /// believed to be about the request that the target is running.
 #[tokio::test]
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -334,6 +334,7 @@
         },
         is_own_header: |_| false,
         read_response: |parts| ResponseMetadata {
+            has_refusal_status: matches!(parts.status.as_u16(), 429 | 503),
             requests: parts.headers.get_all(ID).iter().map(header_text).collect(),
             is_not_run: parts.headers.contains_key(NOT_RUN),
             is_other_instance: parts.headers.contains_key(OTHER_INSTANCE),
