Close idle connections of a target that have gone silent after one request

Cause: a machine between a VM and a target can lose connections and still acknowledge what is sent on them. The pool keeps up to 16 idle connections of a target and tried them one after the other; each cost a request its whole time.

Change: a request on a reused connection that is given up (its future is dropped) without a byte of its response closes the idle connections of that address that were last used before it was sent. A slow target looks the same, so they are kept (`steering::silence::judge`) - if the wait was shorter than 1 s from the last byte of the request: short deadlines, callers that leave early or send slowly, and packets queued at a saturated link show nothing; - if a connection that is older than the last use of the silent one has answered since: the target is busy. A newer connection is no proof, because it may have been opened after the others were lost. Connections that were used during the wait are kept in any case.

Measured, 50 connections open at one target that goes silent, requests one after the other: 16 lost before, 1 after. New connections: 1 after.

Not covered: requests that are lost at the same time, targets whose requests all have less than 1 s, and answers on connections that are in use again when the request is given up, which do not count as proof.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod informational;
 mod socket;
+mod unanswered;
 mod unsuccessful;
 
 use std::collections::HashMap;
@@ -11,6 +12,7 @@
 use std::sync::Arc;
 
 use celerygate_steering::idle::IdleLimit;
+use celerygate_steering::silence::{self, IdleTimes, SilenceVerdict, UnansweredRequest};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Bytes;
 use hyper::{Request, Response};
@@ -22,6 +24,7 @@
 use self::connection::{Connection, HEAD_LIMIT_BYTES};
 use self::informational::{InformationalCount, MAX_INFORMATIONAL_RESPONSES};
 use self::socket::{IdleState, OpenSockets};
+use self::unanswered::UnansweredGuard;
 use self::unsuccessful::RequestHash;
 
 /// Maximum number of idle connections per target. A target has few slots, so more are rarely used.
@@ -121,6 +124,15 @@
     idle_since: Instant,
 }
 
+impl IdleConnection {
+    fn times(&self) -> IdleTimes {
+        IdleTimes {
+            opened_at: self.connection.opened_at().into_std(),
+            idle_since: self.idle_since.into_std(),
+        }
+    }
+}
+
 /// Idle connections by the address of their target.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -181,6 +193,9 @@
         let sent_at = Instant::now();
         let received_earlier = connection.received_bytes();
         let informational = InformationalCount::attach(&mut request);
+        let reads = connection.reads();
+        let (unanswered, request) =
+            UnansweredGuard::attach(self, address, idle_since, reads, request);
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
             () = informational.exceeded() => {
@@ -189,6 +204,7 @@
                 return Err(SendError::NoResponse { reason, detail, lost_while_idle: false });
             }
         };
+        unanswered.disarm();
         match sent {
             Ok(response) => {
                 Ok(response
@@ -254,6 +270,25 @@
         None
     }
 
+    /// Closes the idle connections of a target that are probably as silent as the one on which a
+    /// request was given up.
+    fn close_silent(&self, address: SocketAddr, request: &UnansweredRequest) {
+        let mut idle = self.idle.lock();
+        let Some(connections) = idle.get_mut(&address) else { return };
+        let times = connections.iter().map(IdleConnection::times);
+        match silence::judge(request, times, Instant::now().into_std()) {
+            SilenceVerdict::Keep => {}
+            SilenceVerdict::CloseIdleSince(sent_at) => {
+                let count = connections.len();
+                connections.retain(|idle| idle.idle_since.into_std() >= sent_at);
+                let closed = count - connections.len();
+                drop(idle);
+                log::info!(target_address:% = address, closed;
+                    "no byte of a response on a reused connection, closed the idle ones of its time");
+            }
+        }
+    }
+
     fn put(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(address).or_default();
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -13,7 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::socket::{self, IdleState, OpenSockets, ReadCounter, TargetSocket};
 use super::unsuccessful::{RequestHash, UnsuccessfulRequests};
@@ -68,6 +68,7 @@
     task: AbortHandle,
     stream: Weak<TcpStream>,
     reads: Arc<ReadCounter>,
+    opened_at: Instant,
     echo_rule: EchoRule,
     requests: u32,
     unsuccessful: UnsuccessfulRequests,
@@ -120,6 +121,7 @@
             task,
             stream,
             reads,
+            opened_at: Instant::now(),
             echo_rule: EchoRule::Optional,
             requests: 0,
             unsuccessful: UnsuccessfulRequests::default(),
@@ -182,6 +184,16 @@
         !self.is_closed() && !self.is_last_request && !self.unsuccessful.is_full()
     }
 
+    /// Returns the counter of the bytes received.
+    pub fn reads(&self) -> Arc<ReadCounter> {
+        Arc::clone(&self.reads)
+    }
+
+    /// Returns when the connection was established.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns whether the next response must name its request.
     pub fn echo_rule(&self) -> EchoRule {
         self.echo_rule
--- a/crates/daemon/tests/target_connections.rs
+++ b/crates/daemon/tests/target_connections.rs
@@ -3,15 +3,24 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use celerygate_daemon::upstream::{ConnectionPool, ConnectionReuse, NetworkPath, TargetBody};
+use celerygate_daemon::upstream::{
+    ConnectionPool, ConnectionReuse, NetworkPath, RequestBody, TargetBody,
+};
+use celerygate_steering::silence::MIN_SILENCE;
 use http_body_util::{BodyExt, Empty, Full};
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes, Frame};
 use hyper::{Request, Response};
 use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Barrier;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 const FIRST: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
@@ -261,3 +270,200 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!(target.join().expect("the target ends"), (0, true));
 }
+
+/// Number of connections at a target whose connections go silent.
+const OPEN_CONNECTIONS: usize = 50;
+/// Time after which the tests give up a request.
+const PATIENCE: Duration = MIN_SILENCE.saturating_add(Duration::from_millis(100));
+
+/// A target behind a machine that loses the state of its connections: from then on it acknowledges
+/// what is sent on them, and nothing comes back. New connections work.
+#[derive(Clone)]
+struct UnreliableTarget {
+    address: SocketAddr,
+    path: Arc<UnreliablePath>,
+}
+
+struct UnreliablePath {
+    losses: AtomicUsize,
+    connections: AtomicUsize,
+    /// Requests for `/together` are answered once as many of them have arrived.
+    together: Barrier,
+}
+
+impl UnreliableTarget {
+    async fn start(together: usize) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("local address of the listener");
+        let (losses, connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        let together = Barrier::new(together);
+        let path = Arc::new(UnreliablePath { losses, connections, together });
+        let accept_path = Arc::clone(&path);
+        tokio::spawn(async move {
+            loop {
+                let stream = listener.accept().await.expect("a connection").0;
+                accept_path.connections.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(serve_until_lost(stream, Arc::clone(&accept_path)));
+            }
+        });
+        Self { address, path }
+    }
+
+    fn lose_connections(&self) {
+        self.path.losses.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn connections(&self) -> usize {
+        self.path.connections.load(Ordering::SeqCst)
+    }
+
+    /// Sends a request and returns whether it was answered within [`PATIENCE`].
+    async fn is_answered(&self, pool: &Arc<ConnectionPool>, path: &str, body: RequestBody) -> bool {
+        self.is_answered_within(PATIENCE, pool, path, body).await
+    }
+
+    async fn is_answered_within(
+        &self,
+        patience: Duration,
+        pool: &Arc<ConnectionPool>,
+        path: &str,
+        body: RequestBody,
+    ) -> bool {
+        let request = Request::post(path).header("host", "a").body(body).expect("a request");
+        let reuse = ConnectionReuse::Any;
+        let sent = pool.send(self.address, NetworkPath::WithinRegion, reuse, "a", request);
+        let answer = async { sent.await.ok()?.into_body().collect().await.ok() };
+        timeout(patience, answer).await.is_ok_and(|answer| answer.is_some())
+    }
+
+    /// Sends requests that are all answered at once, so that each uses a connection of its own.
+    async fn send_together(&self, pool: &Arc<ConnectionPool>, requests: usize) {
+        let sent = (0..requests).map(|_| {
+            let (target, pool) = (self.clone(), Arc::clone(pool));
+            async move { target.is_answered(&pool, "/together", empty_body()).await }
+        });
+        let answered = sent.collect::<JoinSet<_>>().join_all().await;
+        assert_eq!(answered, vec![true; requests]);
+    }
+}
+
+async fn serve_until_lost(mut stream: tokio::net::TcpStream, path: Arc<UnreliablePath>) {
+    let losses = path.losses.load(Ordering::SeqCst);
+    let mut received = Vec::new();
+    while stream.read_buf(&mut received).await.is_ok_and(|count| count > 0) {
+        if !received.ends_with(b"\r\n\r\n") && !received.ends_with(BODY) {
+            continue;
+        }
+        let request = std::mem::take(&mut received);
+        if path.losses.load(Ordering::SeqCst) > losses || request.starts_with(b"POST /slow") {
+            continue;
+        }
+        if request.starts_with(b"POST /together") {
+            path.together.wait().await;
+        }
+        if stream.write_all(FIRST).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Body of a request.
+const BODY: &[u8] = b"body";
+
+fn empty_body() -> RequestBody {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+fn full_body() -> RequestBody {
+    Full::new(Bytes::from_static(BODY)).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns how many requests, one after the other, are lost on connections that have gone silent.
+async fn count_lost_requests(body: impl Fn() -> RequestBody) -> usize {
+    let target = UnreliableTarget::start(OPEN_CONNECTIONS).await;
+    let pool = Arc::<ConnectionPool>::default();
+    target.send_together(&pool, OPEN_CONNECTIONS).await;
+    target.lose_connections();
+    let mut lost = 0;
+    while !target.is_answered(&pool, "/", body()).await {
+        lost += 1;
+    }
+    for _ in 0..OPEN_CONNECTIONS {
+        assert!(target.is_answered(&pool, "/", body()).await, "lost after an answered request");
+    }
+    assert_eq!(target.connections(), OPEN_CONNECTIONS + 1);
+    lost
+}
+
+/// Guards against a target whose idle connections cost one request each after they have gone
+/// silent: 16 of 50 open connections are kept idle.
+#[tokio::test]
+async fn send_silent_connections_empty_body() {
+    assert_eq!(count_lost_requests(empty_body).await, 1);
+}
+
+/// Guards against silence that is only noticed by requests without a body.
+#[tokio::test]
+async fn send_silent_connections_body() {
+    assert_eq!(count_lost_requests(full_body).await, 1);
+}
+
+/// Number of requests that are sent together to a sound target.
+const TOGETHER: usize = 4;
+
+/// Asserts that all connections of a sound target but the one of an unanswered request are reused.
+async fn assert_one_connection_lost(target: &UnreliableTarget, pool: &Arc<ConnectionPool>) {
+    target.send_together(pool, TOGETHER).await;
+    assert_eq!(target.connections(), TOGETHER + 1);
+}
+
+/// Guards against sound connections of a busy target that are closed because one of its requests
+/// takes long.
+#[tokio::test]
+async fn send_slow_request_beside_answers() {
+    let target = UnreliableTarget::start(TOGETHER).await;
+    let pool = Arc::<ConnectionPool>::default();
+    target.send_together(&pool, TOGETHER).await;
+    let (slow, other) = tokio::join!(target.is_answered(&pool, "/slow", empty_body()), async {
+        tokio::time::sleep(MIN_SILENCE / 2).await;
+        target.is_answered(&pool, "/", empty_body()).await
+    });
+    assert_eq!((slow, other), (false, true));
+    assert_one_connection_lost(&target, &pool).await;
+}
+
+/// Guards against sound connections that are closed because a request had a short deadline.
+#[tokio::test]
+async fn send_slow_request_short_deadline() {
+    let target = UnreliableTarget::start(TOGETHER).await;
+    let pool = Arc::<ConnectionPool>::default();
+    target.send_together(&pool, TOGETHER).await;
+    let patience = MIN_SILENCE / 2;
+    assert!(!target.is_answered_within(patience, &pool, "/slow", empty_body()).await);
+    assert_one_connection_lost(&target, &pool).await;
+}
+
+/// Body of a caller that sends nothing.
+struct StalledBody;
+
+impl Body for StalledBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Poll::Pending
+    }
+}
+
+/// Guards against sound connections that are closed because a caller did not send its request.
+#[tokio::test]
+async fn send_incomplete_body() {
+    let target = UnreliableTarget::start(TOGETHER).await;
+    let pool = Arc::<ConnectionPool>::default();
+    target.send_together(&pool, TOGETHER).await;
+    assert!(!target.is_answered(&pool, "/slow", StalledBody.boxed_unsync()).await);
+    assert_one_connection_lost(&target, &pool).await;
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod responses;
 pub mod routing;
 pub mod shares;
+pub mod silence;
 pub mod slots;
 pub mod targets;
