Take no confirmations for a control group before it exists

Cause: since a majority of the seeds creates the group, a seed's replica knows the voters before the group exists. The update that a target leaves counts as confirmed once most voters have stored it, so two seeds could have confirmed one before the group existed, which was refused until then.

Change: a member publishes no voters until its log has an entry.

--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, anyhow};
-use celerygate_control::membership::{self, GroupSize};
+use celerygate_control::membership::GroupSize;
 use celerygate_control::node::{Node, Output};
 use celerygate_control::replica::{Input, LEASE_DURATION};
 use celerygate_control::state::{self, ApplyOutcome};
@@ -292,8 +292,7 @@
                 self.publish_leader();
                 // Creates the grant owner once elected; token requests are answered on arrival.
                 let _ = self.grant_owner(now);
-                let voters = membership::voters(self.node.replica().members());
-                status.lock().voters = voters.map(|voter| voter.vm.clone()).collect();
+                status.lock().voters = self.known_voters();
             }
             self.reply_to_reads();
         }
--- a/crates/fleet/src/group/members.rs
+++ b/crates/fleet/src/group/members.rs
@@ -3,10 +3,10 @@
 use anyhow::Result;
 use celerygate_control::membership::{self, GroupSize};
 use celerygate_control::replica::Input;
-use celerygate_types::VmId;
 use celerygate_types::wire::{
     Command, DaemonRecord, Member, MemberRole, MembershipChange, VmState,
 };
+use celerygate_types::{LogIndex, VmId};
 
 use super::ReplicaDriver;
 
@@ -23,6 +23,16 @@
         membership::voters(self.node.replica().members()).count()
     }
 
+    /// Returns the voters, none before this member has an entry of the group: founders that only
+    /// intend to create a group confirm nothing for it.
+    pub(super) fn known_voters(&self) -> Vec<VmId> {
+        let replica = self.node.replica();
+        if replica.last_index() == LogIndex::ZERO {
+            return Vec::new();
+        }
+        membership::voters(replica.members()).map(|voter| voter.vm.clone()).collect()
+    }
+
     pub(super) fn is_leaving(&self, vm: &VmId) -> bool {
         let tables = &self.context.tables;
         if *vm == self.context.settings.vm {
--- a/crates/fleet/src/group_tests.rs
+++ b/crates/fleet/src/group_tests.rs
@@ -299,7 +299,8 @@
 
 /// Guards against a group that is never created because the seed with the lowest id, or another one,
 /// is lost before, and against a founder that ends before the group exists and then takes no part: a
-/// later start is not told that it is the first one.
+/// later start is not told that it is the first one. Also guards against an update that counts as
+/// stored by a quorum before the group exists.
 #[test]
 fn open_one_seed_lost() {
     let seeds = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
@@ -332,10 +333,12 @@
         };
         drop(open(0, 0));
         let mut members = [open(0, 1), open(1, 0)];
+        assert!(members.iter().all(|member| member.known_voters().is_empty()), "no group yet");
         run_members(&mut members, &clock, &sent, None, Duration::from_secs(4));
         let leaders = members.iter().filter(|member| member.node.replica().is_leader()).count();
         assert_eq!(leaders, 1, "without {lost}");
         assert!(members.iter().all(|member| member.node.replica().commit_index() > LogIndex::ZERO));
+        assert!(members.iter().all(|member| !member.known_voters().is_empty()));
     }
 }
 
