--- a/crates/control/src/founding_tests.rs
+++ b/crates/control/src/founding_tests.rs
@@ -1,3 +1,5 @@
+//! Store ids of founders: they decide whose votes count together.
+
 use super::*;
 
 fn ids<const N: usize>(texts: [&str; N]) -> [VmId; N] {
--- a/crates/daemon/src/upstream/unsuccessful_tests.rs
+++ b/crates/daemon/src/upstream/unsuccessful_tests.rs
@@ -1,3 +1,5 @@
+//! Memory of unsuccessful requests: a request that is forgotten can get the copy of a response.
+
 use super::*;
 
 /// Guards against a connection that forgets one of several refused requests.
