--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -55,7 +55,7 @@
 const BODY_GAP_LIMIT_BYTES: u64 = 4 * READ_BUFFER_BYTES as u64;
 
 /// Size of a body from which a target may respond before it has read all of it, and read on later. What is
-/// sent next waits behind the rest. The limit leaves a request within the first segments of its connection.
+/// sent next waits behind the rest. A shorter body arrives together with the head.
 const LONG_BODY_BYTES: u64 = 8 * 1_024;
 
 /// A connection to a target. Dropping it while a request is unanswered resets the connection, so that
