Generate the bodies of a test before its target is announced

Its log has the target's announcement at 13:15:18.891 and the refusal, no-capacity, at 25.684. In between the test generates 42 MB on the only thread of its runtime, so that the announcement is not renewed, and the lease of 5 s ends. The refusal is truthful; the test relied on the machine's speed. It checks what it checked before.

--- a/crates/daemon/tests/forwarding.rs
+++ b/crates/daemon/tests/forwarding.rs
@@ -43,14 +43,15 @@
 /// requests on one connection.
 #[tokio::test]
 async fn body_both_directions() {
-    let (daemon, target, _announcement) = start_with_target(3).await;
     let lens = [0, 1, 65_536, 5_000_001, 16 << 20];
-    // Generated before the connection is open: the daemon closes one that is idle for 5 s.
+    // Generated before the daemon runs: this takes seconds, in which the announcement of the target is not
+    // renewed, and the daemon closes a connection that is idle for 5 s.
     let exchanges = lens.map(|len| {
         let path = format!("/bytes/{len}");
         let expected = random_bytes(&path, len);
         (random_bytes(&format!("body of {len} bytes"), len), path, expected)
     });
+    let (daemon, target, _announcement) = start_with_target(3).await;
     let mut caller = daemon.caller().await;
     for (body, path, expected) in exchanges {
         let len = body.len();
