--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -226,13 +226,6 @@
         Some(self.machines[number].child.as_ref()?.id())
     }
 
-    /// Sends a signal to the process of a machine.
-    pub fn signal(&self, number: usize, signal: &str) {
-        if let Some(id) = self.process_id(number) {
-            let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {id}")).status();
-        }
-    }
-
     /// Kills the process of a machine and waits for its end.
     pub fn kill(&mut self, number: usize) {
         if let Some(mut child) = self.machines[number].child.take() {
@@ -257,12 +250,6 @@
         kibibytes.unwrap_or(0_u64) * 1_024
     }
 
-    /// Returns the end of the log of a machine.
-    pub fn log_end(&self, number: usize, bytes: usize) -> String {
-        let log = fs::read(self.machines[number].folder.join("log")).unwrap_or_default();
-        String::from_utf8_lossy(&log[log.len().saturating_sub(bytes)..]).into_owned()
-    }
-
     /// Sends a call to `control` and follows its redirects; returns the final response.
     pub fn call(&mut self, path: &str, headers: &str, body: &[u8]) -> io::Result<Message> {
         let head = format!("POST {path} HTTP/1.1\r\nContent-Type: application/json\r\n{headers}");
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -21,10 +21,6 @@
     pub fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
-
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 /// A connection with bytes that are not used yet.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! case could not run. Without the disruption if `TROUBLE` is 0.
 
 mod fleet;
+mod front_memory;
 mod http;
 mod pipeline;
 mod server;
@@ -68,6 +69,7 @@
     let mut record = Record { file: File::create(record)?, started_at: Instant::now() };
     record.write(if has_trouble { "with the disruption" } else { "without the disruption" });
     let verdict = match case {
+        "front-memory" => front_memory::run(scratch, &mut record, has_trouble),
         "pipeline" => pipeline::run(scratch, &mut record, has_trouble),
         "slow-upload" => slow_upload::run(scratch, &mut record, has_trouble),
         _ => Err(io::ErrorKind::InvalidInput.into()),
