--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod front_memory;
 mod http;
+mod other_writer;
 mod pipeline;
 mod server;
 mod slow_upload;
@@ -70,6 +71,7 @@
     record.write(if has_trouble { "with the disruption" } else { "without the disruption" });
     let verdict = match case {
         "front-memory" => front_memory::run(scratch, &mut record, has_trouble),
+        "other-writer" => other_writer::run(scratch, &mut record, has_trouble),
         "pipeline" => pipeline::run(scratch, &mut record, has_trouble),
         "slow-upload" => slow_upload::run(scratch, &mut record, has_trouble),
         _ => Err(io::ErrorKind::InvalidInput.into()),
