--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -23,15 +23,25 @@
 const INTERNAL: u16 = 4;
 
 unsafe extern "C" {
+    fn sched_getaffinity(process: i32, bytes: usize, mask: *mut u64) -> i32;
     fn sched_setaffinity(process: i32, bytes: usize, mask: *const u64) -> i32;
 }
 
-/// Keeps the calling process on one core.
-fn keep_on_core(core: usize) -> io::Result<()> {
+/// Keeps the calling process on one of the cores that it may use.
+fn keep_on_core(number: usize) -> io::Result<()> {
+    let mut allowed = [0_u64; 16];
+    let bytes = size_of_val(&allowed);
+    // SAFETY: the mask is as long as stated.
+    if unsafe { sched_getaffinity(0, bytes, allowed.as_mut_ptr()) } < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    let is_allowed = |core: &usize| allowed[core / 64] >> (core % 64) & 1 == 1;
+    let cores = (0..bytes * 8).filter(is_allowed).count().max(1);
+    let core = (0..bytes * 8).filter(is_allowed).nth(number % cores).unwrap_or(0);
     let mut mask = [0_u64; 16];
-    mask[core / 64 % mask.len()] = 1 << (core % 64);
+    mask[core / 64] = 1 << (core % 64);
     // SAFETY: the mask is as long as stated.
-    let result = unsafe { sched_setaffinity(0, size_of_val(&mask), mask.as_ptr()) };
+    let result = unsafe { sched_setaffinity(0, bytes, mask.as_ptr()) };
     if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
 }
 
@@ -202,11 +212,9 @@
         command.arg("run").env("CELERYGATE_CONFIG", path).stdin(Stdio::null());
         command.stdout(log.try_clone()?).stderr(log);
         // The platform keeps each process on one core, and reports one core.
-        let cores = std::thread::available_parallelism().map_or(1, usize::from);
-        let core = (number + 1) % cores;
-        // SAFETY: the closure only makes one system call.
+        // SAFETY: the closure only makes two system calls.
         unsafe {
-            command.pre_exec(move || keep_on_core(core));
+            command.pre_exec(move || keep_on_core(number + 1));
         }
         let child = command.spawn()?;
         let machine = &mut self.machines[number];
