--- a/review/standins-2/src/pipeline.rs
+++ b/review/standins-2/src/pipeline.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,6 +22,9 @@
 const ENDLESS_ONE_IN: u64 = 50;
 const CLIENTS: usize = 6;
 const RUN: Duration = Duration::from_secs(40);
+/// Time for which the faulty servers are faulty, and the pause after it.
+const FAULTY_TIME: Duration = Duration::from_secs(5);
+const SOUND_TIME: Duration = Duration::from_secs(5);
 const DEADLINE: Duration = Duration::from_millis(3_000);
 /// More than this number of lost requests breaks the rule.
 const LOST_MAX: usize = 3;
@@ -121,6 +125,14 @@
             thread::spawn(move || run_client(front, client, end, &seen))
         })
         .collect();
+    while Instant::now() < end {
+        for (is_faulty, time) in [(true, FAULTY_TIME), (false, SOUND_TIME)] {
+            for server in &servers {
+                server.is_faulty.store(is_faulty, Ordering::Relaxed);
+            }
+            thread::sleep(time);
+        }
+    }
     for client in clients {
         let _ = client.join();
     }
