Log targets that another start at their address displaces

Cause: the log of a request that no target can accept does not tell a target that is unknown from one that is left out because of its address.

Change: the choice of targets logs each ready target that it leaves out because another target at its address started later, once, until it is in use again.

--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -13,7 +13,7 @@
 };
 use celerygate_steering::routing::{Route, ServicePolicy, allows_region};
 use celerygate_steering::targets::Distance;
-use celerygate_types::wire::InstanceState;
+use celerygate_types::wire::{InstanceRecord, InstanceState};
 use celerygate_types::{
     DataCentreId, Incarnation, RegionId, Revision, ServiceId, SlotCount, TargetId,
 };
@@ -122,6 +122,8 @@
     /// Time at which an excluded instance may be used again; none without such instances.
     valid_until: Option<Instant>,
     by_service: HashMap<ServiceId, Vec<IndexedTarget>>,
+    /// Ready targets that are not used because of another target at their address.
+    displaced: HashSet<TargetId>,
 }
 
 /// Returns the index; rebuilds it if reports or configuration have changed.
@@ -136,6 +138,7 @@
     let mut by_service: HashMap<ServiceId, Vec<IndexedTarget>> = HashMap::new();
     let latest_start_times = instances.latest_start_times(now);
     let mut valid_until = None;
+    let mut displaced = HashSet::new();
     for instance in instances.iter() {
         let record = &instance.record;
         if let Some(until) = instance.misdirected_until(now) {
@@ -143,8 +146,15 @@
             continue;
         }
         // A target with a later start time at the same address means that this one has ended.
+        let is_displaced = latest_start_times.get(&record.address) != Some(&record.born_unix_ms);
+        if is_displaced && record.state == InstanceState::Ready {
+            if !current.displaced.contains(&record.instance) {
+                log_displaced(record, latest_start_times.get(&record.address).copied());
+            }
+            displaced.insert(record.instance.clone());
+        }
         let is_usable = record.state == InstanceState::Ready
-            && latest_start_times.get(&record.address) == Some(&record.born_unix_ms)
+            && !is_displaced
             && !content.replicated.evacuated.contains(&record.data_centre);
         let Some(region) = daemon.region_of(&record.data_centre).filter(|_| is_usable) else {
             continue;
@@ -166,10 +176,17 @@
         let slots_max = believed_slots_max(&mut stated);
         targets.iter_mut().for_each(|target| target.slots = target.slots.min(slots_max));
     }
-    *current = Arc::new(TargetIndex { reports_version, revision, valid_until, by_service });
+    *current =
+        Arc::new(TargetIndex { reports_version, revision, valid_until, by_service, displaced });
     Arc::clone(&current)
 }
 
+fn log_displaced(record: &InstanceRecord, later_born_unix_ms: Option<u64>) {
+    log::info!(target_id = record.instance.as_str(), service = record.service.as_str(),
+        address = record.address.as_str(), born = record.born_unix_ms, later_born = later_born_unix_ms;
+        "another target at the address started later, no new requests for the target");
+}
+
 /// Returns the slots that a target can use: each request needs a connection, of which the service
 /// allows a number.
 fn usable_slots(stated: SlotCount, policy: Option<&ServicePolicy>) -> SlotCount {
