Let only usable reports displace the target at an address

Cause: InstanceTable::latest_start_times took the latest start at an address from all records, and the choice of targets leaves out all but that one. Nothing is sent to a record whose service no configuration names, whose data centre is unknown or evacuated, or whose target leaves, so that the 421 that undoes a wrong report never comes.

Change: only a record by which requests may be sent counts.

--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -136,7 +136,8 @@
         return Arc::clone(&current);
     }
     let mut by_service: HashMap<ServiceId, Vec<IndexedTarget>> = HashMap::new();
-    let latest_start_times = instances.latest_start_times(now);
+    let is_usable = |record: &InstanceRecord| is_usable(daemon, content, record);
+    let latest_start_times = instances.latest_start_times(is_usable, now);
     let mut valid_until = None;
     let mut displaced = HashSet::new();
     for instance in instances.iter() {
@@ -145,20 +146,19 @@
             valid_until = Some(valid_until.map_or(until, |earliest: Instant| earliest.min(until)));
             continue;
         }
+        let Some(region) = daemon.region_of(&record.data_centre).filter(|_| is_usable(record))
+        else {
+            continue;
+        };
         // A target with a later start time at the same address means that this one has ended.
-        let is_displaced = latest_start_times.get(&record.address) != Some(&record.born_unix_ms);
-        if is_displaced && record.state == InstanceState::Ready {
+        let latest_start_time = latest_start_times.get(&record.address).copied();
+        if latest_start_time != Some(record.born_unix_ms) {
             if !current.displaced.contains(&record.instance) {
-                log_displaced(record, latest_start_times.get(&record.address).copied());
+                log_displaced(record, latest_start_time);
             }
             displaced.insert(record.instance.clone());
-        }
-        let is_usable = record.state == InstanceState::Ready
-            && !is_displaced
-            && !content.replicated.evacuated.contains(&record.data_centre);
-        let Some(region) = daemon.region_of(&record.data_centre).filter(|_| is_usable) else {
             continue;
-        };
+        }
         by_service.entry(record.service.clone()).or_default().push(IndexedTarget {
             instance: record.instance.clone(),
             incarnation: Incarnation(record.born_unix_ms),
@@ -181,6 +181,15 @@
     Arc::clone(&current)
 }
 
+/// Returns whether requests may be sent to a target according to its report. Other reports say nothing
+/// about the target at their address: no response could prove them wrong, because no request is sent.
+fn is_usable(daemon: &Daemon, content: &Content, record: &InstanceRecord) -> bool {
+    record.state == InstanceState::Ready
+        && content.routing.service(&record.service).is_some()
+        && daemon.region_of(&record.data_centre).is_some()
+        && !content.replicated.evacuated.contains(&record.data_centre)
+}
+
 fn log_displaced(record: &InstanceRecord, later_born_unix_ms: Option<u64>) {
     log::info!(target_id = record.instance.as_str(), service = record.service.as_str(),
         address = record.address.as_str(), born = record.born_unix_ms, later_born = later_born_unix_ms;
--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -4,11 +4,18 @@
 
 use std::time::Duration;
 
+use celerygate_steering::buffers::BodyLimits;
 use celerygate_steering::routing::Repeatable;
-use celerygate_types::{ManualClock, SlotCount};
+use celerygate_types::wire::{DataCentrePlace, InstanceRecord, InstanceState};
+use celerygate_types::{Clock, ManualClock, SlotCount};
 use hyper::Method;
 use support::raw_target::{RawTarget, ScriptedResponse};
-use support::{Fleet, INSTANCE, answer, other_instance_refusal};
+use support::{
+    Configuration, Fleet, INSTANCE, answer, id, other_instance_refusal, ready_record, settings,
+};
+
+/// A data centre that is evacuated.
+const EVACUATED: &str = "east-2";
 
 /// Returns the value of a header of a forwarded request.
 fn header<'a>(request: &'a str, name: &str) -> &'a str {
@@ -92,3 +99,57 @@
     // The odd entry gets a third of the objects at most, and with its stated slots all of them.
     assert!(served * 2 >= REQUESTS, "{served} of {REQUESTS} requests served");
 }
+
+/// Sends requests while another writer has reported an instance at the address of a target, and returns
+/// how many of the 8 were served.
+async fn served_beside(odd: impl Fn(InstanceRecord) -> InstanceRecord) -> usize {
+    let target = start_instance("target-0").await;
+    let mut settings = settings();
+    let data_centre = DataCentrePlace { data_centre: id(EVACUATED), region: id("east") };
+    settings.data_centres.push(data_centre);
+    let fleet = Fleet::start_without_content(settings, Clock::system(), BodyLimits::default());
+    let mut configuration = Configuration::new(Repeatable::OnlyIfNotRun);
+    configuration.evacuated = vec![id(EVACUATED)];
+    assert!(fleet.daemon.tables.activate(configuration.into_content()));
+    fleet.report("target-0", target.address);
+    assert_eq!(fleet.status(Method::POST, "before").await, 200);
+    fleet.report_record(odd(ready_record("odd", target.address, 1_000)));
+    let mut served = 0;
+    for attempt in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        served += usize::from(fleet.status(Method::POST, attempt).await == 200);
+    }
+    served
+}
+
+/// Guards against a report of a service that no configuration names, which takes the target at its
+/// address out of use: one for each target, and 0 of 150 requests were served.
+#[tokio::test]
+async fn report_unnamed_service_at_the_address_of_a_target() {
+    let odd = |record| InstanceRecord { service: id("unnamed"), ..record };
+    assert_eq!(served_beside(odd).await, 8);
+}
+
+/// Guards against a report of an unknown data centre that takes the target at its address out of use.
+#[tokio::test]
+async fn report_unknown_data_centre_at_the_address_of_a_target() {
+    let odd = |record| InstanceRecord { data_centre: id("nowhere-1"), ..record };
+    assert_eq!(served_beside(odd).await, 8);
+}
+
+/// Guards against a report of a target that leaves or has left, to which nothing is sent, and which takes
+/// the target at its address out of use.
+#[tokio::test]
+async fn report_leaving_at_the_address_of_a_target() {
+    for state in [InstanceState::Draining, InstanceState::Gone] {
+        let odd = |record| InstanceRecord { state, ..record };
+        assert_eq!(served_beside(odd).await, 8, "{state}");
+    }
+}
+
+/// Guards against a report of an evacuated data centre that takes the target at its address, which is in
+/// another one, out of use.
+#[tokio::test]
+async fn report_evacuated_data_centre_at_the_address_of_a_target() {
+    let odd = |record| InstanceRecord { data_centre: id(EVACUATED), ..record };
+    assert_eq!(served_beside(odd).await, 8);
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -155,20 +155,22 @@
 
     /// Reports a target as ready whose process started at a time.
     pub fn report_life(&self, instance: &str, address: SocketAddr, born_unix_ms: u64) {
-        let record = ready_record(instance, address, born_unix_ms);
-        self.daemon.tables.instances.write().report(record, self.daemon.now());
+        self.report_record(ready_record(instance, address, born_unix_ms));
     }
 
     /// Reports a target of the other service as ready.
     pub fn report_other_service(&self, instance: &str, address: SocketAddr) {
         let service = id(OTHER_SERVICE);
-        let record = InstanceRecord { service, ..ready_record(instance, address, 1) };
-        self.daemon.tables.instances.write().report(record, self.daemon.now());
+        self.report_record(InstanceRecord { service, ..ready_record(instance, address, 1) });
     }
 
     /// Reports a target as ready that states a number of slots.
     pub fn report_slots(&self, instance: &str, address: SocketAddr, slots: SlotCount) {
-        let record = InstanceRecord { slots, ..ready_record(instance, address, 1) };
+        self.report_record(InstanceRecord { slots, ..ready_record(instance, address, 1) });
+    }
+
+    /// Applies the report of a target.
+    pub fn report_record(&self, record: InstanceRecord) {
         self.daemon.tables.instances.write().report(record, self.daemon.now());
     }
 
@@ -298,7 +300,8 @@
     )
 }
 
-fn ready_record(instance: &str, address: SocketAddr, born_unix_ms: u64) -> InstanceRecord {
+/// Returns the report of a target that is ready and whose process started at a time.
+pub fn ready_record(instance: &str, address: SocketAddr, born_unix_ms: u64) -> InstanceRecord {
     InstanceRecord {
         address: address.to_string().into(),
         born_unix_ms,
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -398,13 +398,19 @@
         self.instances.get(instance)
     }
 
-    /// Returns the latest start time, in Unix milliseconds, of an instance at each address. An
+    /// Returns the latest start time, in Unix milliseconds, of a usable instance at each address. An
     /// instance that started earlier at the same address has ended, even if its last reports arrive
     /// late. Instances at whose address another process has answered do not count.
-    pub fn latest_start_times(&self, now: Instant) -> HashMap<&SmolStr, u64> {
+    pub fn latest_start_times(
+        &self,
+        is_usable: impl Fn(&InstanceRecord) -> bool,
+        now: Instant,
+    ) -> HashMap<&SmolStr, u64> {
         let mut start_times: HashMap<&SmolStr, u64> = HashMap::new();
-        let instances = self.instances.values();
-        for instance in instances.filter(|instance| instance.misdirected_until(now).is_none()) {
+        let counts = |instance: &&Instance| {
+            instance.misdirected_until(now).is_none() && is_usable(&instance.record)
+        };
+        for instance in self.instances.values().filter(counts) {
             let start_time = start_times.entry(&instance.record.address).or_default();
             *start_time = (*start_time).max(instance.record.born_unix_ms);
         }
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -106,7 +106,7 @@
         ..record(1, 9, InstanceState::Ready)
     };
     table.report(earlier, now);
-    assert_eq!(table.latest_start_times(now).into_values().collect::<Vec<_>>(), [5]);
+    assert_eq!(table.latest_start_times(|_| true, now).into_values().collect::<Vec<_>>(), [5]);
 }
 
 /// Guards against an entry of another writer that takes the address of a target out of use: a start
@@ -120,7 +120,7 @@
     let odd = InstanceRecord { instance: odd_id.clone(), ..record(9, 0, InstanceState::Ready) };
     table.report(odd, now);
     let latest = |table: &InstanceTable, now| -> Vec<u64> {
-        table.latest_start_times(now).into_values().collect()
+        table.latest_start_times(|_| true, now).into_values().collect()
     };
     assert_eq!(latest(&table, now), [9]);
     assert!(!table.record_misdirected(&odd_id, 8, now), "another life of the instance");
