Choose targets anew when a record has expired

Callers saw: after the last report of another writer at the address of a target, no request was served for 100 s and more, although a record expires after 60 s.

Cause: InstanceTable::expire did not change the version of the table, and the index of eligible targets is built anew only for a new version. In calm nothing else changes it.

Change: removing a record changes the version.

Evidence: expire_removed_instance_changes_version failed before ("table.version() > version"), as did report_expired_at_the_address_of_a_target ("left: 503, right: 200"). Both pass now, with the other 23 of instances_tests and 7 of odd_entries.

--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use celerygate_steering::buffers::BodyLimits;
+use celerygate_steering::instances::ENDED_RETENTION;
 use celerygate_steering::routing::Repeatable;
 use celerygate_types::wire::{DataCentrePlace, InstanceRecord, InstanceState};
 use celerygate_types::{Clock, ManualClock, SlotCount};
 use hyper::Method;
 use support::raw_target::{RawTarget, ScriptedResponse};
 use support::{
-    Configuration, Fleet, INSTANCE, answer, id, other_instance_refusal, ready_record, settings,
+    Configuration, Fleet, INSTANCE, OTHER_SERVICE, answer, id, other_instance_refusal,
+    ready_record, settings,
 };
 
 /// A data centre that is evacuated.
@@ -153,3 +155,22 @@
     let odd = |record| InstanceRecord { data_centre: id(EVACUATED), ..record };
     assert_eq!(served_beside(odd).await, 8);
 }
+
+/// Guards against an expired report at a target's address that keeps the target out of use, in the shape
+/// seen 100 s after the last report of another writer. Nothing is sent to the other report's service.
+#[tokio::test]
+async fn report_expired_at_the_address_of_a_target() {
+    let target = start_instance("target-0").await;
+    let clock = ManualClock::new();
+    let fleet = Fleet::start_with_clock(&[&target], Repeatable::OnlyIfNotRun, clock.clock());
+    let other_service = id(OTHER_SERVICE);
+    let odd = ready_record("odd", target.address, 1_000);
+    fleet.report_record(InstanceRecord { service: other_service, ..odd });
+    assert_eq!(fleet.status(Method::POST, "displaced").await, 503);
+    clock.advance(ENDED_RETENTION / 2);
+    let own = ready_record("target-0", target.address, 1);
+    fleet.report_record(InstanceRecord { sequence: 2, ..own });
+    clock.advance(ENDED_RETENTION / 2);
+    fleet.daemon.tables.instances.write().expire(fleet.daemon.now());
+    assert_eq!(fleet.status(Method::POST, "expired").await, 200);
+}
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -431,10 +431,15 @@
     pub fn expire(&mut self, now: Instant) {
         self.departures.expire(now);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < ENDED_RETENTION;
+        let known_before = self.instances.len();
         self.instances.retain(|_, instance| {
             instance.held.take_if(|held| !is_recent(held.reported_at));
             is_recent(instance.reported_at)
         });
+        if self.instances.len() < known_before {
+            // Other targets can depend on the removed ones, for example at the same address.
+            self.version += 1;
+        }
     }
 }
 
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -132,6 +132,21 @@
     assert_eq!(latest(&table, now), [10]);
 }
 
+/// Guards against a choice of targets that goes on with an expired report: 100 s after the last report of
+/// another writer, the target at its address was still not used.
+#[test]
+fn expire_removed_instance_changes_version() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), now);
+    let version = table.version();
+    table.expire(now + ENDED_RETENTION / 2);
+    assert_eq!(table.version(), version, "nothing has expired");
+    table.expire(now + ENDED_RETENTION);
+    assert_eq!(table.iter().count(), 0);
+    assert!(table.version() > version);
+}
+
 /// Guards against a target that is taken for silent, or whose leaving is not noticed, because another
 /// writer has reported a high sequence number under its id.
 #[test]
