Pass on targets' reports with their age

Callers saw: the record of a target that was gone, or of another writer, could stay for as long as the daemons ran, although it expires 60 s after its last report.

Cause: daemons that fetch all targets took a record as reported at that moment. A control VM in which the record had expired took it from one in which it had not, and so on in turn.

Change: a record is passed on with the time since its report (messages of a fleet, version 5), and expires by it. Stored files are as before.

Evidence: with the age ignored, which is the earlier behaviour, merge_report_keeps_age ("left: 1, right: 0") and merge_late_report_leaves_target_silent ("left: 0, right: 1") fail.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 /// Version of the message format.
-const VERSION: u16 = 4;
+const VERSION: u16 = 5;
 /// Maximum size of a frame: a snapshot with some thousand routes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1_024 * 1_024;
 /// Limits for received frames: the largest frame from three daemons at the same time.
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -10,7 +10,7 @@
 use celerygate_steering::instances::{ENDED_RETENTION, ReportError, ReportResult, check_report};
 use celerygate_types::wire::{
     ChangeNotice, DaemonRecord, DaemonRole, FleetMessage, InstanceRecord, InstanceState, Message,
-    SyncReply, SyncRequest, TargetDeparture, TargetUpdate, VmState,
+    RelayedInstance, SyncReply, SyncRequest, TargetDeparture, TargetUpdate, VmState,
 };
 use celerygate_types::{Incarnation, Revision, TargetId, VmId};
 use parking_lot::Mutex;
@@ -271,7 +271,7 @@
         daemons.known.contains_key(&from)
     };
     let records = plausible_records(daemon, &from, reply.targets);
-    records.iter().for_each(|record| log_target(record, &from));
+    records.iter().for_each(|relayed| log_target(relayed, &from));
     let changed = apply_target_changes(daemon, &from, records, &reply.departures);
     if changed > 0 {
         log::info!(control = from.as_str(), targets = changed, change = reply.targets_change;
@@ -327,37 +327,45 @@
 fn plausible_records(
     daemon: &Daemon,
     from: &VmId,
-    records: Vec<InstanceRecord>,
-) -> Vec<InstanceRecord> {
+    records: impl IntoIterator<Item = RelayedInstance>,
+) -> Vec<RelayedInstance> {
     let now_unix_ms = daemon.clock.unix_ms();
-    let is_plausible = |record: &InstanceRecord| match check_report(record, now_unix_ms) {
+    let is_plausible = |relayed: &RelayedInstance| match check_report(&relayed.record, now_unix_ms)
+    {
         Ok(()) => true,
         Err(error) => {
-            log::warn!(target_id = record.instance.as_str(), from = from.as_str(), error:% = error;
-                "ignored an invalid target report from another daemon");
+            log::warn!(target_id = relayed.record.instance.as_str(), from = from.as_str(),
+                error:% = error; "ignored an invalid target report from another daemon");
             false
         }
     };
     records.into_iter().filter(is_plausible).collect()
 }
 
+/// Returns a report that its target has just sent.
+fn just_reported(record: InstanceRecord) -> RelayedInstance {
+    RelayedInstance { record, age_ms: 0 }
+}
+
 /// Applies plausible records of targets, and departures. Returns how many were news.
 fn apply_target_changes(
     daemon: &Daemon,
     from: &VmId,
-    records: Vec<InstanceRecord>,
+    records: Vec<RelayedInstance>,
     departures: &[TargetDeparture],
 ) -> usize {
     let now = daemon.now();
     let mut instances = daemon.tables.instances.write();
-    let reported = records.into_iter().map(|record| instances.report(record, now));
-    let changed = reported.filter(|result| *result == ReportResult::Changed).count();
+    let merged = records.into_iter().map(|relayed| instances.merge(relayed, now));
+    let changed = merged.filter(|result| *result == ReportResult::Changed).count();
     changed + leaving::apply_departures(daemon, &mut instances, from, departures)
 }
 
-fn log_target(record: &InstanceRecord, from: &VmId) {
+fn log_target(relayed: &RelayedInstance, from: &VmId) {
+    let record = &relayed.record;
     log::debug!(target_id = record.instance.as_str(), address = record.address.as_str(),
-        state:% = record.state, sequence = record.sequence, control = from.as_str();
+        state:% = record.state, sequence = record.sequence, age_ms = relayed.age_ms,
+        control = from.as_str();
         "received target report");
 }
 
--- a/crates/fleet/src/sync/changes.rs
+++ b/crates/fleet/src/sync/changes.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use celerygate_steering::instances::InstanceTable;
-use celerygate_types::wire::{InstanceRecord, SyncReply, TargetDeparture};
+use celerygate_types::wire::{RelayedInstance, SyncReply, TargetDeparture};
 
 use crate::daemon::Daemon;
 
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub(super) struct TargetChanges {
     /// Records of the targets that have changed.
-    pub(super) targets: Vec<InstanceRecord>,
+    pub(super) targets: Vec<RelayedInstance>,
     /// Departures that were added.
     pub(super) departures: Vec<TargetDeparture>,
     /// Version through which the changes are complete.
@@ -33,7 +33,7 @@
         // Neither list is complete beyond the end of the shorter one.
         targets.retain(|(version, _)| *version <= through);
         departures.retain(|(version, _)| *version <= through);
-        let targets = targets.into_iter().map(|(_, instance)| instance.current_record(now));
+        let targets = targets.into_iter().map(|(_, instance)| instance.relayed(now));
         let departures = departures.into_iter().map(|(_, departure)| departure);
         Self { targets: targets.collect(), departures: departures.collect(), through }
     }
--- a/crates/fleet/src/sync/changes_tests.rs
+++ b/crates/fleet/src/sync/changes_tests.rs
@@ -1,7 +1,7 @@
 //! Guards against changes that a daemon never receives, because a reply holds only a part of them and
 //! states a later version.
 
-use celerygate_types::wire::InstanceState;
+use celerygate_types::wire::{InstanceRecord, InstanceState};
 
 use super::*;
 
--- a/crates/fleet/src/sync/leaving.rs
+++ b/crates/fleet/src/sync/leaving.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use celerygate_steering::instances::{InstanceTable, check_start_time};
-use celerygate_types::wire::{FleetMessage, TargetDeparture, TargetUpdate, TargetUpdateAck};
+use celerygate_types::wire::{
+    FleetMessage, RelayedInstance, TargetDeparture, TargetUpdate, TargetUpdateAck,
+};
 use celerygate_types::{TargetId, VmId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::{
-    ReportOutcome, SyncState, apply_target_changes, control_vms, notify_entries, plausible_records,
+    ReportOutcome, SyncState, apply_target_changes, control_vms, just_reported, notify_entries,
+    plausible_records,
 };
 use crate::daemon::Daemon;
 
@@ -115,8 +118,8 @@
 pub fn restore_leaving(daemon: &Daemon, updates: Vec<TargetUpdate>) {
     let own = &daemon.settings.vm;
     for update in updates {
-        let records = plausible_records(daemon, own, update.records);
-        for record in &records {
+        let records = plausible_records(daemon, own, update.records.into_iter().map(just_reported));
+        for RelayedInstance { record, .. } in &records {
             log::info!(target_id = record.instance.as_str(), born = record.born_unix_ms,
                 state:% = record.state; "restored leaving target");
         }
@@ -128,11 +131,13 @@
 pub(super) fn receive_target_update(daemon: &Arc<Daemon>, from: VmId, update: TargetUpdate) {
     let is_relayed = update.sequence == 0;
     if is_relayed {
-        let records = plausible_records(daemon, &from, update.records);
+        let records =
+            plausible_records(daemon, &from, update.records.into_iter().map(just_reported));
         apply_target_changes(daemon, &from, records, &update.departures);
         return;
     }
-    let records = plausible_records(daemon, &from, update.records.clone());
+    let records =
+        plausible_records(daemon, &from, update.records.iter().cloned().map(just_reported));
     if apply_target_changes(daemon, &from, records, &update.departures) > 0 {
         notify_entries(daemon);
     }
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -12,7 +12,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use celerygate_types::wire::{InstanceRecord, InstanceState, TargetDeparture};
+use celerygate_types::wire::{InstanceRecord, InstanceState, RelayedInstance, TargetDeparture};
 use celerygate_types::{ServiceId, SlotCount, TargetId};
 use smol_str::SmolStr;
 
@@ -128,7 +128,7 @@
     pub record: InstanceRecord,
     /// Time at which the target is warm.
     pub warm_at: Instant,
-    /// Time at which the latest report arrived at this VM.
+    /// Time at which the latest report arrived from the target, at this VM or another one.
     pub reported_at: Instant,
     /// Time at which this VM first learned of this instance.
     pub known_since: Instant,
@@ -150,11 +150,17 @@
 }
 
 impl Instance {
-    fn new(record: InstanceRecord, is_named: bool, version: u64, now: Instant) -> Self {
+    fn new(
+        record: InstanceRecord,
+        is_named: bool,
+        version: u64,
+        reported_at: Instant,
+        now: Instant,
+    ) -> Self {
         Self {
             warm_at: now + Duration::from_millis(record.cold_ms),
             record,
-            reported_at: now,
+            reported_at,
             known_since: now,
             version,
             misdirected_until: None,
@@ -171,11 +177,12 @@
         }
     }
 
-    /// Returns the record with the remaining warm-up time.
-    pub fn current_record(&self, now: Instant) -> InstanceRecord {
+    /// Returns the record with its age and the remaining warm-up time.
+    pub fn relayed(&self, now: Instant) -> RelayedInstance {
         let cold = self.warm_at.saturating_duration_since(now);
-        let cold_ms = u64::try_from(cold.as_millis()).unwrap_or(u64::MAX);
-        InstanceRecord { cold_ms, ..self.record.clone() }
+        let record = InstanceRecord { cold_ms: whole_ms(cold), ..self.record.clone() };
+        let age = now.saturating_duration_since(self.reported_at);
+        RelayedInstance { record, age_ms: whole_ms(age) }
     }
 
     /// Returns until when the instance is not used because another process answered at its address,
@@ -195,9 +202,34 @@
     version: u64,
 }
 
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl InstanceTable {
-    /// Applies a report.
+    /// Applies a report that has just arrived from its target.
     pub fn report(&mut self, record: InstanceRecord, now: Instant) -> ReportResult {
+        self.apply(record, now, now)
+    }
+
+    /// Applies a report that another daemon has passed on. Its age counts: daemons that pass on a report
+    /// to each other would otherwise keep it after its target has gone.
+    pub fn merge(&mut self, relayed: RelayedInstance, now: Instant) -> ReportResult {
+        let age = Duration::from_millis(relayed.age_ms);
+        match now.checked_sub(age) {
+            Some(reported_at) if age < ENDED_RETENTION => {
+                self.apply(relayed.record, reported_at, now)
+            }
+            _ => ReportResult::Outdated,
+        }
+    }
+
+    fn apply(
+        &mut self,
+        record: InstanceRecord,
+        reported_at: Instant,
+        now: Instant,
+    ) -> ReportResult {
         if self.departures.includes(&record.instance, record.born_unix_ms) {
             return ReportResult::Outdated;
         }
@@ -205,7 +237,7 @@
         let is_named = self.named_services.contains(&record.service);
         let Some(known) = self.instances.get_mut(&record.instance) else {
             self.version += 1;
-            let instance = Instance::new(record, is_named, self.version, now);
+            let instance = Instance::new(record, is_named, self.version, reported_at, now);
             self.instances.insert(instance.record.instance.clone(), instance);
             return ReportResult::Changed;
         };
@@ -214,14 +246,14 @@
             && record.service != current.service
             && self.named_services.contains(&current.service)
         {
-            known.hold(record, now);
+            known.hold(record, reported_at);
             return ReportResult::Held;
         }
         if is_named && !known.was_named {
             // The numbers of a report whose service was never named prove nothing about the target.
             self.version += 1;
-            let unnamed =
-                std::mem::replace(known, Instance::new(record, is_named, self.version, now));
+            let named = Instance::new(record, is_named, self.version, reported_at, now);
+            let unnamed = std::mem::replace(known, named);
             known.hold(unnamed.record, unnamed.reported_at);
             return ReportResult::Changed;
         }
@@ -237,7 +269,7 @@
             self.version += 1;
             known.record.state = record.state;
             known.version = self.version;
-            known.reported_at = now;
+            known.reported_at = known.reported_at.max(reported_at);
             return ReportResult::Changed;
         }
         if !is_new_instance && (!is_newer || current.state == InstanceState::Gone) {
@@ -256,7 +288,7 @@
         if is_new_instance || is_colder || warm_at < known.warm_at {
             known.warm_at = warm_at;
         }
-        known.reported_at = known.reported_at.max(now);
+        known.reported_at = known.reported_at.max(reported_at);
         if is_new_instance {
             known.known_since = now;
             known.misdirected_until = None;
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -147,6 +147,51 @@
     assert!(table.version() > version);
 }
 
+/// Guards against a target that is gone, and that daemons keep by passing on its last report to each other
+/// just before it expires: they did so for as long as they ran.
+#[test]
+fn merge_report_keeps_age() {
+    let start = Instant::now();
+    let mut tables = [InstanceTable::default(), InstanceTable::default()];
+    tables[0].report(record(1, 1, InstanceState::Ready), start);
+    for (number, after) in [(1, 29), (0, 58), (1, 59)] {
+        let now = start + Duration::from_secs(after);
+        let relayed = tables[1 - number].iter().next().expect("not expired").relayed(now);
+        tables[number].merge(relayed, now);
+    }
+    for table in &mut tables {
+        table.expire(start + ENDED_RETENTION);
+        assert_eq!(table.iter().count(), 0);
+    }
+}
+
+/// Guards against a table that takes up a report which is about to expire elsewhere.
+#[test]
+fn merge_expired_report_ignored() {
+    let now = Instant::now() + ENDED_RETENTION;
+    let mut table = InstanceTable::default();
+    let relayed = |age: Duration| RelayedInstance {
+        record: record(1, 1, InstanceState::Ready),
+        age_ms: age.as_millis() as u64,
+    };
+    assert_eq!(table.merge(relayed(ENDED_RETENTION), now), ReportResult::Outdated);
+    assert_eq!(table.merge(relayed(Duration::MAX), now), ReportResult::Outdated);
+    assert_eq!(table.iter().count(), 0);
+    assert_eq!(table.merge(relayed(ENDED_RETENTION / 2), now), ReportResult::Changed);
+}
+
+/// Guards against a report on a detour that makes a silent target count as running.
+#[test]
+fn merge_late_report_leaves_target_silent() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(30);
+    let mut table = InstanceTable::default();
+    table.report(record(1, 1, InstanceState::Ready), start);
+    let record = record(1, 2, InstanceState::Ready);
+    table.merge(RelayedInstance { record, age_ms: 29_000 }, now);
+    assert_eq!(table.silent(Duration::from_millis(1_500), now).count(), 1);
+}
+
 /// Guards against a target that is taken for silent, or whose leaving is not noticed, because another
 /// writer has reported a high sequence number under its id.
 #[test]
