Hold reports of unknown data centres under the ids of targets

Callers saw: a report under the id of a target that names a data centre of no settings took the target out of use; with a high sequence number, until the target started again.

Cause: InstanceTable::report knew the services of the configuration and held reports of other ones. It did not know the data centres, and the choice of targets leaves out records without a region.

Change: the table knows the data centres of the settings. A report of another one is treated like a report of a service that is not named.

Evidence: report_unknown_data_centre_under_the_id_of_a_target failed before ("left: 503, right: 200"). It passes now, with the new report_unknown_data_centre_of_other_writer, the other 27 tests of instances and the other 8 of odd_entries.

--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -77,6 +77,7 @@
     let clock = clock::suspend_aware();
     let incarnation = Incarnation(clock.unix_ms());
     let tables = Arc::new(crate::tables::Tables::new());
+    tables.set_data_centres(&settings.data_centres);
     let metrics = Arc::new(Metrics::new()?);
     let mesh = Mesh::new(settings.vm.clone(), incarnation, settings.peer_port);
     let (group, start_group) = match &settings.data_folder {
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -466,8 +466,9 @@
     }
     if reported == ReportResult::Held {
         log::info!(target_id = record.instance.as_str(), service = record.service.as_str(),
-            born = record.born_unix_ms, sequence = record.sequence;
-            "holding target report, no configuration names its service");
+            data_centre = record.data_centre.as_str(), born = record.born_unix_ms,
+            sequence = record.sequence;
+            "holding target report, its service or data centre is unknown");
         // A target that leaves is not told that this is known, because its earlier record is still in use.
         return match record.state {
             InstanceState::Ready => ReportOutcome::Acknowledged,
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -18,7 +18,7 @@
     TokenBucket,
 };
 use celerygate_steering::routing::RoutingTable;
-use celerygate_types::wire::{DaemonRecord, DaemonRole, FleetContent, VmState};
+use celerygate_types::wire::{DaemonRecord, DaemonRole, DataCentrePlace, FleetContent, VmState};
 use celerygate_types::{
     DataCentreId, OrganisationId, RegionId, Revision, ServiceId, TargetId, Term, VmId,
 };
@@ -306,6 +306,12 @@
         }
     }
 
+    /// Sets the data centres of the deployment.
+    pub fn set_data_centres(&self, places: &[DataCentrePlace]) {
+        let data_centres = places.iter().map(|place| place.data_centre.clone());
+        self.instances.write().set_data_centres(data_centres.collect());
+    }
+
     /// Returns the active configuration, none before the first one was received.
     pub fn content(&self) -> Option<Arc<Content>> {
         self.content.read().clone()
--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -174,3 +174,14 @@
     fleet.daemon.tables.instances.write().expire(fleet.daemon.now());
     assert_eq!(fleet.status(Method::POST, "expired").await, 200);
 }
+
+/// Guards against a report under the id of a target that names an unknown data centre, and takes the target
+/// out of use until its own reports have a higher sequence.
+#[tokio::test]
+async fn report_unknown_data_centre_under_the_id_of_a_target() {
+    let target = start_instance("target-0").await;
+    let fleet = Fleet::start(&[&target], Repeatable::OnlyIfNotRun);
+    let odd = ready_record("target-0", target.address, 1);
+    fleet.report_record(InstanceRecord { data_centre: id("nowhere-1"), sequence: 1_000, ..odd });
+    assert_eq!(fleet.status(Method::POST, "a").await, 200);
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -132,11 +132,13 @@
         limits: BodyLimits,
     ) -> Self {
         let vm = settings.vm.clone();
+        let tables = Tables::new();
+        tables.set_data_centres(&settings.data_centres);
         let daemon = Daemon {
             settings,
             clock,
             incarnation: Incarnation(1),
-            tables: Arc::new(Tables::new()),
+            tables: Arc::new(tables),
             mesh: Mesh::new(vm, Incarnation(1), 1),
             group: None,
             leaving_store: None,
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -5,15 +5,16 @@
 //! instance that has ended is remembered for a time, so that a late report cannot bring it back.
 //!
 //! Other writers send reports too, under the ids of targets. A report that names a service of no
-//! configuration does not take a target out of a service that the configuration in force names: it is
-//! held until its service is named, or the target is no longer known.
+//! configuration, or a data centre that the deployment does not have, does not take a target out of a
+//! service that the configuration in force names: it is held until its service is named, or the target is
+//! no longer known.
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use celerygate_types::wire::{InstanceRecord, InstanceState, RelayedInstance, TargetDeparture};
-use celerygate_types::{ServiceId, SlotCount, TargetId};
+use celerygate_types::{DataCentreId, ServiceId, SlotCount, TargetId};
 use smol_str::SmolStr;
 
 use self::departures::Departures;
@@ -116,8 +117,8 @@
     Renewed,
     /// The report was ignored, because a later report or instance is known.
     Outdated,
-    /// The report is held and has no effect yet: it names a service of no configuration, and the target
-    /// is known for one that the configuration in force names.
+    /// The report is held and has no effect yet: it names a service of no configuration, or an unknown
+    /// data centre, and the target is known for ones that the configuration in force names.
     Held,
 }
 
@@ -136,9 +137,9 @@
     pub version: u64,
     /// Time until which the instance is not used, because another process answered at its address.
     misdirected_until: Option<Instant>,
-    /// Whether a configuration in force has named the service of the record.
+    /// Whether a configuration in force has named the service of the record, in a known data centre.
     was_named: bool,
-    /// Report of a service that no configuration has named.
+    /// Report of a service that no configuration has named, or of an unknown data centre.
     held: Option<HeldReport>,
 }
 
@@ -192,13 +193,29 @@
     }
 }
 
+/// Services and data centres for which targets can be used.
+#[derive(Clone, Debug, Default)]
+struct NamedPlaces {
+    /// Services of the configuration in force.
+    services: HashSet<ServiceId>,
+    /// Data centres of the deployment; none if they are not known.
+    data_centres: Option<HashSet<DataCentreId>>,
+}
+
+impl NamedPlaces {
+    fn contain(&self, record: &InstanceRecord) -> bool {
+        let data_centres = self.data_centres.as_ref();
+        self.services.contains(&record.service)
+            && data_centres.is_none_or(|known| known.contains(&record.data_centre))
+    }
+}
+
 /// The latest instance of every known target.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
     instances: HashMap<TargetId, Instance>,
     departures: Departures,
-    /// Services of the configuration in force.
-    named_services: HashSet<ServiceId>,
+    named: NamedPlaces,
     version: u64,
 }
 
@@ -234,7 +251,7 @@
             return ReportResult::Outdated;
         }
         let warm_at = now + Duration::from_millis(record.cold_ms);
-        let is_named = self.named_services.contains(&record.service);
+        let is_named = self.named.contain(&record);
         let Some(known) = self.instances.get_mut(&record.instance) else {
             self.version += 1;
             let instance = Instance::new(record, is_named, self.version, reported_at, now);
@@ -242,15 +259,15 @@
             return ReportResult::Changed;
         };
         let current = &known.record;
-        if !is_named
-            && record.service != current.service
-            && self.named_services.contains(&current.service)
-        {
+        let is_same_place =
+            record.service == current.service && record.data_centre == current.data_centre;
+        if !is_named && !is_same_place && self.named.contain(current) {
             known.hold(record, reported_at);
             return ReportResult::Held;
         }
         if is_named && !known.was_named {
-            // The numbers of a report whose service was never named prove nothing about the target.
+            // The numbers of a report whose service or data centre was never named prove nothing about
+            // the target.
             self.version += 1;
             let named = Instance::new(record, is_named, self.version, reported_at, now);
             let unnamed = std::mem::replace(known, named);
@@ -283,7 +300,7 @@
             || record.service != current.service
             || record.slots != current.slots
             || is_colder;
-        known.was_named = is_named || (known.was_named && record.service == current.service);
+        known.was_named = is_named || (known.was_named && is_same_place);
         known.record = InstanceRecord { state, ..record };
         if is_new_instance || is_colder || warm_at < known.warm_at {
             known.warm_at = warm_at;
@@ -301,16 +318,21 @@
         ReportResult::Changed
     }
 
+    /// Sets the data centres of the deployment. Without them, all count as known.
+    pub fn set_data_centres(&mut self, data_centres: HashSet<DataCentreId>) {
+        self.named.data_centres = Some(data_centres);
+    }
+
     /// Sets the services of the configuration in force, and applies the reports that were held for one
     /// of them.
     pub fn set_named_services(&mut self, services: HashSet<ServiceId>) {
+        self.named.services = services;
         let mut released = Vec::new();
         for instance in self.instances.values_mut() {
-            instance.was_named |= services.contains(&instance.record.service);
-            let is_named = |held: &mut HeldReport| services.contains(&held.record.service);
+            instance.was_named |= self.named.contain(&instance.record);
+            let is_named = |held: &mut HeldReport| self.named.contain(&held.record);
             released.extend(instance.held.take_if(is_named));
         }
-        self.named_services = services;
         for HeldReport { record, reported_at } in released {
             self.report(record, reported_at);
         }
--- a/crates/steering/src/instances_tests.rs
+++ b/crates/steering/src/instances_tests.rs
@@ -380,6 +380,30 @@
     }
 }
 
+/// Guards against another writer's report of an unknown data centre that takes a target out of use, and
+/// against a target that is not used because such a report arrived first.
+#[test]
+fn report_unknown_data_centre_of_other_writer() {
+    let now = Instant::now();
+    let mut table = InstanceTable::default();
+    let own = record_of("lists", 5, 4, InstanceState::Ready);
+    table.set_data_centres([own.data_centre.clone()].into());
+    table.set_named_services(services(&["lists"]));
+    let odd = |born| InstanceRecord {
+        data_centre: "nowhere-1".parse().expect("valid id"),
+        ..record_of("lists", born, u64::MAX, InstanceState::Draining)
+    };
+    assert_eq!(table.report(odd(9), now), ReportResult::Changed);
+    assert_eq!(table.report(own.clone(), now), ReportResult::Changed);
+    for born in [5, 10] {
+        assert_eq!(table.report(odd(born), now), ReportResult::Held);
+    }
+    let held = table.iter().next().expect("one target");
+    assert_eq!(held.record, own);
+    table.set_named_services(services(&["lists", "other"]));
+    assert_eq!(state(&table), InstanceState::Ready);
+}
+
 /// Guards against another writer's report that arrives first, at a VM that has just started, and
 /// against one that arrives before the VM has a configuration.
 #[test]
