Use a displaced target again while it goes on to report

Callers saw: a report for a service that gets no requests, or for one that a later configuration names, took the target at its address out of use for as long as it was repeated; its own reports went on.

Cause: only the refusal of another instance undoes a displacement, and no request is sent to a service without callers. That the earlier target is not silent was not considered.

Change: a later process displaces the earlier one for six heartbeats from its first report at the address, also if it states new start times or ids. Then the earlier target is used while control VMs do not list it as silent, and left out without such a list.

Evidence: report_without_requests_at_the_address_of_a_target and report_usable_later_at_the_address_of_a_target failed before ("left: 503, right: 200"); silent_target_whose_address_another_reports passed before and guards the other side.

--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use celerygate_daemon::upstream::NetworkPath;
-use celerygate_steering::instances::believed_slots_max;
+use celerygate_steering::instances::{DISPLACEMENT_HEARTBEATS, believed_slots_max};
 use celerygate_steering::lookup::rendezvous;
 use celerygate_steering::placement::{
     Candidate, LoadSignal, Locality, ObjectShares, Placement, PlacementReason, PlacementRequest,
@@ -111,6 +111,8 @@
     region: RegionId,
     data_centre: DataCentreId,
     warm_at: Instant,
+    /// Whether the target is used only while it reports, because a later process reports its address.
+    must_report: bool,
 }
 
 /// The eligible targets of each service, for one version of the reports and one revision of the
@@ -119,10 +121,10 @@
 pub struct TargetIndex {
     reports_version: u64,
     revision: Revision,
-    /// Time at which an excluded instance may be used again; none without such instances.
+    /// Earliest time at which an excluded instance may be used again; none without such instances.
     valid_until: Option<Instant>,
     by_service: HashMap<ServiceId, Vec<IndexedTarget>>,
-    /// Ready targets that are not used because of another target at their address.
+    /// Targets at whose address a later process reports.
     displaced: HashSet<TargetId>,
 }
 
@@ -137,27 +139,32 @@
     }
     let mut by_service: HashMap<ServiceId, Vec<IndexedTarget>> = HashMap::new();
     let is_usable = |record: &InstanceRecord| is_usable(daemon, content, record);
-    let latest_start_times = instances.latest_start_times(is_usable, now);
-    let mut valid_until = None;
+    let by_address = instances.by_address(is_usable, now);
+    let displacement_time = daemon.heartbeat() * DISPLACEMENT_HEARTBEATS;
+    let mut valid_until: Option<Instant> = None;
     let mut displaced = HashSet::new();
     for instance in instances.iter() {
         let record = &instance.record;
         if let Some(until) = instance.misdirected_until(now) {
-            valid_until = Some(valid_until.map_or(until, |earliest: Instant| earliest.min(until)));
+            valid_until = earliest(valid_until, until);
             continue;
         }
         let Some(region) = daemon.region_of(&record.data_centre).filter(|_| is_usable(record))
         else {
             continue;
         };
-        // A target with a later start time at the same address means that this one has ended.
-        let latest_start_time = latest_start_times.get(&record.address).copied();
-        if latest_start_time != Some(record.born_unix_ms) {
+        // A later process at the same address means that this one has ended, unless it goes on to report.
+        let displaced_since = by_address.displaced_since(record);
+        if let Some(since) = displaced_since {
             if !current.displaced.contains(&record.instance) {
-                log_displaced(record, latest_start_time);
+                log_displaced(record);
             }
             displaced.insert(record.instance.clone());
-            continue;
+            let until = since + displacement_time;
+            if now < until {
+                valid_until = earliest(valid_until, until);
+                continue;
+            }
         }
         by_service.entry(record.service.clone()).or_default().push(IndexedTarget {
             instance: record.instance.clone(),
@@ -169,6 +176,7 @@
             region: region.clone(),
             data_centre: record.data_centre.clone(),
             warm_at: instance.warm_at,
+            must_report: displaced_since.is_some(),
         });
     }
     for targets in by_service.values_mut() {
@@ -190,12 +198,16 @@
         && !content.replicated.evacuated.contains(&record.data_centre)
 }
 
-fn log_displaced(record: &InstanceRecord, later_born_unix_ms: Option<u64>) {
+fn log_displaced(record: &InstanceRecord) {
     log::info!(target_id = record.instance.as_str(), service = record.service.as_str(),
-        address = record.address.as_str(), born = record.born_unix_ms, later_born = later_born_unix_ms;
+        address = record.address.as_str(), born = record.born_unix_ms;
         "another target at the address started later, no new requests for the target");
 }
 
+fn earliest(known: Option<Instant>, other: Instant) -> Option<Instant> {
+    Some(known.map_or(other, |known| known.min(other)))
+}
+
 /// Returns the slots that a target can use: each request needs a connection, of which the service
 /// allows a number.
 fn usable_slots(stated: SlotCount, policy: Option<&ServicePolicy>) -> SlotCount {
@@ -450,12 +462,18 @@
     }
 }
 
-fn is_silent(local: &LocalTargetStates, instance: &TargetId, now: Instant) -> bool {
+/// Returns whether a target is silent according to the control VMs, none if none of them has told
+/// recently. A partitioned control VM lists many targets as silent, so a target counts as silent only if
+/// all recent lists contain it.
+fn silence(local: &LocalTargetStates, instance: &TargetId, now: Instant) -> Option<bool> {
     let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_LIST_AGE_MAX;
-    // A partitioned control VM lists many targets as silent, so a target counts as silent only if
-    // all recent lists contain it.
     let mut lists = local.silent_lists.values().filter(|(_, at)| is_recent(*at)).peekable();
-    lists.peek().is_some() && lists.all(|(silent, _)| silent.contains(instance))
+    lists.peek()?;
+    Some(lists.all(|(silent, _)| silent.contains(instance)))
+}
+
+fn is_silent(local: &LocalTargetStates, instance: &TargetId, now: Instant) -> bool {
+    silence(local, instance, now) == Some(true)
 }
 
 /// Removes the state of targets that are no longer known, and expired entries.
--- a/crates/fleet/src/targets/availability.rs
+++ b/crates/fleet/src/targets/availability.rs
@@ -12,7 +12,7 @@
 use celerygate_types::{Incarnation, TargetId};
 use tokio::time::sleep;
 
-use super::{ChosenTarget, IndexedTarget, Query, current_index, is_in_allowed_region};
+use super::{ChosenTarget, IndexedTarget, Query, current_index, is_in_allowed_region, silence};
 use crate::daemon::Daemon;
 use crate::tables::{Content, LocalTargetStates};
 
@@ -27,10 +27,11 @@
     local.availability.eligibility(&target.instance, target.incarnation, in_flight, now)
 }
 
-/// Returns whether a target may get a new request: it neither leaves nor is paused, and after a pause
-/// it has fewer requests than its limit.
+/// Returns whether a target may get a new request: it neither leaves nor is paused, after a pause it has
+/// fewer requests than its limit, and it reports if it must.
 pub(super) fn is_eligible(local: &LocalTargetStates, target: &IndexedTarget, now: Instant) -> bool {
     eligibility(local, target, now) == Eligibility::Eligible
+        && (!target.must_report || silence(local, &target.instance, now) == Some(false))
 }
 
 /// Returns the target that resumes after a pause and will soonest take a request, if a request may
--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -8,7 +8,7 @@
 use celerygate_steering::instances::ENDED_RETENTION;
 use celerygate_steering::routing::Repeatable;
 use celerygate_types::wire::{DataCentrePlace, InstanceRecord, InstanceState};
-use celerygate_types::{Clock, ManualClock, SlotCount};
+use celerygate_types::{Clock, ManualClock, Revision, SlotCount};
 use hyper::Method;
 use support::raw_target::{RawTarget, ScriptedResponse};
 use support::{
@@ -185,3 +185,87 @@
     fleet.report_record(InstanceRecord { data_centre: id("nowhere-1"), sequence: 1_000, ..odd });
     assert_eq!(fleet.status(Method::POST, "a").await, 200);
 }
+
+/// An odd report for a service without requests, at the address of a target that goes on to report, and
+/// the times at which requests are sent.
+struct ContestedAddress {
+    fleet: Fleet,
+    clock: ManualClock,
+    target: RawTarget,
+    sequence: u64,
+}
+
+impl ContestedAddress {
+    async fn start() -> Self {
+        let target = start_instance("target-0").await;
+        let clock = ManualClock::new();
+        let fleet = Fleet::start_with_clock(&[&target], Repeatable::OnlyIfNotRun, clock.clock());
+        let contested = Self { fleet, clock, target, sequence: 1 };
+        contested.report_odd(1_000);
+        contested
+    }
+
+    /// Reports another target at the address, whose service gets no requests.
+    fn report_odd(&self, born_unix_ms: u64) {
+        let odd = ready_record("odd", self.target.address, born_unix_ms);
+        self.fleet.report_record(InstanceRecord { service: id(OTHER_SERVICE), ..odd });
+    }
+
+    /// Lets a second pass in which the target reports, and a control VM states which targets are silent.
+    fn pass_second(&mut self, silent: &[&str]) {
+        self.clock.advance(Duration::from_secs(1));
+        self.sequence += 1;
+        let own = ready_record("target-0", self.target.address, 1);
+        self.fleet.report_record(InstanceRecord { sequence: self.sequence, ..own });
+        let silent = silent.iter().map(|target| id(target)).collect();
+        let mut targets = self.fleet.daemon.tables.targets.lock();
+        targets.silent_lists.insert(id("127.0.0.2"), (silent, self.fleet.daemon.now()));
+    }
+
+    async fn status(&self, attempt: &str) -> u16 {
+        self.fleet.status(Method::POST, attempt).await
+    }
+}
+
+/// Guards against a report for a service without requests, which no response can prove wrong, and which
+/// keeps the target at its address out of use although the target goes on to report.
+#[tokio::test]
+async fn report_without_requests_at_the_address_of_a_target() {
+    let mut contested = ContestedAddress::start().await;
+    // The target may have ended: a process that has just started may report its address.
+    contested.pass_second(&[]);
+    assert_eq!(contested.status("a").await, 503);
+    (0..6).for_each(|_| contested.pass_second(&[]));
+    assert_eq!(contested.status("b").await, 200);
+    // Nor does a later process of the other target displace it.
+    contested.report_odd(2_000);
+    assert_eq!(contested.status("c").await, 200);
+}
+
+/// Guards against requests to a target that has ended, whose address another one has taken over.
+#[tokio::test]
+async fn silent_target_whose_address_another_reports() {
+    let mut contested = ContestedAddress::start().await;
+    (0..30).for_each(|_| contested.pass_second(&["target-0"]));
+    assert_eq!(contested.status("a").await, 503);
+    // Without a list of a control VM it is not known which of the two is silent.
+    contested.clock.advance(Duration::from_secs(10));
+    assert_eq!(contested.status("b").await, 503);
+    assert!(contested.target.requests().is_empty());
+}
+
+/// Guards against a report that can be used only later, because its data centre was evacuated or its
+/// service was not named, and that then displaces the target at its address.
+#[tokio::test]
+async fn report_usable_later_at_the_address_of_a_target() {
+    let mut contested = ContestedAddress::start().await;
+    (0..7).for_each(|_| contested.pass_second(&[]));
+    for (revision, evacuated) in [(2, vec![id("east-1")]), (3, Vec::new())] {
+        let mut configuration = Configuration::new(Repeatable::OnlyIfNotRun);
+        (configuration.revision, configuration.evacuated) = (Revision(revision), evacuated);
+        assert!(contested.fleet.daemon.tables.activate(configuration.into_content()));
+        contested.pass_second(&[]);
+        let expected = if revision == 2 { 503 } else { 200 };
+        assert_eq!(contested.status(&format!("a{revision}")).await, expected);
+    }
+}
--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -19,6 +19,9 @@
 
 use self::departures::Departures;
 
+pub use self::addresses::{DISPLACEMENT_HEARTBEATS, InstancesByAddress};
+
+mod addresses;
 mod departures;
 
 /// How long an ended instance is remembered; longer than any report is in transit.
@@ -133,6 +136,8 @@
     pub reported_at: Instant,
     /// Time at which this VM first learned of this instance.
     pub known_since: Instant,
+    /// Time at which this VM first learned of the target at this address, in this or an earlier process.
+    address_since: Instant,
     /// Version of the table in which this instance last changed.
     pub version: u64,
     /// Time until which the instance is not used, because another process answered at its address.
@@ -163,6 +168,7 @@
             record,
             reported_at,
             known_since: now,
+            address_since: now,
             version,
             misdirected_until: None,
             was_named: is_named,
@@ -186,6 +192,11 @@
         RelayedInstance { record, age_ms: whole_ms(age) }
     }
 
+    /// Returns since when the target is known at the address of its next report.
+    fn address_since_with(&self, next: &InstanceRecord, now: Instant) -> Instant {
+        if next.address == self.record.address { self.address_since } else { now }
+    }
+
     /// Returns until when the instance is not used because another process answered at its address,
     /// none if it may be used now.
     pub fn misdirected_until(&self, now: Instant) -> Option<Instant> {
@@ -269,7 +280,9 @@
             // The numbers of a report whose service or data centre was never named prove nothing about
             // the target.
             self.version += 1;
+            let address_since = known.address_since_with(&record, now);
             let named = Instance::new(record, is_named, self.version, reported_at, now);
+            let named = Instance { address_since, ..named };
             let unnamed = std::mem::replace(known, named);
             known.hold(unnamed.record, unnamed.reported_at);
             return ReportResult::Changed;
@@ -301,6 +314,7 @@
             || record.slots != current.slots
             || is_colder;
         known.was_named = is_named || (known.was_named && is_same_place);
+        known.address_since = known.address_since_with(&record, now);
         known.record = InstanceRecord { state, ..record };
         if is_new_instance || is_colder || warm_at < known.warm_at {
             known.warm_at = warm_at;
@@ -452,23 +466,21 @@
         self.instances.get(instance)
     }
 
-    /// Returns the latest start time, in Unix milliseconds, of a usable instance at each address. An
-    /// instance that started earlier at the same address has ended, even if its last reports arrive
-    /// late. Instances at whose address another process has answered do not count.
-    pub fn latest_start_times(
+    /// Returns the usable instances at each address. Instances at whose address another process has
+    /// answered do not count.
+    pub fn by_address(
         &self,
         is_usable: impl Fn(&InstanceRecord) -> bool,
         now: Instant,
-    ) -> HashMap<&SmolStr, u64> {
-        let mut start_times: HashMap<&SmolStr, u64> = HashMap::new();
+    ) -> InstancesByAddress<'_> {
         let counts = |instance: &&Instance| {
             instance.misdirected_until(now).is_none() && is_usable(&instance.record)
         };
+        let mut by_address = InstancesByAddress::default();
         for instance in self.instances.values().filter(counts) {
-            let start_time = start_times.entry(&instance.record.address).or_default();
-            *start_time = (*start_time).max(instance.record.born_unix_ms);
+            by_address.insert(instance);
         }
-        start_times
+        by_address
     }
 
     /// Returns the targets that missed more than [`MAX_MISSED_HEARTBEATS`] heartbeats.
