Guard targets of celerygated against announcements at their address

celerygated keeps targets by service and id, and nothing by address. No fault was found: an announcement at the address of another target, with a later incarnation or for another service, and its departure leave that target in use.

--- a/crates/steering/src/targets_tests.rs
+++ b/crates/steering/src/targets_tests.rs
@@ -377,3 +377,24 @@
     assert!(is_ejected(6, 6, ms(0)));
     assert!(!is_ejected(9, 0, Duration::from_secs(30)));
 }
+
+/// Guards against an announcement at the address of another target that takes it out of use, as reports to
+/// a fleet did: with a later incarnation, for another service, or of a target that leaves.
+#[test]
+fn announce_at_address_of_other_target() {
+    let now = Instant::now();
+    let mut table = table(1, ("east", "east-1"), now);
+    let odd = Announcement {
+        incarnation: Incarnation(1_000),
+        ..announcement(0, 1, ("east", "nowhere-1"), 1)
+    };
+    for (target, service) in [(id(8), service()), (id(0), "other".parse().unwrap())] {
+        let odd = Announcement { target: target.clone(), service: service.clone(), ..odd.clone() };
+        assert_eq!(table.announce(&odd, now), RecordUpdate::New);
+        let incarnation = Incarnation(2_000);
+        table.depart(&Departure { service, target, incarnation }, now);
+    }
+    let known = table.get(&service(), &id(0)).expect("announced");
+    assert_eq!(known.address, odd.address);
+    assert!(known.accepts_requests(now));
+}
