Reject responses whose status is none of the protocol

Cause: the HTTP library reads any status of three digits from 100 on, and nothing in the product looks at its range. 000 and other statuses below 100, and those without three digits, are refused by the library: they ended in 502 before too.

Change: response_kind, through which both front ends go, rejects what is not within 100 to 599. The connection is closed, as after other rejected responses, and the caller gets 502.

--- a/crates/daemon/tests/responses.rs
+++ b/crates/daemon/tests/responses.rs
@@ -6,6 +6,7 @@
 use support::caller::{Reply, get, request};
 use support::daemon::{ALPHA_KEY, Daemon};
 use support::raw_target::{BODY_END, RawTarget, ScriptedResponse, request_id};
+use tokio::task::JoinSet;
 
 /// Returns a complete response that names a request.
 fn answer(id: &str, body: &str) -> String {
@@ -80,6 +81,26 @@
     }
 }
 
+/// Guards against a response with a status that the protocol does not have, which is passed on to the
+/// caller as an answer.
+#[tokio::test]
+async fn response_invalid_status() {
+    let mut cases = JoinSet::new();
+    for status in ["000", "001", "099", "600", "700", "999", "20", "2000", "-20", "+200", "2OO", ""]
+    {
+        cases.spawn(async move {
+            let target = RawTarget::start(move |_, request| {
+                let text = answer(request_id(request), "ok");
+                keep_alive(text.replacen("200", status, 1))
+            })
+            .await;
+            post_to(&target).await.assert_error(502, 1301, "target-failed", "unknown");
+            assert_eq!(target.requests().len(), 1, "{status:?}");
+        });
+    }
+    cases.join_all().await;
+}
+
 /// Guards against a switch of protocols or a body in an unknown transfer coding that is passed on.
 #[tokio::test]
 async fn response_switched_or_coded() {
--- a/crates/fleet/tests/responses.rs
+++ b/crates/fleet/tests/responses.rs
@@ -61,6 +61,33 @@
     }
 }
 
+/// Statuses that the protocol does not have.
+const INVALID_STATUSES: [&str; 12] =
+    ["000", "001", "099", "600", "700", "999", "20", "2000", "-20", "+200", "2OO", ""];
+
+/// Guards against a response with a status that the protocol does not have, which is passed on to the
+/// caller as an answer, or believed as a refusal.
+#[tokio::test]
+async fn response_invalid_status() {
+    for status in INVALID_STATUSES {
+        for text in [answer("a", "ok"), answer("a", ""), refusal("a")] {
+            let (_, rest) = text.split_once("\r\n").expect("a status line");
+            let odd = keep_alive(format!("HTTP/1.1 {status} OK\r\n{rest}"));
+            let (fleet, target) = start_with_second_response(
+                odd,
+                keep_alive(answer("b", "ok")),
+                Repeatable::OnlyIfNotRun,
+            )
+            .await;
+            assert_eq!(fleet.status(Method::POST, "a").await, 502, "{status:?}: {text}");
+            assert_eq!(fleet.status(Method::POST, "b").await, 200, "after {status:?}: {text}");
+            let connections: Vec<_> =
+                target.requests().iter().map(|request| request.connection).collect();
+            assert_eq!(connections, [0, 1], "the connection was used again after {status:?}");
+        }
+    }
+}
+
 /// Guards against a refusal of an earlier request, sent once more on a kept connection, that is
 /// believed to be about the request that the target is running.
 #[tokio::test]
--- a/crates/steering/src/responses.rs
+++ b/crates/steering/src/responses.rs
@@ -6,6 +6,11 @@
 //! with another message, so that the two parse as one. A response that is not believed proves
 //! nothing about the request, which may have run.
 
+use std::ops::RangeInclusive;
+
+/// Statuses of HTTP (RFC 9110, section 15). The HTTP library reads statuses of up to 999.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Whether a target must return the id of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EchoRule {
@@ -51,6 +56,8 @@
     OtherRequestId,
     /// The response names a request more than once, so two heads may have been read as one.
     SeveralRequestIds,
+    /// The status is none of the protocol, so the bytes may be those of another message.
+    InvalidStatus,
     /// The response has a status other than that of a failure and states that the request has not
     /// run, so two heads may have been read as one.
     NotRunWithoutFailure,
@@ -94,6 +101,9 @@
         [_] => {}
         _ => return Some(RejectReason::SeveralRequestIds),
     }
+    if !STATUSES.contains(&head.status) {
+        return Some(RejectReason::InvalidStatus);
+    }
     if head.status == 101 {
         return Some(RejectReason::SwitchedProtocols);
     }
--- a/crates/steering/src/responses_tests.rs
+++ b/crates/steering/src/responses_tests.rs
@@ -68,6 +68,17 @@
     }
 }
 
+/// Guards against a status that the protocol does not have, which is taken for an answer or a refusal.
+#[test]
+fn response_kind_invalid_status() {
+    let expected = ResponseKind::Rejected(RejectReason::InvalidStatus);
+    for status in [0, 1, 99, 600, 999] {
+        assert_eq!(required(&head(status, &["a"])), expected, "{status}");
+        assert_eq!(required(&refusal(status, &["a"])), expected, "{status}");
+        assert_eq!(optional(&head(status, &[])), expected, "{status}");
+    }
+}
+
 #[test]
 fn response_kind_switched_protocols() {
     let expected = ResponseKind::Rejected(RejectReason::SwitchedProtocols);
