Refuse by the configuration only when it is known to be recent

Cause: a VM of a fleet refused requests as unknown, or for their key, by the configuration that it had, whatever its age.

Change: requests to control VMs are numbered (messages of a fleet, still version 5). Without the replies of a quorum to requests of the last half of the propagation time, or once a newer revision is known, such a request is refused as configuration-stale, which states that it has not run and may be served elsewhere.

Evidence: with the check off, refuse_configuration_age_unknown and refuse_newer_configuration_known failed ("left: [1003, 1101, 1100], right: [1204, 1204, 1204]"). Both pass now, with 4 tests of revision_age and the other tests of celerygate-fleet.

That slow connections between daemons are given up, which delayed the change, is not mended here.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod membership;
 pub mod node;
 pub mod replica;
+pub mod revision_age;
 pub mod state;
 pub mod storage;
--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -53,6 +53,21 @@
 }
 
 impl Daemon {
+    /// Returns the number of control VMs of which at least one knows every acknowledged change.
+    pub fn control_quorum(&self) -> usize {
+        self.settings.lost_disks_max as usize + 1
+    }
+
+    /// Returns whether the configuration in force is known to have been the newest one in the first half of
+    /// the time within which a change is in force everywhere. The other half is for the request's way, and
+    /// for control VMs that put a change into force after it was acknowledged.
+    pub fn has_recent_configuration(&self) -> bool {
+        let own = self.tables.revision();
+        let newest_at = self.tables.revision_age.lock().newest_at(own, self.control_quorum());
+        let age_max = Duration::from_millis(self.settings.bounds.propagation_ms) / 2;
+        newest_at.is_some_and(|at| self.now().saturating_duration_since(at) <= age_max)
+    }
+
     /// Returns the current monotonic time.
     pub fn now(&self) -> Instant {
         self.clock.now()
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -92,7 +92,9 @@
     let NextRequest::Send { position, informs } = action else { return };
     let departures = if informs { changes::own_departures(daemon) } else { Vec::new() };
     let revision = daemon.tables.revision().max(sync_state.source.lock().held_revision());
+    let nonce = daemon.tables.revision_age.lock().begin_request(vm, daemon.now());
     let request = SyncRequest {
+        nonce,
         daemon: daemon.own_record(),
         store_id: daemon.group.as_ref().and_then(|group| group.store_id()),
         revision,
@@ -146,6 +148,7 @@
         }
         FleetMessage::ChangeNotice(notice) => {
             sync_state.source.lock().record_revision(&from, notice.revision);
+            daemon.tables.revision_age.lock().record_notice(&from, notice.revision);
             send_sync_request(daemon, sync_state, &from);
         }
     }
@@ -178,6 +181,7 @@
     let silent = instances.silent(daemon.heartbeat(), now).cloned().collect();
     let leader = daemon.tables.leader.lock().clone();
     let reply = SyncReply {
+        nonce: request.nonce,
         content: content.map(|content| content.replicated.clone()),
         daemons: if digest == request.daemons_digest { Vec::new() } else { running },
         daemons_digest: digest,
@@ -249,6 +253,7 @@
         source.end_fetch(&from);
         reply.content.into_iter().for_each(|content| source.hold(content, now));
     }
+    daemon.tables.revision_age.lock().record_reply(&from, reply.nonce, reply.revision);
     activate_held_content(daemon, sync_state);
     record_leader(&daemon.tables, reply.term, reply.leader);
     let knows_sender = {
@@ -310,7 +315,7 @@
     let now = daemon.now();
     // A change that is acknowledged is known to most control VMs.
     let quorum = match daemon.role() {
-        DaemonRole::Entry => daemon.settings.lost_disks_max as usize + 1,
+        DaemonRole::Entry => daemon.control_quorum(),
         DaemonRole::Control => 0,
     };
     let own = daemon.tables.revision();
--- a/crates/fleet/src/tables.rs
+++ b/crates/fleet/src/tables.rs
@@ -1,7 +1,7 @@
 //! Tables shared by the tasks of a daemon.
 //!
 //! Lock order: `content`, `instances`, `target_index`, `targets`, `daemons`, `quota`, `retries`,
-//! `leader`, `entry_count`. A task that holds a lock takes only later ones, and never holds a lock
+//! `leader`, `revision_age`, `entry_count`. A task that holds a lock takes only later ones, and never holds a lock
 //! across an await.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use celerygate_control::revision_age::RevisionAge;
 use celerygate_steering::availability::AvailabilityTable;
 use celerygate_steering::grants::{GrantHolder, OwnerStatus};
 use celerygate_steering::instances::InstanceTable;
@@ -264,6 +265,8 @@
     pub attempt_ended: Notify,
     /// Notified when the control VMs must be polled at once.
     pub sync_requested: Notify,
+    /// When the configuration was known to be the newest; locked only briefly.
+    pub revision_age: Mutex<RevisionAge>,
     /// Stored number of entry VMs; locked only briefly.
     pub entry_count: Mutex<EntryCount>,
     /// State of this daemon, as announced to other daemons.
@@ -298,6 +301,7 @@
             tokens_received: Notify::new(),
             attempt_ended: Notify::new(),
             sync_requested: Notify::new(),
+            revision_age: Mutex::new(RevisionAge::new(rand::random())),
             entry_count: Mutex::default(),
             state: Mutex::new(VmState::Starting),
             requests_running: AtomicU64::new(0),
--- a/crates/fleet/tests/content_at_start.rs
+++ b/crates/fleet/tests/content_at_start.rs
@@ -36,6 +36,7 @@
         let document = Document { accepted: Vec::new(), items: Vec::new(), version: revision.0 };
         let content = FleetContent { document, evacuated: Vec::new(), revision };
         let reply = SyncReply {
+            nonce: 0,
             content: has_content.then_some(content),
             daemons: Vec::new(),
             daemons_digest: 0,
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -69,6 +69,8 @@
 pub const INSTANCE: &str = "instance";
 /// Milliseconds for which a target wants no requests.
 const PAUSE: &str = "pause-ms";
+/// Number of the result code of a refusal.
+pub const CODE: &str = "code";
 /// Milliseconds after which a refused caller should retry.
 pub const RETRY_AFTER: &str = "retry-after-ms";
 
@@ -231,7 +233,18 @@
         attempt: &str,
         headers: &[(&str, String)],
     ) -> Response<ResponseBody> {
-        let request = Request::builder().method(method.clone()).uri("/a/b").header("host", HOST);
+        self.send_to_path("/a/b", method, attempt, headers).await
+    }
+
+    /// Sends a request to a path, which need not be that of the route.
+    pub async fn send_to_path(
+        &self,
+        path: &str,
+        method: Method,
+        attempt: &str,
+        headers: &[(&str, String)],
+    ) -> Response<ResponseBody> {
+        let request = Request::builder().method(method.clone()).uri(path).header("host", HOST);
         let request = headers.iter().fold(request.header(ID, attempt), |request, (name, value)| {
             request.header(*name, value)
         });
@@ -351,6 +364,7 @@
             },
         },
         write_refusal: |refusal, headers| {
+            headers.insert(CODE, HeaderValue::from(refusal.code.number()));
             if let Some(time) = refusal.retry_after {
                 headers.insert(RETRY_AFTER, HeaderValue::from(time.as_millis() as u64));
             }
