--- a/crates/steering/src/instances.rs
+++ b/crates/steering/src/instances.rs
@@ -18,11 +18,13 @@
 use smol_str::SmolStr;
 
 use self::departures::Departures;
+use self::named_places::NamedPlaces;
 
 pub use self::addresses::{DISPLACEMENT_HEARTBEATS, InstancesByAddress};
 
 mod addresses;
 mod departures;
+mod named_places;
 
 /// How long an ended instance is remembered; longer than any report is in transit.
 pub const ENDED_RETENTION: Duration = Duration::from_secs(60);
@@ -204,23 +206,6 @@
     }
 }
 
-/// Services and data centres for which targets can be used.
-#[derive(Clone, Debug, Default)]
-struct NamedPlaces {
-    /// Services of the configuration in force.
-    services: HashSet<ServiceId>,
-    /// Data centres of the deployment; none if they are not known.
-    data_centres: Option<HashSet<DataCentreId>>,
-}
-
-impl NamedPlaces {
-    fn contain(&self, record: &InstanceRecord) -> bool {
-        let data_centres = self.data_centres.as_ref();
-        self.services.contains(&record.service)
-            && data_centres.is_none_or(|known| known.contains(&record.data_centre))
-    }
-}
-
 /// The latest instance of every known target.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
--- a/crates/steering/src/instances/addresses.rs
+++ b/crates/steering/src/instances/addresses.rs
@@ -46,3 +46,7 @@
         later.map(|other| other.address_since).min()
     }
 }
+
+#[cfg(test)]
+#[path = "addresses_tests.rs"]
+mod tests;
