Log the request whose refusal by the configuration is withheld

The line stood before the refusal without the request's id, by which docs/OPERATIONS.md leads from a failed request to its cause. No decision changes. Measured: the 2 tests of stale_configuration pass.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -88,7 +88,7 @@
     let mut response = match handled {
         RequestOutcome::Response(response) => response,
         RequestOutcome::Refused(refusal) => {
-            let refusal = without_stale_reason(&daemon, refusal);
+            let refusal = without_stale_reason(&daemon, &metadata.request, refusal);
             let elapsed = daemon.now().saturating_duration_since(arrived_at);
             log::info!(request = metadata.request.as_str(), host = metadata.host.as_str(),
                 code = refusal.code.number(), reason:% = refusal.code, elapsed_ms = elapsed.as_millis() as u64,
@@ -140,7 +140,7 @@
 
 /// Replaces a refusal by a configuration that may not be the newest one: its caller would take it for
 /// final, although another VM may serve the request.
-fn without_stale_reason(daemon: &Daemon, refusal: Refusal) -> Refusal {
+fn without_stale_reason(daemon: &Daemon, request: &str, refusal: Refusal) -> Refusal {
     let is_by_configuration = matches!(
         refusal.code,
         ResultCode::UnknownPath | ResultCode::KeyMissing | ResultCode::KeyRefused
@@ -148,7 +148,7 @@
     if !is_by_configuration || daemon.has_recent_configuration() {
         return refusal;
     }
-    log::info!(reason:% = refusal.code, revision = daemon.tables.revision().0;
+    log::info!(request = request, reason:% = refusal.code, revision = daemon.tables.revision().0;
         "configuration may not be the newest, not refusing a request by it");
     Refusal { code: ResultCode::ConfigurationStale, ..refusal }
 }
